Add first versions of scheduling state behind their interfaces

Cause: slices that are built side by side need each other's interfaces. Job, Conditions, Capacity, Queue and Router have their public calls with a minimal body each: one instance's own count against the declared limits, a first-come queue and the operators' routes.

Before: types only. Conclusion: enough for the thin path; each body is replaced by its slice.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,14 +4,19 @@
 //! input and a time and returns outputs. Traffic threads own all sockets and
 //! talk to it over channels.
 
+pub mod admission;
 pub mod backend;
+pub mod capacity;
 pub mod clock;
+pub mod condition;
 pub mod control;
 pub mod declaration;
 pub mod fleet;
 pub mod id;
+pub mod job;
 pub mod metrics;
 pub mod peer;
+pub mod routing;
 pub mod selector;
 pub mod store;
 pub mod timeline;
