Add the control core with attempts, resumes and verdicts

Cause: requests need one place that owns their life. The core takes an input and a time and returns outputs; a flight remembers tries, verdict and credit; given-up streams keep their credit until the engine says they are gone; retries come from a budget.

Before: types only. After: four core tests and five attempt tests green (resume at the offset, continue elsewhere, truthful deadline, leaving). Conclusion: ready to be wired to sockets.

--- /dev/null
+++ b/src/attempt/tests.rs
@@ -0,0 +1,115 @@
+use std::sync::Arc;
+
+use la_arena::Idx;
+use la_arena::RawIdx;
+use proptest::prelude::*;
+
+use super::*;
+use crate::backend::ServiceCall;
+use crate::id::Epoch;
+use crate::id::RequestId;
+use crate::job::Cost;
+
+fn running(start: CallStart) -> Running {
+    Running {
+        attempt: AttemptId {
+            request: RequestId(1),
+            number: 1,
+        },
+        held: CreditUse {
+            backend: Idx::from_raw(RawIdx::from_u32(0)),
+            cost: Cost::default(),
+            epoch: Epoch(1),
+        },
+        sent: Millis(0),
+        first_token: None,
+        start,
+        offset: 0,
+        resumes: 0,
+    }
+}
+
+fn service_flight(idempotent: bool) -> Flight {
+    Flight {
+        job: None,
+        work: Arc::new(Work::Service(ServiceCall {
+            service: "callbacks".to_owned(),
+            operation: "log".to_owned(),
+            body: Vec::new(),
+            idempotency_key: None,
+        })),
+        workspace: "bank".to_owned(),
+        idempotent,
+        deadline: Millis(10_000),
+        number: 1,
+        tries: 1,
+        ran: Verdict::NotRun,
+        phase: Phase::Waiting,
+    }
+}
+
+fn decide(flight: &Flight, end: &AttemptEnd) -> Next {
+    let running = running(CallStart::Fresh);
+    let outcome = Outcome::of(&running, end);
+    flight.next(
+        &running,
+        end,
+        &outcome,
+        &mut Budgets::default(),
+        "callbacks",
+    )
+}
+
+#[test]
+fn a_non_idempotent_call_that_may_have_run_is_not_tried_again() {
+    let end = AttemptEnd::Broken {
+        verdict: Verdict::MayHaveRun,
+        offset: 0,
+    };
+    let next = decide(&service_flight(false), &end);
+    assert_eq!(next, Next::Fail(Reason::BackendFailed));
+}
+
+#[test]
+fn a_non_idempotent_call_that_never_left_is_tried_elsewhere() {
+    assert_eq!(
+        decide(&service_flight(false), &AttemptEnd::Refused),
+        Next::Elsewhere
+    );
+}
+
+#[test]
+fn an_idempotent_call_is_tried_elsewhere_after_a_break() {
+    let end = AttemptEnd::Broken {
+        verdict: Verdict::MayHaveRun,
+        offset: 0,
+    };
+    assert_eq!(decide(&service_flight(true), &end), Next::Elsewhere);
+}
+
+#[test]
+fn a_refused_resume_is_not_reported_as_not_run() {
+    let outcome = Outcome::of(
+        &running(CallStart::Resume { offset: 3 }),
+        &AttemptEnd::Refused,
+    );
+    assert_eq!(outcome.verdict, Verdict::MayHaveRun);
+    assert!(outcome.crashed);
+}
+
+proptest! {
+    #[test]
+    fn retries_add_at_most_their_share(ops in prop::collection::vec(any::<bool>(), 0..2_000)) {
+        let mut budgets = Budgets::default();
+        let (mut first, mut retries) = (0_u32, 0_u32);
+        for retry in ops {
+            if retry {
+                retries += u32::from(budgets.spend("m"));
+            } else {
+                budgets.earn("m");
+                first += 1;
+            }
+        }
+        prop_assert!(f64::from(retries) <= RETRY_RESERVE + RETRY_SHARE * f64::from(first) + 1e-6);
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -5,7 +5,12 @@
 //! on one thread of the daemon and, on a virtual clock, in scenarios and
 //! property tests.
 
+mod admin;
+mod duties;
 mod message;
+mod request;
+#[cfg(test)]
+mod tests;
 
 pub use message::AdminAnswer;
 pub use message::AdminQuery;
@@ -16,10 +21,17 @@
 pub use message::Reply;
 pub use message::Submission;
 pub use message::Ticket;
+pub use request::SILENCE_LIMIT;
 
+use std::sync::Arc;
+
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use self::duties::Duties;
 use crate::clock::Millis;
+use crate::declaration::Declaration;
+use crate::id::Revision;
 use crate::metrics::Count;
 use crate::metrics::Metrics;
 use crate::store::StoreOp;
@@ -27,6 +39,69 @@
 use crate::timeline::Subject;
 use crate::timeline::Timeline;
 
+/// The control core of one instance.
+#[derive(Debug)]
+pub struct Control {
+    me: Identity,
+    rng: ChaCha8Rng,
+    timeline: Timeline,
+    metrics: Arc<Metrics>,
+    duties: Duties,
+}
+
+impl Control {
+    /// Returns the core of a starting instance; `seed` feeds its random numbers.
+    #[must_use]
+    pub fn new(me: Identity, seed: u64, metrics: Arc<Metrics>) -> Control {
+        Control {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            timeline: Timeline::new(&me.name),
+            duties: Duties::new(&me),
+            me,
+            metrics,
+        }
+    }
+
+    /// Handles one input at time `now`, which never decreases.
+    #[must_use]
+    pub fn handle(&mut self, now: Millis, input: Input) -> Vec<Output> {
+        let mut out = Vec::new();
+        let (duties, mut cx) = self.split(now, &mut out);
+        duties.handle(&mut cx, input);
+        out
+    }
+
+    /// Brings a declaration into force without the key-value service.
+    pub fn declare(&mut self, now: Millis, declaration: &Declaration, revision: Revision) {
+        let mut out = Vec::new();
+        let (duties, mut cx) = self.split(now, &mut out);
+        duties.declare(&mut cx, declaration, revision);
+    }
+
+    /// Returns the logical clock for an outgoing frame.
+    pub fn stamp(&mut self) -> u64 {
+        self.timeline.stamp()
+    }
+
+    /// Returns whether callers may be sent to this instance.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        self.duties.ready()
+    }
+
+    fn split<'a>(&'a mut self, now: Millis, out: &'a mut Vec<Output>) -> (&'a mut Duties, Cx<'a>) {
+        let cx = Cx {
+            now,
+            me: &self.me,
+            out,
+            rng: &mut self.rng,
+            timeline: &mut self.timeline,
+            metrics: &self.metrics,
+        };
+        (&mut self.duties, cx)
+    }
+}
+
 /// What every duty may use while it handles one input.
 #[derive(Debug)]
 pub struct Cx<'a> {
--- /dev/null
+++ b/src/control/duties.rs
@@ -0,0 +1,177 @@
+//! All duties of one instance and the order in which an input passes them.
+
+use std::collections::HashMap;
+
+use super::AdminAnswer;
+use super::AdminQuery;
+use super::Cx;
+use super::Identity;
+use super::Input;
+use super::Output;
+use super::Reply;
+use super::Ticket;
+use crate::admission::Queue;
+use crate::attempt::Budgets;
+use crate::attempt::Flight;
+use crate::attempt::Lingers;
+use crate::backend::BackendAnswer;
+use crate::capacity::Capacity;
+use crate::condition::Conditions;
+use crate::condition::Sign;
+use crate::declaration::Declaration;
+use crate::fleet::Fleet;
+use crate::id::RequestId;
+use crate::id::Revision;
+use crate::metrics::Level;
+use crate::peer::PeerFrame;
+use crate::routing::Router;
+use crate::store::StoreResult;
+use crate::timeline::EventKind;
+use crate::timeline::Subject;
+use crate::verdict::Refusal;
+
+/// The state of all duties.
+#[derive(Debug)]
+pub(super) struct Duties {
+    pub(super) fleet: Fleet,
+    pub(super) router: Router,
+    pub(super) queue: Queue,
+    pub(super) capacity: Capacity,
+    pub(super) conditions: Conditions,
+    pub(super) flights: HashMap<RequestId, Flight>,
+    pub(super) lingers: Lingers,
+    pub(super) budgets: Budgets,
+    pub(super) leaving: bool,
+    pub(super) stopped: bool,
+}
+
+impl Duties {
+    pub(super) fn new(me: &Identity) -> Duties {
+        let mut fleet = Fleet::default();
+        let local = fleet.domain_or_insert(&me.domain);
+        Duties {
+            fleet,
+            router: Router::new(local),
+            queue: Queue::default(),
+            capacity: Capacity::default(),
+            conditions: Conditions::default(),
+            flights: HashMap::new(),
+            lingers: Lingers::default(),
+            budgets: Budgets::default(),
+            leaving: false,
+            stopped: false,
+        }
+    }
+
+    /// Brings a declaration into force.
+    pub(super) fn declare(
+        &mut self,
+        cx: &mut Cx<'_>,
+        declaration: &Declaration,
+        revision: Revision,
+    ) {
+        self.fleet.declare(declaration);
+        let value = i64::try_from(revision.0).unwrap_or(i64::MAX);
+        cx.metrics.set(Level::Revision, value);
+        let detail = format!("revision {} is in force", revision.0);
+        cx.event(EventKind::Revision, Subject::default(), detail);
+    }
+
+    pub(super) fn handle(&mut self, cx: &mut Cx<'_>, input: Input) {
+        match input {
+            Input::Tick => self.tick(cx),
+            Input::Submit(submission) => self.submit(cx, submission),
+            Input::CallerGone { request } => self.caller_gone(cx, request),
+            Input::Attempt { attempt, event } => self.attempt(cx, attempt, event),
+            Input::Backend { backend, answer } => self.backend(cx, &backend, answer),
+            Input::Peer(frame) => self.peer(cx, frame),
+            Input::Store { ticket, result } => self.store(cx, ticket, result),
+            Input::Listings(listings) => self.fleet.list(listings),
+            Input::Admin { ticket, query } => self.admin(cx, ticket, query),
+            Input::Shutdown => self.shutdown(cx),
+        }
+        self.pump(cx);
+        let open = i64::try_from(self.flights.len()).unwrap_or(i64::MAX);
+        cx.metrics.set(Level::RequestsOpen, open);
+    }
+
+    /// Returns whether callers may be sent to this instance.
+    pub(super) fn ready(&self) -> bool {
+        !self.leaving && !self.fleet.declaration().kinds.is_empty()
+    }
+
+    fn tick(&mut self, cx: &mut Cx<'_>) {
+        self.expire(cx);
+        for held in self.lingers.tick(cx, &self.fleet) {
+            self.capacity.release(held);
+        }
+        let ready = self.ready();
+        if (cx.metrics.level(Level::Ready) == 1) != ready {
+            cx.metrics.set(Level::Ready, i64::from(ready));
+            let detail = if ready { "ready" } else { "not ready" };
+            cx.event(EventKind::Ready, Subject::default(), detail.to_owned());
+        }
+    }
+
+    fn backend(&mut self, cx: &mut Cx<'_>, name: &str, answer: BackendAnswer) {
+        let Some(backend) = self.fleet.backend_key(name) else {
+            return;
+        };
+        let freed = match answer {
+            BackendAnswer::Cancelled { request } => self.lingers.cancelled(backend, request),
+            BackendAnswer::Load(report) => {
+                let sign = Sign::Reported { boot: report.boot };
+                self.conditions.sign(cx, &self.fleet, backend, sign);
+                let freed = self.lingers.report(backend, &report);
+                self.fleet.set_boot(backend, report.boot);
+                freed
+            }
+            BackendAnswer::Failed { refused: true } => {
+                self.conditions
+                    .sign(cx, &self.fleet, backend, Sign::Refused);
+                self.lingers.restarted(backend)
+            }
+            BackendAnswer::CacheEvents(_) | BackendAnswer::Failed { refused: false } => Vec::new(),
+        };
+        for held in freed {
+            self.capacity.release(held);
+        }
+    }
+
+    fn peer(&mut self, cx: &mut Cx<'_>, frame: PeerFrame) {
+        cx.timeline.observe(frame.stamp);
+    }
+
+    fn store(&mut self, _cx: &mut Cx<'_>, _ticket: Ticket, _result: StoreResult) {}
+
+    fn admin(&mut self, cx: &mut Cx<'_>, ticket: u64, query: AdminQuery) {
+        let answer = match query {
+            AdminQuery::Status => AdminAnswer::Json(self.status(cx)),
+            AdminQuery::Timeline { filter, limit } => {
+                AdminAnswer::Events(cx.timeline.select(&filter, limit))
+            }
+        };
+        cx.out.push(Output::Admin { ticket, answer });
+    }
+
+    fn shutdown(&mut self, cx: &mut Cx<'_>) {
+        self.leaving = true;
+        cx.metrics.set(Level::Ready, 0);
+        let detail = format!("leaving with {} requests open", self.flights.len());
+        cx.event(EventKind::Ready, Subject::default(), detail);
+    }
+
+    /// Lets the queue dispatch, and ends the process's work when all is done.
+    fn pump(&mut self, cx: &mut Cx<'_>) {
+        self.dispatch(cx);
+        if self.leaving && !self.stopped && self.flights.is_empty() {
+            self.stopped = true;
+            cx.out.push(Output::Stopped);
+        }
+    }
+
+    pub(super) fn refuse(&mut self, cx: &mut Cx<'_>, request: RequestId, refusal: Refusal) {
+        let reply = Reply::Refused(refusal);
+        cx.out.push(Output::Reply { request, reply });
+    }
+}
--- /dev/null
+++ b/src/control/tests.rs
@@ -0,0 +1,182 @@
+//! The core as a whole, on a virtual clock.
+
+use std::sync::Arc;
+
+use super::Control;
+use super::Identity;
+use super::Input;
+use super::Output;
+use super::Reply;
+use super::Submission;
+use crate::backend::AttemptEnd;
+use crate::backend::AttemptEvent;
+use crate::backend::Call;
+use crate::backend::CallStart;
+use crate::backend::Prompt;
+use crate::backend::Rejection;
+use crate::backend::Work;
+use crate::clock::Millis;
+use crate::declaration::Declaration;
+use crate::fleet::Listing;
+use crate::fleet::Role;
+use crate::id::Boot;
+use crate::id::Fingerprint;
+use crate::id::RequestId;
+use crate::id::Revision;
+use crate::metrics::Metrics;
+use crate::verdict::Refusal;
+use crate::verdict::Verdict;
+
+const DECLARATION: &str = r#"
+[[domain]]
+name = "ikeja"
+
+[[limit]]
+warm = { streams = 2 }
+cold = { streams = 2 }
+
+[[kind]]
+name = "summary"
+deadline_ms = 10000
+importance = 50
+
+[[route]]
+name = "all"
+prefer = [""]
+
+[[workspace]]
+name = "bank"
+token_sha256 = "aa"
+"#;
+
+fn engine(name: &str) -> Listing {
+    Listing {
+        name: name.to_owned(),
+        role: Role::Engine,
+        domain: "ikeja".to_owned(),
+        addr: format!("127.0.0.1:{name}"),
+        peer_addr: String::new(),
+        leaving: false,
+        labels: [("model".to_owned(), "m1".to_owned())].into(),
+    }
+}
+
+fn control() -> Control {
+    let me = Identity {
+        name: "entry-1".to_owned(),
+        domain: "ikeja".to_owned(),
+        boot: Boot(1),
+        peer_addr: String::new(),
+    };
+    let mut control = Control::new(me, 7, Arc::new(Metrics::new()));
+    let declaration: Declaration = toml::from_str(DECLARATION).expect("a declaration");
+    control.declare(Millis(0), &declaration, Revision(1));
+    let listings = vec![engine("e1"), engine("e2")];
+    assert_eq!(control.handle(Millis(0), Input::Listings(listings)), []);
+    control
+}
+
+fn prompt(request: u64) -> Input {
+    Input::Submit(Submission {
+        request: RequestId(request),
+        token_sha256: "aa".to_owned(),
+        kind: None,
+        deadline: None,
+        importance: None,
+        fingerprint: Fingerprint(request),
+        work: Arc::new(Work::Prompt(Prompt {
+            model: "m1".to_owned(),
+            text: "hello".to_owned(),
+            tokens: 2,
+            prefix: 1,
+            max_tokens: 4,
+        })),
+    })
+}
+
+fn calls(out: &[Output]) -> Vec<&Call> {
+    out.iter()
+        .filter_map(|output| match output {
+            Output::Send(call) => Some(call),
+            _ => None,
+        })
+        .collect()
+}
+
+fn refusal(out: &[Output]) -> Option<&Refusal> {
+    out.iter().find_map(|output| match output {
+        Output::Reply {
+            reply: Reply::Refused(refusal),
+            ..
+        } => Some(refusal),
+        _ => None,
+    })
+}
+
+fn ended(call: &Call, end: AttemptEnd) -> Input {
+    Input::Attempt {
+        attempt: call.attempt,
+        event: AttemptEvent::Ended(end),
+    }
+}
+
+#[test]
+fn a_whole_answer_frees_its_stream_for_the_next_request() {
+    let mut control = control();
+    let mut sent = Vec::new();
+    for request in 1..=5 {
+        let out = control.handle(Millis(1), prompt(request));
+        sent.extend(calls(&out).into_iter().cloned());
+    }
+    assert_eq!(sent.len(), 4, "two engines with two streams each");
+    let whole = AttemptEnd::Whole { tokens: 4 };
+    let out = control.handle(Millis(2), ended(&sent[0], whole));
+    assert!(out.contains(&Output::Reply {
+        request: RequestId(1),
+        reply: Reply::Whole
+    }));
+    assert_eq!(calls(&out).len(), 1, "the fifth request goes out");
+}
+
+#[test]
+fn a_broken_stream_is_read_on_and_then_continued_elsewhere() {
+    let mut control = control();
+    let out = control.handle(Millis(1), prompt(1));
+    let first = calls(&out)[0].clone();
+    let broken = AttemptEnd::Broken {
+        verdict: Verdict::MayHaveRun,
+        offset: 2,
+    };
+    let out = control.handle(Millis(2), ended(&first, broken));
+    let second = calls(&out)[0].clone();
+    assert_eq!(second.addr, first.addr);
+    assert_eq!(second.start, CallStart::Resume { offset: 2 });
+    let lost = AttemptEnd::Rejected(Rejection::UnknownStream);
+    let out = control.handle(Millis(3), ended(&second, lost));
+    let third = calls(&out)[0].clone();
+    assert_ne!(third.addr, first.addr);
+    assert_eq!(third.start, CallStart::Continue { offset: 2 });
+}
+
+#[test]
+fn a_passed_deadline_is_told_at_once_and_truthfully() {
+    let mut control = control();
+    let _ = control.handle(Millis(1), prompt(1));
+    let out = control.handle(Millis(10_001), Input::Tick);
+    let refusal = refusal(&out).expect("a refusal");
+    assert_eq!(refusal.verdict, Verdict::MayHaveRun);
+    assert!(refusal.retry_after.is_some());
+}
+
+#[test]
+fn leaving_refuses_new_requests_and_ends_after_the_last() {
+    let mut control = control();
+    let out = control.handle(Millis(1), prompt(1));
+    let first = calls(&out)[0].clone();
+    let out = control.handle(Millis(2), Input::Shutdown);
+    assert!(!out.contains(&Output::Stopped), "a request is open");
+    let out = control.handle(Millis(3), prompt(2));
+    assert_eq!(refusal(&out).map(|r| r.verdict), Some(Verdict::NotRun));
+    let out = control.handle(Millis(4), ended(&first, AttemptEnd::Whole { tokens: 4 }));
+    assert!(out.contains(&Output::Stopped));
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! talk to it over channels.
 
 pub mod admission;
+pub mod attempt;
 pub mod backend;
 pub mod capacity;
 pub mod clock;
