Claim idempotency keys in the key-value service before a call is sent

Cause: a non-idempotent call may run once at most, over all instances and through lost answers.

Before: no claims. Conclusion: safe under wrong views of the keeper; a store outage refuses keyed calls as not run.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod id;
 pub mod job;
 pub mod metrics;
+pub mod once;
 pub mod peer;
 pub mod routing;
 pub mod selector;
--- /dev/null
+++ b/src/once/tests.rs
@@ -0,0 +1,372 @@
+//! Several instances, one store: no key runs twice, whatever is lost.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::*;
+use crate::control::Identity;
+use crate::id::Boot;
+use crate::metrics::Metrics;
+use crate::store::KeyVersion;
+use crate::store::StoreAnswer;
+use crate::store::StoreEntry;
+use crate::store::StoreFailure;
+use crate::store::StoreOp;
+use crate::timeline::Timeline;
+
+const RETENTION: Millis = Millis(600_000);
+
+/// What the store does with a call.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Mode {
+    Up,
+    Down,
+    LosesAnswers,
+}
+
+#[derive(Debug, Default)]
+struct FakeStore {
+    entries: BTreeMap<String, StoreEntry>,
+    version: u64,
+    writes: u64,
+}
+
+impl FakeStore {
+    fn call(&mut self, mode: Mode, op: StoreOp) -> StoreResult {
+        if mode == Mode::Down {
+            return Err(StoreFailure::NotRun { retry_after: None });
+        }
+        let answer = match op {
+            StoreOp::Get { key } => StoreAnswer::Entry(self.entries.get(&key).cloned()),
+            StoreOp::Create { key, value, .. } => self.put(key, value, KeyVersion(0)),
+            StoreOp::Swap {
+                key,
+                value,
+                version,
+                ..
+            } => self.put(key, value, version),
+            other => panic!("unexpected call {other:?}"),
+        };
+        match mode {
+            Mode::LosesAnswers => Err(StoreFailure::MayHaveRun),
+            _ => Ok(answer),
+        }
+    }
+
+    fn put(&mut self, key: String, value: Vec<u8>, expected: KeyVersion) -> StoreAnswer {
+        let there = self.entries.get(&key);
+        if there.map_or(KeyVersion(0), |entry| entry.version) != expected {
+            return StoreAnswer::Conflict(there.cloned());
+        }
+        self.version += 1;
+        self.writes += 1;
+        let version = KeyVersion(self.version);
+        self.entries.insert(key, StoreEntry { value, version });
+        StoreAnswer::Written(version)
+    }
+}
+
+/// Instances of this duty, their messages and the plain service behind them.
+struct World {
+    now: Millis,
+    mode: Mode,
+    store: FakeStore,
+    instances: Vec<Once>,
+    mail: Vec<(usize, Output)>,
+    cut: Option<usize>,
+    keys: HashMap<RequestId, String>,
+    runs: HashMap<String, u32>,
+    running: HashMap<RequestId, (usize, String)>,
+    outcomes: Vec<ClaimOutcome>,
+    metrics: Metrics,
+}
+
+fn name(index: usize) -> String {
+    format!("entry-{index}")
+}
+
+impl World {
+    fn new(count: usize) -> World {
+        let mut world = World {
+            now: Millis(1),
+            mode: Mode::Up,
+            store: FakeStore::default(),
+            instances: Vec::new(),
+            mail: Vec::new(),
+            cut: None,
+            keys: HashMap::new(),
+            runs: HashMap::new(),
+            running: HashMap::new(),
+            outcomes: Vec::new(),
+            metrics: Metrics::new(),
+        };
+        for _ in 0..count {
+            world.instances.push(Once::new(Millis(0)));
+        }
+        for index in 0..count {
+            world.restart(index);
+        }
+        world
+    }
+
+    fn restart(&mut self, index: usize) {
+        let members = (0..self.instances.len())
+            .map(|index| Member {
+                name: name(index),
+                addr: index.to_string(),
+            })
+            .collect();
+        self.instances[index] = Once::new(Millis(0));
+        self.instances[index].set_members(members);
+        self.running.retain(|_, (owner, _)| *owner != index);
+    }
+
+    fn with<F>(&mut self, index: usize, work: F)
+    where
+        F: FnOnce(&mut Once, &mut Cx<'_>) -> Vec<ClaimOutcome>,
+    {
+        let me = Identity {
+            name: name(index),
+            domain: "d".to_owned(),
+            boot: Boot(1),
+            peer_addr: String::new(),
+        };
+        let mut out = Vec::new();
+        let mut cx = Cx {
+            now: self.now,
+            me: &me,
+            out: &mut out,
+            rng: &mut ChaCha8Rng::seed_from_u64(1),
+            timeline: &mut Timeline::new("t"),
+            metrics: &self.metrics,
+        };
+        let outcomes = work(&mut self.instances[index], &mut cx);
+        self.mail
+            .extend(out.into_iter().map(|output| (index, output)));
+        for outcome in outcomes {
+            self.decided(index, outcome);
+        }
+    }
+
+    /// Runs a granted call at once: the plain service counts each run.
+    fn decided(&mut self, index: usize, outcome: ClaimOutcome) {
+        if outcome.answer == Some(ClaimAnswer::Granted) {
+            let key = self.keys[&outcome.request].clone();
+            *self.runs.entry(key.clone()).or_default() += 1;
+            self.running.insert(outcome.request, (index, key));
+        }
+        self.outcomes.push(outcome);
+    }
+
+    fn claim(&mut self, index: usize, request: u64, key: &str) {
+        let request = RequestId(request);
+        self.keys.insert(request, key.to_owned());
+        let slot = Slot::of("w", key);
+        self.with(index, |once, cx| {
+            once.claim(cx, request, slot, 1, RETENTION)
+        });
+    }
+
+    fn settle(&mut self, request: u64) {
+        let request = RequestId(request);
+        let Some((index, key)) = self.running.remove(&request) else {
+            return;
+        };
+        let slot = Slot::of("w", &key);
+        let result = Recorded {
+            status: 200,
+            body: Some(b"ok".to_vec()),
+        };
+        self.with(index, |once, cx| once.settle(cx, request, slot, result));
+    }
+
+    /// Delivers what is under way, which may cause more, then lets time pass.
+    fn step(&mut self, span: Millis) {
+        for _ in 0..4 {
+            for (from, output) in std::mem::take(&mut self.mail) {
+                self.deliver(from, output);
+            }
+        }
+        self.now += span;
+        for index in 0..self.instances.len() {
+            self.with(index, Once::tick);
+        }
+    }
+
+    fn deliver(&mut self, from: usize, output: Output) {
+        match output {
+            Output::Store { ticket, op } => {
+                let result = self.store.call(self.mode, op);
+                self.with(from, |once, cx| once.on_store(cx, ticket, result));
+            }
+            Output::Peer { addr, message, .. } => {
+                let to: usize = addr.parse().expect("an index");
+                if self.cut == Some(to) || self.cut == Some(from) {
+                    return;
+                }
+                let PeerMessage::Once(message) = message else {
+                    return;
+                };
+                let from = name(from);
+                self.with(to, |once, cx| once.on_message(cx, &from, message));
+            }
+            _ => {}
+        }
+    }
+
+    fn answer(&self, request: u64) -> Option<&ClaimOutcome> {
+        let request = RequestId(request);
+        self.outcomes
+            .iter()
+            .find(|outcome| outcome.request == request)
+    }
+}
+
+#[test]
+fn one_of_two_claims_through_different_instances_is_granted() {
+    let mut world = World::new(3);
+    world.claim(0, 1, "k");
+    world.claim(1, 2, "k");
+    for _ in 0..10 {
+        world.step(Millis(100));
+    }
+    assert_eq!(world.runs["k"], 1);
+    world.settle(1);
+    world.settle(2);
+    world.step(Millis(300));
+    world.claim(2, 3, "k");
+    for _ in 0..5 {
+        world.step(Millis(300));
+    }
+    let answer = world.answer(3).and_then(|outcome| outcome.answer.clone());
+    assert!(
+        matches!(answer, Some(ClaimAnswer::Recorded(_))),
+        "{answer:?}"
+    );
+}
+
+#[test]
+fn a_claim_whose_answer_was_lost_is_settled_by_reading_back() {
+    let mut world = World::new(1);
+    world.mode = Mode::LosesAnswers;
+    world.claim(0, 1, "k");
+    world.step(Millis(100));
+    world.mode = Mode::Up;
+    for _ in 0..5 {
+        world.step(Millis(300));
+    }
+    let answer = world.answer(1).and_then(|outcome| outcome.answer.clone());
+    assert_eq!(answer, Some(ClaimAnswer::Granted));
+    assert_eq!(world.runs["k"], 1);
+}
+
+#[test]
+fn without_the_store_no_claim_is_granted_and_the_key_stays_usable() {
+    let mut world = World::new(2);
+    world.mode = Mode::Down;
+    world.claim(0, 1, "k");
+    for _ in 0..10 {
+        world.step(Millis(300));
+    }
+    assert_eq!(
+        world.answer(1).map(|outcome| outcome.answer.clone()),
+        Some(None)
+    );
+    world.mode = Mode::Up;
+    for _ in 0..5 {
+        world.step(Millis(300));
+    }
+    world.claim(1, 2, "k");
+    for _ in 0..5 {
+        world.step(Millis(300));
+    }
+    let answer = world.answer(2).and_then(|outcome| outcome.answer.clone());
+    assert_eq!(answer, Some(ClaimAnswer::Granted));
+}
+
+#[test]
+fn the_same_key_in_another_workspace_is_another_claim() {
+    assert_ne!(Slot::of("a", "bk"), Slot::of("ab", "k"));
+}
+
+#[test]
+fn many_claims_share_their_writes() {
+    let mut world = World::new(1);
+    for request in 0..2_000 {
+        world.claim(0, request, &format!("k{request}"));
+    }
+    for _ in 0..30 {
+        world.step(Millis(50));
+    }
+    let granted = world
+        .outcomes
+        .iter()
+        .filter(|o| o.answer == Some(ClaimAnswer::Granted));
+    assert_eq!(granted.count(), 2_000);
+    let bound = u64::from(CLAIM_SHARDS) * 2;
+    assert!(world.store.writes <= bound, "{} writes", world.store.writes);
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Claim { index: usize, key: u8 },
+    Settle { back: u64 },
+    Release { back: u64 },
+    Mode(Mode),
+    Cut(Option<usize>),
+    Restart { index: usize },
+    Wait { ms: u64 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0..3_usize, 0..3_u8).prop_map(|(index, key)| Step::Claim { index, key }),
+        3 => (0..6_u64).prop_map(|back| Step::Settle { back }),
+        1 => (0..6_u64).prop_map(|back| Step::Release { back }),
+        2 => prop::sample::select(vec![Mode::Up, Mode::Down, Mode::LosesAnswers])
+            .prop_map(Step::Mode),
+        1 => prop::option::of(0..3_usize).prop_map(Step::Cut),
+        1 => (0..3_usize).prop_map(|index| Step::Restart { index }),
+        8 => (0..700_u64).prop_map(|ms| Step::Wait { ms }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    #[test]
+    fn no_key_runs_twice(steps in prop::collection::vec(step(), 1..60)) {
+        let mut world = World::new(3);
+        let mut next = 0;
+        let mut releasable = HashMap::<String, u32>::new();
+        for step in steps {
+            match step {
+                Step::Claim { index, key } => {
+                    next += 1;
+                    world.claim(index, next, &format!("k{key}"));
+                }
+                Step::Settle { back } => world.settle(next.saturating_sub(back)),
+                Step::Release { back } => {
+                    let request = RequestId(next.saturating_sub(back));
+                    if let Some((index, key)) = world.running.remove(&request) {
+                        *releasable.entry(key.clone()).or_default() += 1;
+                        let slot = Slot::of("w", &key);
+                        world.with(index, |once, cx| once.release(cx, request, slot));
+                    }
+                }
+                Step::Mode(mode) => world.mode = mode,
+                Step::Cut(cut) => world.cut = cut,
+                Step::Restart { index } => world.restart(index),
+                Step::Wait { ms } => world.step(Millis(ms)),
+            }
+            for (key, &runs) in &world.runs {
+                let not_run = releasable.get(key).copied().unwrap_or_default();
+                prop_assert!(runs <= 1 + not_run, "{key} ran {runs} times");
+            }
+        }
+    }
+}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use crate::id::Boot;
+use crate::once;
 
 /// All messages from one instance to another at one moment.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -24,4 +25,7 @@
 
 /// One message between instances, by duty.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum PeerMessage {}
+pub enum PeerMessage {
+    /// Claims of idempotency keys.
+    Once(once::Message),
+}
