Add relays and the HTTP adapter towards backend servers

Tokens had no way from an engine to a caller. A relay a request now keeps the whole text given so far (another engine has to continue it) and takes only the current attempt's next token; the caller's thread takes what is new at its own speed, so a slow caller holds up no engine.

The core also gets a plain service's answer, to record it.

Request ids in load reports are 16 hexadecimal digits, as docs/PROTOCOLS.md has them; they were plain numbers.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -3,17 +3,25 @@
 //!
 //! Tokens do not pass through the control thread: the traffic thread relays
 //! them to the caller and tells the core about the first token, progress at
-//! intervals, and the end. The adapters are in `backend/http.rs`.
+//! intervals, and the end. [`traffic`] runs the calls, [`http`] is the adapter.
+
+pub mod http;
+mod pool;
+pub mod traffic;
+
+pub use pool::Pool;
 
 use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::serde_as;
 
 use crate::clock::Millis;
 use crate::id::AttemptId;
 use crate::id::Boot;
 use crate::id::Epoch;
+use crate::id::HexDigits;
 use crate::id::RequestId;
 use crate::verdict::Verdict;
 
@@ -97,6 +105,9 @@
     FirstToken,
     /// The relay has passed on all tokens before `offset`.
     Progress { offset: u32 },
+    /// A plain service's whole answer, which the relay has too; comes before
+    /// the end.
+    Answer { status: u16, body: Vec<u8> },
     /// The attempt is over.
     Ended(AttemptEnd),
 }
@@ -135,9 +146,11 @@
 }
 
 /// A stream that an engine runs, as its load report shows it.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunningStream {
     /// The request it serves.
+    #[serde_as(as = "HexDigits")]
     pub request: RequestId,
     /// The instance that started it.
     pub owner: String,
--- /dev/null
+++ b/src/backend/http/service.rs
@@ -0,0 +1,63 @@
+//! Calls of plain services.
+
+use std::io::Read;
+
+use super::AttemptEnd;
+use super::AttemptEvent;
+use super::Call;
+use super::Flow;
+use super::HttpSettings;
+use super::broken;
+use super::is_timeout;
+use super::send;
+use super::silent;
+use crate::backend::ServiceCall;
+
+/// Runs a call to its end. The answer goes to the core too, which records it;
+/// so the call goes on to its end when the caller leaves.
+pub(super) fn run(
+    cfg: &HttpSettings,
+    call: &Call,
+    service: &ServiceCall,
+    flow: &mut Flow,
+) -> AttemptEnd {
+    let ServiceCall {
+        service,
+        operation,
+        body,
+        idempotency_key,
+    } = service;
+    let url = format!("http://{}/v1/call/{service}/{operation}", call.addr);
+    let mut request = attohttpc::post(url)
+        .header("Content-Type", "application/json")
+        .header("X-Request-Id", call.attempt.request.to_string());
+    if let Some(key) = idempotency_key {
+        request = match request.try_header("Idempotency-Key", key) {
+            Ok(request) => request,
+            Err(_) => return AttemptEnd::Rejected(super::Rejection::Invalid),
+        };
+    }
+    let response = match send(cfg, call, flow, request, body.clone()) {
+        Err(end) => return end,
+        Ok(response) => response,
+    };
+    flow.tell(AttemptEvent::Accepted);
+    let status = response.status().as_u16();
+    let mut answer = Vec::new();
+    let limit = cfg.max_answer_bytes;
+    match response.take(limit + 1).read_to_end(&mut answer) {
+        Ok(_) if answer.len() as u64 > limit => broken(0),
+        Ok(_) => {
+            flow.first_token();
+            // The core records the answer even if the caller has gone.
+            let _ = flow.side().answer(status, answer.clone());
+            flow.tell(AttemptEvent::Answer {
+                status,
+                body: answer,
+            });
+            AttemptEnd::Whole { tokens: 0 }
+        }
+        Err(error) if is_timeout(&error) => silent(0),
+        Err(_) => broken(0),
+    }
+}
--- /dev/null
+++ b/src/backend/http/stream.rs
@@ -0,0 +1,220 @@
+//! Streams of engines.
+
+use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::time::Instant;
+
+use attohttpc::Response;
+use serde::Serialize;
+
+use super::AttemptEnd;
+use super::AttemptEvent;
+use super::Call;
+use super::Flow;
+use super::HttpSettings;
+use super::broken;
+use super::frame::Frame;
+use super::frame::MAX_LINE_BYTES;
+use super::frame::parse_frame;
+use super::is_timeout;
+use super::send;
+use super::silent;
+use crate::backend::CallStart;
+use crate::backend::Prompt;
+use crate::relay::Begun;
+use crate::relay::Push;
+
+#[derive(Serialize)]
+struct Submit<'a> {
+    request: String,
+    attempt: u32,
+    owner: &'a str,
+    epoch: u64,
+    priority: u8,
+    model: &'a str,
+    prompt: &'a str,
+    prompt_tokens: u64,
+    prefix: u64,
+    max_tokens: u32,
+    offset: u32,
+    generated: &'a str,
+}
+
+#[derive(Serialize)]
+struct Resume<'a> {
+    request: String,
+    attempt: u32,
+    owner: &'a str,
+    epoch: u64,
+    offset: u32,
+}
+
+/// Runs a stream to its end.
+pub(super) fn run(
+    cfg: &HttpSettings,
+    call: &Call,
+    prompt: &Prompt,
+    begun: &Begun,
+    flow: &mut Flow,
+) -> AttemptEnd {
+    let (path, body) = match call.start {
+        CallStart::Fresh | CallStart::Continue { .. } => {
+            ("generate", submit(cfg, call, prompt, begun))
+        }
+        CallStart::Resume { .. } => ("resume", resume(cfg, call, begun)),
+    };
+    let Ok(body) = body else {
+        return AttemptEnd::Rejected(super::Rejection::Invalid);
+    };
+    let request = attohttpc::post(format!("http://{}/v1/{path}", call.addr))
+        .header("Content-Type", "application/json");
+    match send(cfg, call, flow, request, body) {
+        Err(end) => end,
+        Ok(response) => {
+            flow.tell(AttemptEvent::Accepted);
+            read(call, prompt.max_tokens, response, flow)
+        }
+    }
+}
+
+fn submit(
+    cfg: &HttpSettings,
+    call: &Call,
+    prompt: &Prompt,
+    begun: &Begun,
+) -> serde_json::Result<Vec<u8>> {
+    serde_json::to_vec(&Submit {
+        request: call.attempt.request.to_string(),
+        attempt: call.attempt.number,
+        owner: &cfg.owner,
+        epoch: call.epoch.0,
+        priority: call.priority,
+        model: &prompt.model,
+        prompt: &prompt.text,
+        prompt_tokens: prompt.tokens,
+        prefix: prompt.prefix,
+        max_tokens: prompt.max_tokens,
+        offset: begun.offset,
+        generated: &begun.text,
+    })
+}
+
+fn resume(cfg: &HttpSettings, call: &Call, begun: &Begun) -> serde_json::Result<Vec<u8>> {
+    serde_json::to_vec(&Resume {
+        request: call.attempt.request.to_string(),
+        attempt: call.attempt.number,
+        owner: &cfg.owner,
+        epoch: call.epoch.0,
+        offset: begun.offset,
+    })
+}
+
+/// Reads a stream to its end.
+fn read(call: &Call, max_tokens: u32, response: Response, flow: &mut Flow) -> AttemptEnd {
+    let mut lines = BufReader::new(response);
+    let mut line = Vec::new();
+    let mut progressed = Instant::now();
+    loop {
+        line.clear();
+        let got = next_line(&mut lines, &mut line);
+        if flow.side().is_dropped() {
+            let offset = flow.side().offset();
+            return AttemptEnd::Cancelled { offset };
+        }
+        if let Err(end) = got {
+            let offset = flow.side().offset();
+            return end.attempt_end(offset);
+        }
+        match take(call, max_tokens, parse_frame(&line), flow) {
+            Step::Over(end) => return end,
+            Step::Progress => progressed = Instant::now(),
+            Step::Nothing if progressed.elapsed() >= call.silence.as_duration() => {
+                return silent(flow.side().offset());
+            }
+            Step::Nothing => {}
+        }
+    }
+}
+
+/// Why there is no next line.
+enum NoLine {
+    Silent,
+    Broken,
+}
+
+impl NoLine {
+    fn attempt_end(self, offset: u32) -> AttemptEnd {
+        match self {
+            NoLine::Silent => silent(offset),
+            NoLine::Broken => broken(offset),
+        }
+    }
+}
+
+impl From<io::Error> for NoLine {
+    fn from(error: io::Error) -> NoLine {
+        match is_timeout(&error) {
+            true => NoLine::Silent,
+            false => NoLine::Broken,
+        }
+    }
+}
+
+/// Reads one whole line; the end of the body is not one.
+fn next_line(lines: &mut impl BufRead, line: &mut Vec<u8>) -> Result<(), NoLine> {
+    lines.take(MAX_LINE_BYTES).read_until(b'\n', line)?;
+    match line.last() {
+        Some(b'\n') => Ok(()),
+        _ => Err(NoLine::Broken),
+    }
+}
+
+/// What a frame means for the attempt.
+enum Step {
+    Progress,
+    Nothing,
+    Over(AttemptEnd),
+}
+
+fn take(call: &Call, max_tokens: u32, frame: Frame, flow: &mut Flow) -> Step {
+    match frame {
+        Frame::KeepAlive => Step::Progress,
+        Frame::Malformed => Step::Over(broken(flow.side().offset())),
+        Frame::Token { attempt, .. } | Frame::Finish { attempt, .. } if attempt != call.attempt => {
+            flow.side().count_stale();
+            Step::Nothing
+        }
+        Frame::Token { offset, .. } if offset >= max_tokens => {
+            Step::Over(broken(flow.side().offset()))
+        }
+        Frame::Token { offset, text, .. } => take_token(offset, &text, flow),
+        Frame::Finish { offset, .. } => Step::Over(finish(offset, flow)),
+    }
+}
+
+fn take_token(offset: u32, text: &str, flow: &mut Flow) -> Step {
+    match flow.side().push(offset, text) {
+        Push::Taken => {
+            flow.first_token();
+            flow.progress(offset + 1);
+            Step::Progress
+        }
+        Push::Stale => Step::Progress,
+        Push::Gap => Step::Over(broken(flow.side().offset())),
+        Push::Gone => {
+            let offset = flow.side().offset();
+            Step::Over(AttemptEnd::Cancelled { offset })
+        }
+    }
+}
+
+/// An answer is whole only if the caller has as many tokens as the engine says.
+fn finish(tokens: u32, flow: &Flow) -> AttemptEnd {
+    let offset = flow.side().offset();
+    match offset == tokens {
+        true => AttemptEnd::Whole { tokens },
+        false => broken(offset),
+    }
+}
--- a/src/id.rs
+++ b/src/id.rs
@@ -3,7 +3,12 @@
 use std::fmt;
 
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
+use serde::Serializer;
+use serde::de::Error;
+use serde_with::DeserializeAs;
+use serde_with::SerializeAs;
 
 /// One caller's request; unique over all instances.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -16,6 +21,25 @@
     }
 }
 
+/// Writes a [`RequestId`] as 16 hexadecimal digits, as JSON documents have it.
+#[derive(Debug, Clone, Copy)]
+pub struct HexDigits;
+
+impl SerializeAs<RequestId> for HexDigits {
+    fn serialize_as<S: Serializer>(id: &RequestId, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(id)
+    }
+}
+
+impl<'de> DeserializeAs<'de, RequestId> for HexDigits {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<RequestId, D::Error> {
+        let digits = String::deserialize(deserializer)?;
+        u64::from_str_radix(&digits, 16)
+            .map(RequestId)
+            .map_err(Error::custom)
+    }
+}
+
 /// One try at a request on one backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct AttemptId {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod job;
 pub mod metrics;
 pub mod peer;
+pub mod relay;
 pub mod routing;
 pub mod selector;
 pub mod store;
