--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod metrics;
 pub mod once;
 pub mod peer;
+pub mod relay;
 pub mod routing;
 pub mod selector;
 pub mod store;
