Read the daemon's settings from an INI file and flags

Every process needs its addresses, limits and secrets before it can start, and a mistake in them has to be found before callers meet it.

All settings stand in one table with section, key, default, allowed values and help. Errors name file, section, key, value and what is allowed, all at once; an unknown key gets the nearest known one as a hint. Secrets come from files only and print as `Secret(..)`.

Before: no settings.

--- /dev/null
+++ b/src/config/tests.rs
@@ -0,0 +1,150 @@
+use std::path::Path;
+
+use proptest::prelude::*;
+
+use super::*;
+use crate::clock::Millis;
+
+/// Returns settings with all that must be given; secrets lie in `dir`.
+fn complete(dir: &Path) -> String {
+    let token = dir.join("token");
+    let secret = dir.join("secret");
+    std::fs::write(&token, "operators-token-0123456789\n").unwrap();
+    std::fs::write(&secret, "peer-secret-0123456789\n").unwrap();
+    format!(
+        "[instance]\nname = entry-1\ndomain = ikeja\n[admin]\ntoken_file = {}\n[peer]\nsecret_file = {}\n\
+         [store]\naddresses = 127.0.0.1:7000, 127.0.0.1:7001\n[list]\naddress = 127.0.0.1:7002\n",
+        token.display(),
+        secret.display()
+    )
+}
+
+fn refused(text: &str) -> String {
+    let dir = tempfile::tempdir().unwrap();
+    let text = complete(dir.path()) + text;
+    let error = Settings::parse("d.ini", &text, &[]).unwrap_err();
+    error.to_string()
+}
+
+#[test]
+fn each_default_is_allowed() {
+    for setting in TABLE {
+        let mut settings = Settings::default();
+        if let Some(text) = setting.default {
+            let read = (setting.read)(&mut settings, setting.allowed, text);
+            assert_eq!(read, Ok(()), "[{}] {}", setting.section, setting.key);
+        }
+    }
+}
+
+#[test]
+fn flags_go_over_the_file() {
+    let dir = tempfile::tempdir().unwrap();
+    let text = complete(dir.path()) + "[log]\nlevel = warn\n[backend]\nsilence = 3 s\n";
+    let flags = ["log.level=debug".parse().unwrap()];
+    let settings = Settings::parse("d.ini", &text, &flags).unwrap();
+    assert_eq!(settings.log_filter, "debug");
+    assert_eq!(settings.silence, Millis(3000));
+    assert_eq!(settings.store_addresses.len(), 2);
+    assert_eq!(
+        settings.operators_token.expose(),
+        "operators-token-0123456789"
+    );
+}
+
+#[test]
+fn an_error_names_file_section_key_value_and_what_is_allowed() {
+    assert_eq!(
+        refused("[backend]\nsilence = 3 parsecs\n"),
+        "d.ini: [backend] silence: `3 parsecs`: its unit must be one of ms, s, min, h, d; allowed: 100 ms to 10 min"
+    );
+    assert_eq!(
+        refused("[callers]\nlisten = localhost:80\n"),
+        "d.ini: [callers] listen: `localhost:80`: it is no IP address with a port; allowed: an address such as 10.0.0.1:8080"
+    );
+    assert_eq!(
+        refused("[callers]\nmax_open_requests = 0\n"),
+        "d.ini: [callers] max_open_requests: `0`: it is too small; allowed: 1 to 100000"
+    );
+    assert_eq!(
+        refused("[callers]\nmax_body = 99999999999999999999 MiB\n"),
+        "d.ini: [callers] max_body: `99999999999999999999 MiB`: it is no number; allowed: 1 KiB to 256 MiB"
+    );
+}
+
+#[test]
+fn unknown_and_doubled_settings_are_errors() {
+    assert_eq!(
+        refused("[backend]\nsilense = 3 s\n"),
+        "d.ini: [backend] silense: unknown setting; did you mean [backend] silence?"
+    );
+    assert_eq!(
+        refused("[log]\nlevel = info\nlevel = warn\n"),
+        "d.ini: [log] level: given twice"
+    );
+    let lost = Settings::parse("d.ini", "[what\n", &[]).unwrap_err();
+    assert_eq!(lost.errors.len(), 1, "{lost}");
+    assert!(
+        lost.to_string().starts_with("d.ini: line 2, column 1"),
+        "{lost}"
+    );
+}
+
+#[test]
+fn all_errors_are_reported_at_once() {
+    let error = Settings::parse("d.ini", "[log]\nlevel = loud\n", &[]).unwrap_err();
+    let missing = TABLE.iter().filter(|setting| setting.default.is_none());
+    assert_eq!(error.errors.len(), missing.count() + 1);
+}
+
+#[test]
+fn settings_that_clash_are_refused() {
+    assert_eq!(
+        refused("[capacity]\ncredit_period = 2 s\n"),
+        "d.ini: [capacity] credit_life: `3000 ms`: it is too small; allowed: at least twice [capacity] credit_period, 4000 ms"
+    );
+    assert_eq!(
+        refused("[callers]\nlisten = 127.0.0.1:8081\n"),
+        "d.ini: [admin] listen: `127.0.0.1:8081`: [callers] listen has the same address"
+    );
+}
+
+#[test]
+fn secrets_show_nowhere() {
+    let dir = tempfile::tempdir().unwrap();
+    let settings = Settings::parse("d.ini", &complete(dir.path()), &[]).unwrap();
+    let shown = format!("{settings:?}");
+    assert!(!shown.contains("0123456789"), "{shown}");
+    std::fs::write(dir.path().join("token"), "short-token").unwrap();
+    let text = format!(
+        "[admin]\ntoken_file = {}\n",
+        dir.path().join("token").display()
+    );
+    let error = Settings::parse("d.ini", &text, &[])
+        .unwrap_err()
+        .to_string();
+    assert!(error.contains("shorter than 16 bytes"), "{error}");
+    assert!(!error.contains("short-token"), "{error}");
+}
+
+proptest! {
+    #[test]
+    fn any_text_is_read_or_refused(text in "(\\PC|\n|=|\\[|\\]){0,200}") {
+        let error = Settings::parse("d.ini", &text, &[]).unwrap_err();
+        prop_assert!(!error.errors.is_empty());
+    }
+
+    #[test]
+    fn any_value_is_read_or_refused(index in 0..TABLE.len(), value in "\\PC{0,40}") {
+        let setting = &TABLE[index];
+        let mut settings = Settings::default();
+        let _ = (setting.read)(&mut settings, setting.allowed, &value);
+    }
+
+    #[test]
+    fn any_override_is_read_or_refused(text in "\\PC{0,40}") {
+        if let Ok(given) = text.parse::<Override>() {
+            prop_assert!(text.contains(&given.value));
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod capacity;
 pub mod clock;
 pub mod condition;
+pub mod config;
 pub mod control;
 pub mod declaration;
 pub mod fleet;
