Carry frames between instances over h2

Instances need one cheap, authenticated way to talk. Frames are bincode with an HMAC-SHA256 in the header x-mac; a window of stamps refuses frames sent twice or by an earlier boot.

Queues are bounded and try_send only: a slow peer costs dropped, counted frames and never holds up the control thread.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod id;
 pub mod job;
+pub mod membership;
 pub mod metrics;
 pub mod peer;
 pub mod routing;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -36,6 +36,10 @@
     PeerFramesSent = "peer_frames_sent", "Frames sent to other instances";
     PeerBytesSent = "peer_bytes_sent", "Bytes of frames sent to other instances, before HTTP/2 framing";
     PeerFramesDropped = "peer_frames_dropped", "Frames from other instances that were malformed or not authentic";
+    PeerFramesReceived = "peer_frames_received", "Frames taken over from other instances";
+    PeerBytesReceived = "peer_bytes_received", "Bytes of frames taken over from other instances, before HTTP/2 framing";
+    PeerFramesLost = "peer_frames_lost", "Frames to other instances that were lost: a full queue, a failed connection, no answer";
+    PeerConnections = "peer_connections", "Connections opened to other instances";
     StaleFrames = "stale_frames", "Answer frames dropped as their attempt or offset did not match";
 }
 
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -3,11 +3,32 @@
 //! A frame gathers all messages that one instance has for another at one
 //! moment. It is encoded by `bincode` and travels as the body of one request on
 //! an `h2` connection. Each duty defines the messages it sends.
+//!
+//! Delivery is at most once and may be out of order: a frame is lost when a
+//! queue is full or a connection fails, and duties send again what matters.
+
+mod link;
+mod listener;
+mod mac;
+mod replay;
+#[cfg(test)]
+mod tests;
+mod transport;
+
+pub use mac::FrameKey;
+pub use replay::ReplayGuard;
+pub use transport::PeerTransport;
 
+use bincode::error::DecodeError;
+use bincode::error::EncodeError;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::id::Boot;
+use crate::membership;
+
+/// Longest frame, in bytes: a declaration of a megabyte fits.
+pub const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
 
 /// All messages from one instance to another at one moment.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -16,7 +37,7 @@
     pub from: String,
     /// The sender's boot number.
     pub boot: Boot,
-    /// The sender's logical clock.
+    /// The sender's logical clock; no two frames of a process share one.
     pub stamp: u64,
     /// The messages, in order.
     pub messages: Vec<PeerMessage>,
@@ -24,4 +45,42 @@
 
 /// One message between instances, by duty.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum PeerMessage {}
+pub enum PeerMessage {
+    /// Who is alive.
+    Membership(membership::Heartbeat),
+}
+
+/// The edge over which frames leave this process.
+pub trait PeerEdge {
+    /// Hands a frame over for the instance at `addr` (`ip:port`); never blocks.
+    fn send(&self, addr: &str, frame: PeerFrame);
+}
+
+impl PeerFrame {
+    /// Returns the frame's encoding.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the frame is longer than [`MAX_FRAME_BYTES`].
+    pub fn encode(&self) -> Result<Vec<u8>, EncodeError> {
+        let body = bincode::serde::encode_to_vec(self, bincode::config::standard())?;
+        if body.len() > MAX_FRAME_BYTES {
+            return Err(EncodeError::Other("the frame is too long"));
+        }
+        Ok(body)
+    }
+
+    /// Returns the frame that `body` encodes, all of it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if `body` is no frame, or has bytes left over.
+    pub fn decode(body: &[u8]) -> Result<PeerFrame, DecodeError> {
+        let config = bincode::config::standard().with_limit::<MAX_FRAME_BYTES>();
+        let (frame, used) = bincode::serde::decode_from_slice(body, config)?;
+        if used != body.len() {
+            return Err(DecodeError::Other("bytes are left over"));
+        }
+        Ok(frame)
+    }
+}
