--- a/src/backend.rs
+++ b/src/backend.rs
@@ -130,7 +130,8 @@
 }
 
 /// Why a backend server refused a call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Rejection {
     /// The epoch is older than one it has seen.
@@ -147,7 +148,8 @@
 
 /// A stream that an engine runs, as its load report shows it.
 #[serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RunningStream {
     /// The request it serves.
     #[serde_as(as = "HexDigits")]
@@ -159,7 +161,8 @@
 }
 
 /// An engine's load report; it lags.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoadReport {
     /// The engine's boot number.
     pub boot: Boot,
@@ -180,7 +183,8 @@
 }
 
 /// One entry of an engine's cache event feed.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CacheEvent {
     /// Number in the feed; gaps show lost events.
     pub sequence: u64,
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -16,9 +16,8 @@
 use serde::Serialize;
 
 /// Milliseconds: a span, or a point in time since the process's start.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Millis(pub u64);
 
--- a/src/condition.rs
+++ b/src/condition.rs
@@ -16,7 +16,8 @@
 use crate::id::Boot;
 
 /// Something that tells about a backend server's condition.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Sign {
     /// A request completed; within its predicted time or not.
     Completed { in_time: bool },
--- a/src/config/allowed.rs
+++ b/src/config/allowed.rs
@@ -31,7 +31,8 @@
 ];
 
 /// How log lines are written.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum LogFormat {
     /// For a person.
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -57,7 +57,8 @@
 }
 
 /// Whose store call it is; the answer goes back to that duty.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Duty {
     /// Homes and leases.
     Capacity,
@@ -68,7 +69,8 @@
 }
 
 /// Names one store call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Ticket {
     /// Whose call.
     pub duty: Duty,
@@ -148,7 +150,8 @@
 }
 
 /// An operator's question or order.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum AdminQuery {
     /// What this instance knows of itself and its fleet.
@@ -158,7 +161,8 @@
 }
 
 /// Answers to [`AdminQuery`]s.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum AdminAnswer {
     /// A JSON document.
--- a/src/id.rs
+++ b/src/id.rs
@@ -11,7 +11,8 @@
 use serde_with::SerializeAs;
 
 /// One caller's request; unique over all instances.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct RequestId(pub u64);
 
@@ -41,7 +42,8 @@
 }
 
 /// One try at a request on one backend server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct AttemptId {
     /// The request that is tried.
     pub request: RequestId,
@@ -56,28 +58,26 @@
 }
 
 /// Fencing number of a failure domain's home assignment; only grows.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Epoch(pub u64);
 
 /// Revision of the operators' declarations; only grows.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Revision(pub u64);
 
 /// Number that a process draws at its start and keeps until its end.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Boot(pub u64);
 
 /// Hash of workspace, kind, model and prompt: the same request sent again has
 /// the same fingerprint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Fingerprint(pub u64);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod fleet;
 pub mod id;
 pub mod job;
+pub mod membership;
 pub mod metrics;
 pub mod once;
 pub mod peer;
--- a/src/once/keeper.rs
+++ b/src/once/keeper.rs
@@ -45,13 +45,15 @@
 }
 
 /// Claims of one shard, as stored.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct Document {
     claims: BTreeMap<Slot, Claim>,
 }
 
 /// One claim, as stored.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct Claim {
     owner: RequestId,
     body: u64,
--- a/src/once/message.rs
+++ b/src/once/message.rs
@@ -13,7 +13,8 @@
 
 /// Where a claim stands: 16 bytes of the SHA-256 over workspace and key.
 #[serde_as]
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Slot(#[serde_as(as = "SlotBytes")] pub [u8; 16]);
 
 /// Compact in `bincode`, hexadecimal in text.
@@ -41,7 +42,8 @@
 }
 
 /// A change that an instance wants made to a claim.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Change {
     /// The request that owns the claim, or wants to.
     pub request: RequestId,
@@ -52,7 +54,8 @@
 }
 
 /// What is to change.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum ChangeKind {
     /// Claims the key; `body` is the hash of the call's body.
     Claim { body: u64, retention: Millis },
@@ -63,7 +66,8 @@
 }
 
 /// A recorded result.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Recorded {
     /// The plain service's HTTP status.
     pub status: u16,
@@ -72,7 +76,8 @@
 }
 
 /// The keeper's answer to a change.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum ClaimAnswer {
     /// The claim is the asker's: the call may be sent, once.
     Granted,
@@ -104,7 +109,8 @@
 }
 
 /// Messages of this duty.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum Message {
     /// To the keeper: a change.
     Change(Change),
--- a/src/store.rs
+++ b/src/store.rs
@@ -9,19 +9,20 @@
 use crate::clock::Millis;
 
 /// Version of one key in the service; each write gets a higher one.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct KeyVersion(pub u64);
 
 /// A lease granted by the service.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct LeaseId(pub String);
 
 /// A key's value and version.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StoreEntry {
     /// The value, at most a megabyte.
     pub value: Vec<u8>,
@@ -30,7 +31,8 @@
 }
 
 /// One call to the service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum StoreOp {
     /// Reads a key.
     Get { key: String },
@@ -64,7 +66,8 @@
 }
 
 /// The service's answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum StoreAnswer {
     /// The key's entry, or none: answers `Get` and `Watch`.
     Entry(Option<StoreEntry>),
@@ -79,7 +82,8 @@
 }
 
 /// Why a call has no answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum StoreFailure {
     /// It was refused or never left: it had no effect.
     NotRun { retry_after: Option<Millis> },
