--- /dev/null
+++ b/src/fixture.rs
@@ -0,0 +1,89 @@
+//! What tests of the scheduling duties share: a context on a virtual clock and
+//! a small fleet.
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::clock::Millis;
+use crate::control::Cx;
+use crate::control::Identity;
+use crate::control::Output;
+use crate::declaration::Declaration;
+use crate::declaration::Labels;
+use crate::fleet::Fleet;
+use crate::fleet::Listing;
+use crate::fleet::Role;
+use crate::id::Boot;
+use crate::metrics::Metrics;
+use crate::timeline::Timeline;
+
+/// Owns what a [`Cx`] borrows.
+pub struct Fixture {
+    /// The virtual time.
+    pub now: Millis,
+    /// Events recorded.
+    pub timeline: Timeline,
+    me: Identity,
+    out: Vec<Output>,
+    rng: ChaCha8Rng,
+    metrics: Metrics,
+}
+
+impl Fixture {
+    /// Returns a context at time zero, with a fixed seed.
+    pub fn new() -> Fixture {
+        Fixture {
+            now: Millis::ZERO,
+            timeline: Timeline::new("test"),
+            me: Identity {
+                name: "test".to_owned(),
+                domain: "ikeja".to_owned(),
+                boot: Boot(1),
+                peer_addr: String::new(),
+            },
+            out: Vec::new(),
+            rng: ChaCha8Rng::seed_from_u64(7),
+            metrics: Metrics::new(),
+        }
+    }
+
+    /// Returns the context now.
+    pub fn cx(&mut self) -> Cx<'_> {
+        Cx {
+            now: self.now,
+            me: &self.me,
+            out: &mut self.out,
+            rng: &mut self.rng,
+            timeline: &mut self.timeline,
+            metrics: &self.metrics,
+        }
+    }
+}
+
+/// Returns a fleet of engines `(name, domain, labels)`; labels are written
+/// `key=value` with spaces between, and `model=m` where none is named.
+pub fn fleet(rules: &str, engines: &[(&str, &str, &str)]) -> Fleet {
+    let declaration: Declaration = toml::from_str(rules).expect("rules are valid");
+    let listings = engines.iter().map(|&(name, domain, labels)| Listing {
+        name: name.to_owned(),
+        role: Role::Engine,
+        domain: domain.to_owned(),
+        addr: "127.0.0.1:1".to_owned(),
+        peer_addr: String::new(),
+        leaving: false,
+        labels: self::labels(labels),
+    });
+    let mut fleet = Fleet::default();
+    fleet.declare(&declaration);
+    fleet.list(listings.collect());
+    fleet
+}
+
+fn labels(text: &str) -> Labels {
+    let mut labels = Labels::from([("model".to_owned(), "m".to_owned())]);
+    let pairs = text
+        .split_whitespace()
+        .filter_map(|pair| pair.split_once('='));
+    labels.extend(pairs.map(|(key, value)| (key.to_owned(), value.to_owned())));
+    labels
+}
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -114,11 +114,13 @@
     workspace_tokens: HashMap<String, WorkspaceKey>,
     declaration: Declaration,
     listings: Vec<Listing>,
+    generation: u64,
 }
 
 impl Fleet {
     /// Takes over a declaration: kinds, workspaces, domains, labels, limits.
     pub fn declare(&mut self, declaration: &Declaration) {
+        self.generation += 1;
         self.declaration = declaration.clone();
         for domain in self.declaration.domains.clone() {
             let key = self.domain_or_insert(&domain.name);
@@ -135,10 +137,18 @@
     /// Takes over an instance list: a backend server that is no longer listed
     /// counts as leaving.
     pub fn list(&mut self, listings: Vec<Listing>) {
+        self.generation += 1;
         self.listings = listings;
         self.rebuild_backends();
     }
 
+    /// Returns a number that changes with every declaration and every instance
+    /// list, for whoever keeps what was derived from them.
+    #[must_use]
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
     /// Returns the key of the backend server `name`.
     #[must_use]
     pub fn backend_key(&self, name: &str) -> Option<BackendKey> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod condition;
 pub mod control;
 pub mod declaration;
+#[cfg(test)]
+mod fixture;
 pub mod fleet;
 pub mod id;
 pub mod job;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -36,12 +36,16 @@
     PeerFramesSent = "peer_frames_sent", "Frames sent to other instances";
     PeerBytesSent = "peer_bytes_sent", "Bytes of frames sent to other instances, before HTTP/2 framing";
     PeerFramesDropped = "peer_frames_dropped", "Frames from other instances that were malformed or not authentic";
+    ConditionChanges = "condition_changes", "Changes of a backend server's condition as this instance sees it";
     StaleFrames = "stale_frames", "Answer frames dropped as their attempt or offset did not match";
 }
 
 metrics! { GAUGES, Level:
     RequestsOpen = "requests_open", "Requests admitted and not yet answered";
     Revision = "declaration_revision", "Revision of the declarations in force";
+    BackendsWarm = "backends_warm", "Backend servers that this instance counts as warm";
+    BackendsCold = "backends_cold", "Backend servers that this instance counts as cold or warming up";
+    BackendsSilent = "backends_silent", "Backend servers that this instance counts as silent";
     Ready = "ready", "1 when the instance takes callers, else 0";
 }
 
