--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -29,6 +29,7 @@
 use crate::condition::Sign;
 use crate::id::AttemptId;
 use crate::job::Job;
+use crate::once::Slot;
 use crate::verdict::Reason;
 use crate::verdict::Verdict;
 
@@ -48,6 +49,12 @@
     pub workspace: String,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// The claim of its idempotency key.
+    pub slot: Option<Slot>,
+    /// A plain service's answer: HTTP status and body.
+    pub answer: Option<(u16, Vec<u8>)>,
+    /// The caller has its final answer or left; the call goes on for its result.
+    pub detached: bool,
     /// When the whole answer is due.
     pub deadline: Millis,
     /// Number of the last attempt.
--- a/src/control.rs
+++ b/src/control.rs
@@ -6,6 +6,7 @@
 //! property tests.
 
 mod admin;
+mod claim;
 mod duties;
 mod message;
 mod request;
--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -5,6 +5,7 @@
 use super::AdminAnswer;
 use super::AdminQuery;
 use super::Cx;
+use super::Duty;
 use super::Identity;
 use super::Input;
 use super::Output;
@@ -22,8 +23,11 @@
 use crate::fleet::Fleet;
 use crate::id::RequestId;
 use crate::id::Revision;
+use crate::metrics::Count;
 use crate::metrics::Level;
+use crate::once::Once;
 use crate::peer::PeerFrame;
+use crate::peer::PeerMessage;
 use crate::routing::Router;
 use crate::store::StoreResult;
 use crate::timeline::EventKind;
@@ -41,6 +45,7 @@
     pub(super) flights: HashMap<RequestId, Flight>,
     pub(super) lingers: Lingers,
     pub(super) budgets: Budgets,
+    pub(super) once: Once,
     pub(super) leaving: bool,
     pub(super) stopped: bool,
 }
@@ -58,6 +63,7 @@
             flights: HashMap::new(),
             lingers: Lingers::default(),
             budgets: Budgets::default(),
+            once: Once::new(me.unix_zero),
             leaving: false,
             stopped: false,
         }
@@ -101,6 +107,8 @@
     }
 
     fn tick(&mut self, cx: &mut Cx<'_>) {
+        let outcomes = self.once.tick(cx);
+        self.claimed(cx, outcomes);
         self.expire(cx);
         for held in self.lingers.tick(cx, &self.fleet) {
             self.capacity.release(held);
@@ -140,9 +148,29 @@
 
     fn peer(&mut self, cx: &mut Cx<'_>, frame: PeerFrame) {
         cx.timeline.observe(frame.stamp);
+        for message in frame.messages {
+            match message {
+                PeerMessage::Once(message) => {
+                    let outcomes = self.once.on_message(cx, &frame.from, message);
+                    self.claimed(cx, outcomes);
+                }
+                PeerMessage::Membership(_) => {}
+            }
+        }
     }
 
-    fn store(&mut self, _cx: &mut Cx<'_>, _ticket: Ticket, _result: StoreResult) {}
+    fn store(&mut self, cx: &mut Cx<'_>, ticket: Ticket, result: StoreResult) {
+        if result.is_err() {
+            cx.count(Count::StoreFailures);
+        }
+        match ticket.duty {
+            Duty::Once => {
+                let outcomes = self.once.on_store(cx, ticket, result);
+                self.claimed(cx, outcomes);
+            }
+            Duty::Capacity | Duty::Spread => {}
+        }
+    }
 
     fn admin(&mut self, cx: &mut Cx<'_>, ticket: u64, query: AdminQuery) {
         let answer = match query {
@@ -164,7 +192,8 @@
     /// Lets the queue dispatch, and ends the process's work when all is done.
     fn pump(&mut self, cx: &mut Cx<'_>) {
         self.dispatch(cx);
-        if self.leaving && !self.stopped && self.flights.is_empty() {
+        let idle = self.flights.is_empty() && self.once.unconfirmed() == 0;
+        if self.leaving && !self.stopped && idle {
             self.stopped = true;
             cx.out.push(Output::Stopped);
         }
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -35,6 +35,8 @@
     pub boot: Boot,
     /// Its address for peers, `ip:port`.
     pub peer_addr: String,
+    /// Unix time at the zero of its clock.
+    pub unix_zero: Millis,
 }
 
 /// A caller's request, parsed but not yet admitted.
--- a/src/control/request.rs
+++ b/src/control/request.rs
@@ -1,8 +1,6 @@
 //! The life of a request on its instance: from the caller's word to the final
 //! answer.
 
-use std::sync::Arc;
-
 use super::Cx;
 use super::Output;
 use super::Reply;
@@ -15,6 +13,7 @@
 use crate::attempt::Outcome;
 use crate::attempt::Phase;
 use crate::attempt::Running;
+use crate::attempt::SERVICE_LINGER;
 use crate::backend::AttemptEnd;
 use crate::backend::AttemptEvent;
 use crate::backend::Call;
@@ -55,20 +54,38 @@
             work,
             workspace: self.fleet.workspace(job.workspace).name.clone(),
             idempotent: kind.idempotent,
+            slot: None,
+            answer: None,
+            detached: false,
             deadline: job.deadline,
             number: 0,
             tries: 0,
             ran: Verdict::NotRun,
             phase: Phase::Waiting,
         };
+        match self.slot_of(&job, &flight.work) {
+            Some(slot) => self.claim(cx, flight, job, slot),
+            None => self.admit(cx, flight, job),
+        }
+    }
+
+    /// Puts a new flight into the queue, or refuses it.
+    pub(super) fn admit(&mut self, cx: &mut Cx<'_>, mut flight: Flight, job: Job) {
+        let request = job.request;
         let model = job.model.clone();
         match self.queue.admit(cx, &self.fleet, &self.router, job) {
             Ok(()) => {
                 self.budgets.earn(&model);
+                flight.phase = Phase::Waiting;
                 self.flights.insert(request, flight);
                 cx.event(EventKind::Admitted, Subject::request(request), model);
             }
-            Err(refused) => self.refuse_new(cx, request, refused.1),
+            Err(refused) => {
+                if let Some(slot) = flight.slot {
+                    self.release_claim(cx, request, slot);
+                }
+                self.refuse_new(cx, request, refused.1);
+            }
         }
     }
 
@@ -77,10 +94,9 @@
             return;
         };
         cx.count(Count::CallersGone);
-        self.queue.remove(request);
-        self.abandon(cx, request, flight.phase, &flight.work);
         let detail = "the caller left".to_owned();
         cx.event(EventKind::Failed, Subject::request(request), detail);
+        self.part(cx, request, flight);
     }
 
     pub(super) fn attempt(&mut self, cx: &mut Cx<'_>, attempt: AttemptId, event: AttemptEvent) {
@@ -100,6 +116,7 @@
                 self.capacity.prefill_done(&mut running.held);
             }
             AttemptEvent::Progress { offset } => running.offset = running.offset.max(offset),
+            AttemptEvent::Answer { status, body } => flight.answer = Some((status, body)),
             AttemptEvent::Ended(end) => self.ended(cx, attempt, &end),
         }
     }
@@ -121,13 +138,14 @@
                 Phase::Running(_) => Verdict::MayHaveRun,
                 Phase::Claiming | Phase::Waiting => flight.ran,
             };
-            self.queue.remove(request);
-            self.abandon(cx, request, flight.phase, &flight.work);
             let refusal = Refusal {
                 verdict: ran,
                 ..Refusal::not_run(Reason::DeadlineExceeded, "the deadline passed")
             };
-            self.fail(cx, request, refusal.retry_after(FAILURE_RETRY_AFTER));
+            if !flight.detached {
+                self.fail(cx, request, refusal.retry_after(FAILURE_RETRY_AFTER));
+            }
+            self.part(cx, request, flight);
         }
     }
 
@@ -144,15 +162,9 @@
             match decision {
                 Decision::Run(dispatch) => self.run(cx, dispatch),
                 Decision::Refuse(job, refusal) => {
-                    let ran = self
-                        .flights
-                        .remove(&job.request)
-                        .map_or(Verdict::NotRun, |flight| flight.ran);
-                    let refusal = Refusal {
-                        verdict: refusal.verdict.and(ran),
-                        ..refusal
-                    };
-                    self.fail(cx, job.request, refusal);
+                    if let Some(flight) = self.flights.remove(&job.request) {
+                        self.failed(cx, job.request, &flight, refusal);
+                    }
                 }
             }
         }
@@ -278,7 +290,10 @@
         match next {
             Next::Whole => {
                 self.capacity.release(running.held);
-                self.whole(cx, request);
+                self.settle_claim(cx, request, &flight);
+                if !flight.detached {
+                    self.whole(cx, request);
+                }
             }
             Next::Resume => self.resume(cx, flight, running, job, outcome.offset),
             Next::Elsewhere => self.elsewhere(cx, flight, running, job, &outcome),
@@ -286,15 +301,12 @@
                 let service = matches!(*flight.work, Work::Service(_));
                 self.let_go(cx, request, running, outcome.lingers, service);
                 let text = format!("the backend server failed: {end:?}");
-                let refusal = Refusal {
-                    verdict: flight.ran,
-                    ..Refusal::not_run(reason, text)
-                };
+                let refusal = Refusal::not_run(reason, text);
                 let refusal = match reason {
                     Reason::BackendFailed => refusal.retry_after(FAILURE_RETRY_AFTER),
                     _ => refusal,
                 };
-                self.fail(cx, request, refusal);
+                self.failed(cx, request, &flight, refusal);
             }
         }
     }
@@ -380,17 +392,40 @@
         self.lingers.add(cx, &self.fleet, request, held, service);
     }
 
-    /// Stops whatever runs for a request that has its final answer.
-    fn abandon(&mut self, cx: &mut Cx<'_>, request: RequestId, phase: Phase, work: &Arc<Work>) {
-        let Phase::Running(running) = phase else {
+    /// Ends what goes on for a request whose caller left or has its final
+    /// answer. A claimed call that runs goes on, so that its result is kept.
+    fn part(&mut self, cx: &mut Cx<'_>, request: RequestId, mut flight: Flight) {
+        self.queue.remove(request);
+        let running = matches!(flight.phase, Phase::Running(_));
+        if flight.slot.is_some() && running && !flight.detached {
+            flight.detached = true;
+            flight.deadline = cx.now + SERVICE_LINGER;
+            self.flights.insert(request, flight);
+            return;
+        }
+        if let (Some(slot), Verdict::NotRun, false) = (flight.slot, flight.ran, running) {
+            self.release_claim(cx, request, slot);
+        }
+        let Phase::Running(running) = flight.phase else {
             return;
         };
         let attempt = running.attempt;
         cx.out.push(Output::Drop { attempt });
-        let service = matches!(**work, Work::Service(_));
+        let service = matches!(*flight.work, Work::Service(_));
         self.let_go(cx, request, running, true, service);
     }
 
+    /// Ends a flight that failed after its admission.
+    fn failed(&mut self, cx: &mut Cx<'_>, request: RequestId, flight: &Flight, refusal: Refusal) {
+        let verdict = refusal.verdict.and(flight.ran);
+        if let (Some(slot), Verdict::NotRun) = (flight.slot, verdict) {
+            self.release_claim(cx, request, slot);
+        }
+        if !flight.detached {
+            self.fail(cx, request, Refusal { verdict, ..refusal });
+        }
+    }
+
     fn send_call(&mut self, cx: &mut Cx<'_>, request: RequestId) {
         let Some(flight) = self.flights.get(&request) else {
             return;
@@ -436,7 +471,7 @@
     }
 
     /// Gives an admitted request its final answer, which is a failure.
-    fn fail(&mut self, cx: &mut Cx<'_>, request: RequestId, refusal: Refusal) {
+    pub(super) fn fail(&mut self, cx: &mut Cx<'_>, request: RequestId, refusal: Refusal) {
         let count = match refusal.verdict {
             Verdict::NotRun => Count::RefusedNotRun,
             Verdict::MayHaveRun | Verdict::Done => Count::FailedMayHaveRun,
--- a/src/control/tests.rs
+++ b/src/control/tests.rs
@@ -67,6 +67,7 @@
         domain: "ikeja".to_owned(),
         boot: Boot(1),
         peer_addr: String::new(),
+        unix_zero: Millis::ZERO,
     };
     let mut control = Control::new(me, 7, Arc::new(Metrics::new()));
     let declaration: Declaration = toml::from_str(DECLARATION).expect("a declaration");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod config;
 pub mod control;
 pub mod declaration;
+#[cfg(test)]
+mod fixture;
 pub mod fleet;
 pub mod id;
 pub mod job;
