--- /dev/null
+++ b/bench/src/serve.rs
@@ -0,0 +1,1 @@
+//! A whole set of stand-ins from one INI file.
