--- a/bench/src/engine.rs
+++ b/bench/src/engine.rs
@@ -31,11 +31,6 @@
 
 use serde::Deserialize;
 use serde_json::json;
-use skylarkhook::backend::Rejection;
-use skylarkhook::clock::Clock;
-use skylarkhook::clock::Millis;
-use skylarkhook::fleet::Listing;
-use skylarkhook::fleet::Role;
 use tiny_http::Method;
 use tiny_http::Request;
 
@@ -48,6 +43,11 @@
 use crate::site::reject;
 use crate::site::respond;
 use crate::site::split_url;
+use skylarkhook::backend::Rejection;
+use skylarkhook::clock::Clock;
+use skylarkhook::clock::Millis;
+use skylarkhook::fleet::Listing;
+use skylarkhook::fleet::Role;
 
 /// Step of the ticker, in milliseconds.
 const STEP_MS: u64 = 4;
--- a/bench/src/engine/config.rs
+++ b/bench/src/engine/config.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+
 use skylarkhook::clock::Millis;
 use skylarkhook::declaration::Limits;
 
--- a/bench/src/engine/state.rs
+++ b/bench/src/engine/state.rs
@@ -4,15 +4,6 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
-use skylarkhook::backend::CacheEvent;
-use skylarkhook::backend::LoadReport;
-use skylarkhook::backend::Rejection;
-use skylarkhook::backend::RunningStream;
-use skylarkhook::clock::Millis;
-use skylarkhook::id::Boot;
-use skylarkhook::id::Epoch;
-use skylarkhook::id::RequestId;
-
 use crate::answer::prompt_hash;
 use crate::answer::prompt_tokens;
 use crate::answer::token_text;
@@ -26,6 +17,14 @@
 use crate::engine::cache::PrefixCache;
 use crate::engine::stream::Stream;
 use crate::site::ChunkWriter;
+use skylarkhook::backend::CacheEvent;
+use skylarkhook::backend::LoadReport;
+use skylarkhook::backend::Rejection;
+use skylarkhook::backend::RunningStream;
+use skylarkhook::clock::Millis;
+use skylarkhook::id::Boot;
+use skylarkhook::id::Epoch;
+use skylarkhook::id::RequestId;
 
 /// Longest step of time that is made up for at once.
 const STEP_MAX: Millis = Millis(200);
--- a/bench/src/engine/stream.rs
+++ b/bench/src/engine/stream.rs
@@ -4,12 +4,12 @@
 use std::io;
 
 use serde_json::json;
-use skylarkhook::clock::Millis;
 
 use crate::answer::answer_tokens;
 use crate::answer::finish_word;
 use crate::answer::token_text;
 use crate::site::ChunkWriter;
+use skylarkhook::clock::Millis;
 
 /// Time between keep-alive lines while nothing else is sent.
 const KEEPALIVE: Millis = Millis(500);
--- a/bench/src/engine/submit.rs
+++ b/bench/src/engine/submit.rs
@@ -1,6 +1,7 @@
 //! What an engine is asked to run, and what it says to that.
 
 use serde::Deserialize;
+
 use skylarkhook::backend::Rejection;
 
 /// The body of a submit.
--- a/bench/src/engine/tests.rs
+++ b/bench/src/engine/tests.rs
@@ -3,9 +3,6 @@
 
 use serde_json::Value;
 use serde_json::json;
-use skylarkhook::backend::Rejection;
-use skylarkhook::clock::Millis;
-use skylarkhook::declaration::Limits;
 
 use super::EngineConfig;
 use super::EngineFault;
@@ -15,6 +12,9 @@
 use super::Submit;
 use super::Submitted;
 use crate::answer::expected_answer;
+use skylarkhook::backend::Rejection;
+use skylarkhook::clock::Millis;
+use skylarkhook::declaration::Limits;
 
 const REQUEST: &str = "00000000000000aa";
 
--- a/bench/src/list.rs
+++ b/bench/src/list.rs
@@ -8,9 +8,6 @@
 
 use serde::Deserialize;
 use serde_json::json;
-use skylarkhook::clock::Clock;
-use skylarkhook::clock::Millis;
-use skylarkhook::fleet::Listing;
 use tiny_http::Method;
 use tiny_http::Request;
 
@@ -19,6 +16,9 @@
 use crate::site::lock;
 use crate::site::reject;
 use crate::site::respond;
+use skylarkhook::clock::Clock;
+use skylarkhook::clock::Millis;
+use skylarkhook::fleet::Listing;
 
 /// Settings of an instance list.
 #[derive(Debug, Clone)]
--- a/bench/src/service.rs
+++ b/bench/src/service.rs
@@ -19,14 +19,6 @@
 use serde::Serialize;
 use serde_json::Value;
 use serde_json::json;
-use skylarkhook::backend::LoadReport;
-use skylarkhook::clock::Clock;
-use skylarkhook::clock::Millis;
-use skylarkhook::declaration::Limits;
-use skylarkhook::fleet::Listing;
-use skylarkhook::fleet::Role;
-use skylarkhook::id::Boot;
-use skylarkhook::id::Epoch;
 use tiny_http::Request;
 
 use crate::site::Site;
@@ -38,6 +30,14 @@
 use crate::site::reject;
 use crate::site::respond;
 use crate::site::take_where;
+use skylarkhook::backend::LoadReport;
+use skylarkhook::clock::Clock;
+use skylarkhook::clock::Millis;
+use skylarkhook::declaration::Limits;
+use skylarkhook::fleet::Listing;
+use skylarkhook::fleet::Role;
+use skylarkhook::id::Boot;
+use skylarkhook::id::Epoch;
 
 /// Step of the ticker, in milliseconds.
 const STEP_MS: u64 = 4;
--- a/bench/src/service/tests.rs
+++ b/bench/src/service/tests.rs
@@ -1,8 +1,7 @@
-use skylarkhook::clock::Millis;
-
 use super::ServiceConfig;
 use super::ServiceFault;
 use super::ServiceHandle;
+use skylarkhook::clock::Millis;
 
 fn call(service: &ServiceHandle, key: &str) -> Result<u16, minreq::Error> {
     let url = format!("http://{}/v1/call/callbacks/book", service.addr());
--- a/bench/src/store.rs
+++ b/bench/src/store.rs
@@ -9,8 +9,6 @@
 pub use state::StoreState;
 pub use state::Written;
 pub use stats::StoreStats;
-use stats::Window;
-
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -22,8 +20,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 use serde_json::json;
-use skylarkhook::clock::Clock;
-use skylarkhook::clock::Millis;
+use stats::Window;
 use tiny_http::Header;
 use tiny_http::Method;
 use tiny_http::Request;
@@ -39,6 +36,8 @@
 use crate::site::respond;
 use crate::site::split_url;
 use crate::site::take_where;
+use skylarkhook::clock::Clock;
+use skylarkhook::clock::Millis;
 
 /// Step of the ticker, in milliseconds.
 const STEP_MS: u64 = 5;
--- a/bench/src/store/state.rs
+++ b/bench/src/store/state.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use serde::Serialize;
+
 use skylarkhook::clock::Millis;
 
 /// A key's value (base64) and version.
--- a/bench/src/store/tests.rs
+++ b/bench/src/store/tests.rs
@@ -1,13 +1,13 @@
 use std::time::Duration;
 
 use serde_json::Value;
-use skylarkhook::clock::Millis;
 
 use super::StoreConfig;
 use super::StoreFault;
 use super::StoreHandle;
 use super::StoreState;
 use super::Written;
+use skylarkhook::clock::Millis;
 
 fn start() -> StoreHandle {
     StoreHandle::start(StoreConfig::default()).unwrap()
