--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,17 +5,22 @@
 //! talk to it over channels.
 
 pub mod admission;
+pub mod attempt;
 pub mod backend;
 pub mod capacity;
 pub mod clock;
 pub mod condition;
+pub mod config;
 pub mod control;
 pub mod declaration;
 pub mod fleet;
 pub mod id;
 pub mod job;
+pub mod membership;
 pub mod metrics;
+pub mod once;
 pub mod peer;
+pub mod relay;
 pub mod routing;
 pub mod selector;
 pub mod store;
--- a/src/selector.rs
+++ b/src/selector.rs
@@ -21,7 +21,8 @@
 use winnow::token::take_while;
 
 /// A conjunction of requirements; an empty one matches everything.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Selector {
     requirements: Vec<Requirement>,
