Add the platform's edges: key-value service and instance list over HTTP

The control core asks the store by StoreOp and needs to hear for each call whether a write may have taken effect.

Two traits, one minreq adapter each. Refused connections, 429 and 503 had no effect; every other write without a readable answer may have run; reads simply failed. Each call has a time limit, a watch its wait on top.

Found on the way: minreq 3 reports a 503 of its own when a peer closes without a status line, which would have turned a lost answer into "not run". The made-up status is recognised by its reason phrase, and a test closes the connection without an answer to cause it.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod job;
 pub mod metrics;
 pub mod peer;
+pub mod platform;
 pub mod routing;
 pub mod selector;
 pub mod store;
