--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod once;
 pub mod peer;
 pub mod relay;
+pub mod platform;
 pub mod routing;
 pub mod selector;
 pub mod store;
