Know members by list and heartbeat

Instances have to know within five seconds who left or vanished, while the instance list lags or is away. Members come from the list and from their own heartbeats; full mesh within a failure domain, two delegates by rendezvous between domains, who pass on what they know of others every five seconds. Silence is judged on the own clock and a pause of this process is taken out of it.

Thirteen tests on a virtual network: unlisted joiner, vanished and leaving member, new boot, paused observer, cut domains, delegates lost, and that only delegates pay for other domains (7 against at most 13 heartbeats a second with four domains of eight).

--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -3,18 +3,41 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::clock::Millis;
 use crate::id::Epoch;
 use crate::id::Revision;
 
-/// How busy a failure domain is, as one of its instances sees it.
+/// How busy an instance is.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DomainLoad {
-    /// Requests that wait on the sending instance.
+pub struct Load {
+    /// Requests that wait on the instance.
     pub waiting: u32,
-    /// Requests that the sending instance has in flight.
+    /// Requests that the instance has in flight.
     pub running: u32,
 }
 
+/// What an instance tells all others of itself.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnState {
+    /// The highest epoch of homes that it knows for its own failure domain.
+    pub epoch: Epoch,
+    /// The revision of the declarations that it has in force.
+    pub revision: Revision,
+    /// How busy it is.
+    pub load: Load,
+}
+
+/// What a delegate knows of another failure domain, passed on to its own.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DomainView {
+    /// The other failure domain.
+    pub domain: String,
+    /// Time since the delegate heard from it.
+    pub age: Millis,
+    /// The state of the instance that it heard from.
+    pub state: OwnState,
+}
+
 /// Tells another instance that the sender lives.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -24,10 +47,8 @@
     pub addr: String,
     /// The sender is leaving.
     pub leaving: bool,
-    /// The highest epoch of homes that the sender knows for its own domain.
-    pub epoch: Epoch,
-    /// The revision of the declarations that the sender has in force.
-    pub revision: Revision,
-    /// How busy the sender is.
-    pub load: DomainLoad,
+    /// The sender's state.
+    pub state: OwnState,
+    /// From a delegate to its own failure domain: what it knows of others.
+    pub views: Vec<DomainView>,
 }
--- /dev/null
+++ b/src/membership/tests.rs
@@ -0,0 +1,378 @@
+use std::collections::BTreeSet;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::*;
+use crate::metrics::Metrics;
+use crate::timeline::Timeline;
+
+const STEP: Millis = Millis(100);
+
+/// One instance's membership with what it needs.
+struct Node {
+    me: Identity,
+    membership: Membership,
+    timeline: Timeline,
+    own: OwnState,
+}
+
+impl Node {
+    fn new(name: &str, boot: u64) -> Node {
+        let me = identity(name, boot);
+        Node {
+            membership: Membership::new(&me),
+            timeline: Timeline::new(name),
+            own: OwnState::default(),
+            me,
+        }
+    }
+
+    fn run(&mut self, now: Millis, act: impl FnOnce(&mut Membership, &mut Cx<'_>)) -> Vec<Output> {
+        let mut out = Vec::new();
+        let metrics = Metrics::new();
+        let mut rng = ChaCha8Rng::seed_from_u64(1);
+        let mut cx = Cx {
+            now,
+            me: &self.me,
+            out: &mut out,
+            rng: &mut rng,
+            timeline: &mut self.timeline,
+            metrics: &metrics,
+        };
+        act(&mut self.membership, &mut cx);
+        out
+    }
+}
+
+/// Instances that exchange heartbeats without delay, but over cut links.
+struct Net {
+    now: Millis,
+    nodes: BTreeMap<String, Node>,
+    down: BTreeSet<String>,
+    cut: BTreeSet<(String, String)>,
+    sent: BTreeMap<String, u64>,
+}
+
+impl Net {
+    fn new(names: &[&str]) -> Net {
+        let nodes = names
+            .iter()
+            .map(|name| ((*name).to_owned(), Node::new(name, 1)))
+            .collect();
+        Net {
+            now: Millis::ZERO,
+            nodes,
+            down: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            sent: BTreeMap::new(),
+        }
+    }
+
+    /// Gives `to` the list of all names in `names`.
+    fn list(&mut self, to: &str, names: &[&str], leaving: &[&str]) {
+        let listings: Vec<Listing> = names
+            .iter()
+            .map(|name| listing(name, leaving.contains(name)))
+            .collect();
+        let now = self.now;
+        let node = self.nodes.get_mut(to).unwrap();
+        node.run(now, |membership, cx| membership.on_list(cx, &listings));
+    }
+
+    fn list_all(&mut self) {
+        let names: Vec<String> = self.nodes.keys().cloned().collect();
+        let all: Vec<&str> = names.iter().map(String::as_str).collect();
+        for name in &all {
+            self.list(name, &all, &[]);
+        }
+    }
+
+    fn advance(&mut self, span: Millis) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += STEP;
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        let names: Vec<String> = self.nodes.keys().cloned().collect();
+        for name in names {
+            if self.down.contains(&name) {
+                continue;
+            }
+            let now = self.now;
+            let node = self.nodes.get_mut(&name).unwrap();
+            let own = node.own;
+            let out = node.run(now, |membership, cx| membership.tick(cx, own));
+            self.deliver(&name, out);
+        }
+    }
+
+    fn deliver(&mut self, from: &str, out: Vec<Output>) {
+        for output in out {
+            let Output::Peer { to, message, .. } = output else {
+                panic!("membership only speaks to peers");
+            };
+            *self.sent.entry(from.to_owned()).or_default() += 1;
+            let PeerMessage::Membership(beat) = message;
+            let boot = self.nodes[from].me.boot;
+            let lost = self.down.contains(&to) || self.cut.contains(&link(from, &to));
+            let now = self.now;
+            if let Some(node) = self.nodes.get_mut(&to).filter(|_| !lost) {
+                node.run(now, |membership, cx| {
+                    membership.on_message(cx, from, boot, beat);
+                });
+            }
+        }
+    }
+
+    fn cut_between(&mut self, a: &str, b: &str) {
+        let names: Vec<String> = self.nodes.keys().cloned().collect();
+        for x in names.iter().filter(|name| domain(name) == a) {
+            for y in names.iter().filter(|name| domain(name) == b) {
+                self.cut.insert(link(x, y));
+            }
+        }
+    }
+
+    fn at(&self, name: &str) -> &Membership {
+        &self.nodes[name].membership
+    }
+}
+
+fn link(a: &str, b: &str) -> (String, String) {
+    (a.min(b).to_owned(), a.max(b).to_owned())
+}
+
+fn domain(name: &str) -> &str {
+    name.split('-').next().unwrap()
+}
+
+fn identity(name: &str, boot: u64) -> Identity {
+    Identity {
+        name: name.to_owned(),
+        domain: domain(name).to_owned(),
+        boot: Boot(boot),
+        peer_addr: format!("{name}:1"),
+    }
+}
+
+fn listing(name: &str, leaving: bool) -> Listing {
+    Listing {
+        name: name.to_owned(),
+        role: Role::Entry,
+        domain: domain(name).to_owned(),
+        addr: String::new(),
+        peer_addr: format!("{name}:1"),
+        leaving,
+        labels: BTreeMap::new(),
+    }
+}
+
+const SIX: [&str; 6] = [
+    "ikeja-1", "ikeja-2", "lekki-1", "lekki-2", "yaba-1", "yaba-2",
+];
+
+fn six() -> Net {
+    let mut net = Net::new(&SIX);
+    net.list_all();
+    net.advance(Millis::from_secs(3));
+    net
+}
+
+#[test]
+fn all_listed_instances_become_live() {
+    let net = six();
+    assert_eq!(net.at("ikeja-1").live_in("ikeja"), ["ikeja-1", "ikeja-2"]);
+    assert_eq!(net.at("ikeja-1").live_in("yaba"), ["yaba-1", "yaba-2"]);
+    for name in SIX {
+        for domain in ["ikeja", "lekki", "yaba"] {
+            assert!(net.at(name).reaches(net.now, domain), "{name} to {domain}");
+        }
+    }
+}
+
+#[test]
+fn an_instance_that_is_not_listed_is_known_by_its_heartbeat() {
+    let mut net = six();
+    net.nodes
+        .insert("ikeja-3".to_owned(), Node::new("ikeja-3", 1));
+    net.list("ikeja-3", &SIX, &[]);
+    net.advance(Millis::from_secs(2));
+    let expected = ["ikeja-1", "ikeja-2", "ikeja-3"];
+    assert_eq!(net.at("ikeja-1").live_in("ikeja"), expected);
+    assert_eq!(net.at("ikeja-3").live_in("ikeja"), expected);
+    assert_eq!(net.at("ikeja-1").addr("ikeja-3"), Some("ikeja-3:1"));
+}
+
+#[test]
+fn a_vanished_instance_is_gone_within_five_seconds_though_still_listed() {
+    let mut net = six();
+    net.down.insert("ikeja-2".to_owned());
+    net.advance(Millis::from_secs(5));
+    let state = net.at("ikeja-1").member("ikeja-2").unwrap().state;
+    assert_eq!(state, MemberState::Gone);
+    assert_eq!(net.at("ikeja-1").live_in("ikeja"), ["ikeja-1"]);
+}
+
+#[test]
+fn a_silent_instance_is_suspected_first_and_comes_back() {
+    let mut net = six();
+    net.down.insert("ikeja-2".to_owned());
+    net.advance(Millis::from_secs(3));
+    let state = |net: &Net| net.at("ikeja-1").member("ikeja-2").unwrap().state;
+    assert_eq!(state(&net), MemberState::Suspect);
+    assert_eq!(net.at("ikeja-1").live_in("ikeja").len(), 2);
+    net.advance(Millis::from_secs(10));
+    assert_eq!(state(&net), MemberState::Gone);
+    net.down.clear();
+    net.advance(Millis::from_secs(6));
+    assert_eq!(state(&net), MemberState::Live);
+}
+
+#[test]
+fn a_leaving_instance_is_noticed_at_once() {
+    let mut net = six();
+    let now = net.now;
+    let leaving = net.nodes.get_mut("ikeja-2").unwrap();
+    let out = leaving.run(now, |membership, cx| membership.leave(cx));
+    net.deliver("ikeja-2", out);
+    assert!(net.at("ikeja-1").is_leaving("ikeja-2"));
+    assert!(net.at("ikeja-2").is_leaving("ikeja-2"));
+    assert_eq!(net.at("ikeja-1").live_in("ikeja"), ["ikeja-1"]);
+    assert_eq!(net.at("ikeja-2").live_in("ikeja"), ["ikeja-1"]);
+}
+
+#[test]
+fn the_list_alone_can_tell_that_an_instance_leaves() {
+    let mut net = six();
+    net.list("ikeja-1", &SIX, &["ikeja-2", "yaba-1"]);
+    assert!(net.at("ikeja-1").is_leaving("ikeja-2"));
+    assert!(net.at("ikeja-1").is_leaving("yaba-1"));
+}
+
+#[test]
+fn a_new_boot_number_is_a_new_process() {
+    let mut net = six();
+    net.nodes
+        .insert("ikeja-2".to_owned(), Node::new("ikeja-2", 2));
+    net.list("ikeja-2", &SIX, &[]);
+    net.advance(Millis::from_secs(1));
+    let member = net.at("ikeja-1").member("ikeja-2").unwrap();
+    assert_eq!(member.boot, Some(Boot(2)));
+    let events = net.nodes["ikeja-1"]
+        .timeline
+        .select(&Subject::default(), usize::MAX);
+    assert!(
+        events
+            .iter()
+            .any(|event| event.detail == "ikeja-2 restarted")
+    );
+}
+
+#[test]
+fn a_pause_of_this_process_makes_no_member_gone() {
+    let mut net = six();
+    net.down.insert("ikeja-1".to_owned());
+    net.advance(Millis::from_secs(30));
+    net.down.clear();
+    net.now += STEP;
+    let now = net.now;
+    let woken = net.nodes.get_mut("ikeja-1").unwrap();
+    woken.run(now, |membership, cx| {
+        membership.tick(cx, OwnState::default());
+    });
+    assert_eq!(net.at("ikeja-1").live_in("ikeja").len(), 2);
+    assert!(net.at("ikeja-1").reaches(now, "yaba"));
+}
+
+#[test]
+fn a_domain_that_is_cut_off_is_unreachable_and_comes_back() {
+    let mut net = six();
+    net.cut_between("ikeja", "yaba");
+    net.advance(Millis::from_secs(12));
+    for name in ["ikeja-1", "ikeja-2"] {
+        assert!(!net.at(name).reaches(net.now, "yaba"), "{name}");
+        assert!(net.at(name).reaches(net.now, "lekki"), "{name}");
+    }
+    net.cut.clear();
+    net.advance(Millis::from_secs(8));
+    assert!(net.at("ikeja-1").reaches(net.now, "yaba"));
+    assert!(net.at("ikeja-2").reaches(net.now, "yaba"));
+}
+
+#[test]
+fn epochs_and_revisions_reach_every_instance() {
+    let mut net = six();
+    let yaba = net.nodes.get_mut("yaba-1").unwrap();
+    yaba.own.epoch = Epoch(9);
+    yaba.own.revision = Revision(5);
+    net.advance(Millis::from_secs(2));
+    assert_eq!(net.at("yaba-2").highest_epoch(), Epoch(9));
+    assert_eq!(net.at("ikeja-1").highest_epoch(), Epoch(0));
+    let ahead = net.at("yaba-2").ahead_of(net.now, Revision(4));
+    assert_eq!(ahead, Some(("yaba-1", Revision(5))));
+    assert_eq!(net.at("yaba-2").ahead_of(net.now, Revision(5)), None);
+}
+
+#[test]
+fn only_delegates_speak_between_domains() {
+    // Four domains of eight: a delegate sends 7 heartbeats to its own domain
+    // and 3 to others a period, everybody else 7.
+    let names: Vec<String> = ["a", "b", "c", "d"]
+        .iter()
+        .flat_map(|domain| (1..=8).map(move |number| format!("{domain}-{number}")))
+        .collect();
+    let all: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut net = Net::new(&all);
+    net.list_all();
+    net.advance(Millis::from_secs(20));
+    net.sent.clear();
+    net.advance(Millis::from_secs(10));
+    for domain in ["a", "b", "c", "d"] {
+        let delegates = net.at(&format!("{domain}-1")).delegates(domain);
+        assert_eq!(delegates.len(), DELEGATES);
+        for name in all.iter().filter(|name| name.starts_with(domain)) {
+            let sent = net.sent[*name];
+            let delegate = delegates.contains(name);
+            let bound = if delegate { 70 + 60 } else { 70 };
+            assert!(sent >= 70 && sent <= bound, "{name} sent {sent}");
+            assert_eq!(sent > 70, delegate, "{name} sent {sent}");
+        }
+    }
+    for name in &all {
+        for domain in ["a", "b", "c", "d"] {
+            assert!(net.at(name).reaches(net.now, domain));
+        }
+    }
+}
+
+#[test]
+fn a_lost_delegate_is_replaced() {
+    let names: Vec<String> = ["a", "b"]
+        .iter()
+        .flat_map(|domain| (1..=4).map(move |number| format!("{domain}-{number}")))
+        .collect();
+    let all: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut net = Net::new(&all);
+    net.list_all();
+    net.advance(Millis::from_secs(5));
+    let delegates = net.at("b-1").delegates("a");
+    let lost: Vec<String> = delegates.iter().map(|name| (*name).to_owned()).collect();
+    net.down.extend(lost);
+    net.advance(Millis::from_secs(12));
+    for name in ["b-1", "b-2", "b-3", "b-4"] {
+        assert!(net.at(name).reaches(net.now, "a"), "{name}");
+    }
+}
+
+#[test]
+fn a_member_that_is_neither_listed_nor_heard_is_forgotten() {
+    let mut net = six();
+    net.down.insert("ikeja-2".to_owned());
+    net.list("ikeja-1", &["ikeja-1"], &[]);
+    net.advance(Millis::from_secs(62));
+    assert!(net.at("ikeja-1").member("ikeja-2").is_none());
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -46,6 +46,7 @@
 metrics! { GAUGES, Level:
     RequestsOpen = "requests_open", "Requests admitted and not yet answered";
     Revision = "declaration_revision", "Revision of the declarations in force";
+    MembersLive = "members_live", "Other instances that are known and not suspected, leaving or gone";
     Ready = "ready", "1 when the instance takes callers, else 0";
 }
 
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -11,10 +11,8 @@
 
 use super::*;
 use crate::control::Input;
-use crate::id::Epoch;
-use crate::id::Revision;
-use crate::membership::DomainLoad;
 use crate::membership::Heartbeat;
+use crate::membership::OwnState;
 use crate::metrics::Count;
 use crate::metrics::Metrics;
 
@@ -61,9 +59,8 @@
             domain: domain.to_owned(),
             addr: "127.0.0.1:9".to_owned(),
             leaving: false,
-            epoch: Epoch(3),
-            revision: Revision(4),
-            load: DomainLoad::default(),
+            state: OwnState::default(),
+            views: Vec::new(),
         })],
     }
 }
