--- a/bench/src/engine/config.rs
+++ b/bench/src/engine/config.rs
@@ -7,7 +7,8 @@
 use skylarkhook::declaration::Limits;
 
 /// What an engine does with an order under an epoch older than one it has seen.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OldEpochs {
     /// Refuses it.
@@ -18,7 +19,8 @@
 }
 
 /// Settings of an engine.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct EngineConfig {
     /// Its name in the instance list.
@@ -94,7 +96,8 @@
 }
 
 /// A fault order.
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct EngineFault {
     /// Ends the process; it comes back cold after its restart time.
@@ -128,7 +131,8 @@
 }
 
 /// Amounts in flight: the highest seen, and the highest above a limit.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Marks {
     /// Streams.
     pub streams: u64,
@@ -171,7 +175,8 @@
 }
 
 /// Counters of an engine over all its boots.
-#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize)]
 pub struct EngineStats {
     /// Its name.
     pub name: String,
--- a/bench/src/engine/submit.rs
+++ b/bench/src/engine/submit.rs
@@ -5,7 +5,8 @@
 use skylarkhook::backend::Rejection;
 
 /// The body of a submit.
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Deserialize)]
 #[serde(default)]
 pub struct Submit {
     /// The request, 16 hexadecimal digits.
--- a/bench/src/service.rs
+++ b/bench/src/service.rs
@@ -43,7 +43,8 @@
 const STEP_MS: u64 = 4;
 
 /// Settings of a plain service.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct ServiceConfig {
     /// Its name in the instance list.
@@ -86,7 +87,8 @@
 }
 
 /// A fault order.
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct ServiceFault {
     /// Ends the process; it comes back cold after its restart time.
@@ -106,7 +108,8 @@
 }
 
 /// Counters of a plain service over all its boots.
-#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize)]
 pub struct ServiceStats {
     /// Its name.
     pub name: String,
--- a/bench/src/store/stats.rs
+++ b/bench/src/store/stats.rs
@@ -7,7 +7,8 @@
 use skylarkhook::clock::Millis;
 
 /// Counters.
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize)]
 pub struct StoreStats {
     /// Calls of any sort.
     pub calls: u64,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -50,6 +50,7 @@
     BackendsWarm = "backends_warm", "Backend servers that this instance counts as warm";
     BackendsCold = "backends_cold", "Backend servers that this instance counts as cold or warming up";
     BackendsSilent = "backends_silent", "Backend servers that this instance counts as silent";
+    MembersLive = "members_live", "Other instances that are known and not suspected, leaving or gone";
     Ready = "ready", "1 when the instance takes callers, else 0";
 }
 
