Choose backend servers by predicted first token, length and prefix

Before, each job was matched against every backend server's labels and took the first with room. Now: - a lane a route and model is worked out once and kept until the fleet's generation changes; - prefill and decode speeds a backend server and model, and the time of a call, start from labels and follow attempts by a moving average; a first token over four times late is a sign of cold; - load reports get what was sent since their time added; - long prompts keep to part of each domain's engines, one at a time up to 131,072 tokens, and the part follows demand; - a prefix prefers the first engines of its rendezvous order while their load is within 1.25 of the mean, as many as its popularity asks for; - explain names the first reason against each backend server.

Credits are taken for the whole prompt: a predicted cached prefix shortens the prediction only, so that a wrong hint cannot exceed a limit.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -48,7 +48,7 @@
         &mut self,
         cx: &mut Cx<'_>,
         fleet: &Fleet,
-        router: &Router,
+        router: &mut Router,
         job: Job,
     ) -> Result<(), Box<(Job, Refusal)>> {
         let _ = cx;
--- a/src/fixture.rs
+++ b/src/fixture.rs
@@ -14,6 +14,9 @@
 use crate::fleet::Listing;
 use crate::fleet::Role;
 use crate::id::Boot;
+use crate::id::Fingerprint;
+use crate::id::RequestId;
+use crate::job::Job;
 use crate::metrics::Metrics;
 use crate::timeline::Timeline;
 
@@ -87,3 +90,27 @@
     labels.extend(pairs.map(|(key, value)| (key.to_owned(), value.to_owned())));
     labels
 }
+
+/// Returns a job of the first kind and workspace for the model `m`, admitted at
+/// time zero.
+pub fn job(fleet: &Fleet, request: u64, prompt_tokens: u64, max_tokens: u32) -> Job {
+    let kind = &fleet.declaration().kinds[0];
+    let workspace = &fleet.declaration().workspaces[0];
+    Job {
+        request: RequestId(request),
+        workspace: fleet.workspace_key(&workspace.name).expect("declared"),
+        kind: fleet.kind_key(&kind.name).expect("declared"),
+        target: kind.target,
+        model: "m".to_owned(),
+        prompt_tokens,
+        max_tokens,
+        prefix: 0,
+        fingerprint: Fingerprint(request),
+        importance: kind.importance,
+        admitted: Millis::ZERO,
+        deadline: kind.deadline_ms,
+        offset: 0,
+        excluded: Vec::new(),
+        alone: false,
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! talk to it over channels.
 
 pub mod admission;
+pub mod affinity;
 pub mod backend;
 pub mod capacity;
 pub mod clock;
@@ -18,6 +19,7 @@
 pub mod job;
 pub mod metrics;
 pub mod peer;
+pub mod prediction;
 pub mod routing;
 pub mod selector;
 pub mod store;
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -1,74 +1,384 @@
-//! Routing: which backend servers may serve a job, and in which order.
+//! Routing: which backend server a job goes to.
+//!
+//! The operators' routes give tiers of backend servers. Within a tier the one
+//! with the earliest predicted first token is taken, over the engines that the
+//! prefix prefers, and long prompts keep to their part of the engines. The
+//! router also knows what this instance has in flight, and learns speeds from
+//! it.
 
-use crate::declaration::Route;
+mod explain;
+mod lane;
+mod load;
+mod split;
+
+pub use explain::BackendOutcome;
+pub use explain::Explanation;
+pub use explain::Outcome;
+pub use lane::Lane;
+pub use lane::LaneKey;
+pub use lane::Place;
+pub use load::Flight;
+pub use load::Load;
+pub use split::Split;
+
+use std::cmp::Reverse;
+
+use crate::affinity::Affinity;
+use crate::affinity::score;
+use crate::backend::CacheEvent;
+use crate::backend::LoadReport;
+use crate::capacity::Capacity;
+use crate::capacity::CreditUse;
+use crate::clock::Millis;
+use crate::condition::Condition;
+use crate::condition::Conditions;
+use crate::condition::InFlight;
+use crate::condition::Sign;
+use crate::declaration::Limits;
+use crate::declaration::Target;
 use crate::fleet::BackendKey;
 use crate::fleet::DomainKey;
 use crate::fleet::Fleet;
+use crate::id::RequestId;
+use crate::job::Cost;
 use crate::job::Job;
+use crate::job::LengthClass;
+use crate::prediction::Prediction;
+use crate::prediction::Predictor;
+use crate::routing::lane::Lanes;
+use crate::routing::load::Loads;
+
+/// Prompt tokens of long prompts in flight on one engine from this instance; a
+/// longer prompt goes where there is none.
+pub const LONG_PREFILL_TOKENS: u64 = 131_072;
+/// An engine that a prefix prefers is passed over when its load, in parts of
+/// its tier's mean, is above this (bounded loads after Mirrokni, Thorup and
+/// Zadimoghaddam 2018, "Consistent Hashing with Bounded Loads").
+pub const AFFINITY_LOAD_BOUND: f64 = 1.25;
+
+/// What the choice of a backend server rests on.
+#[derive(Debug, Clone, Copy)]
+pub struct View<'a> {
+    /// The time.
+    pub now: Millis,
+    /// The fleet.
+    pub fleet: &'a Fleet,
+    /// Conditions of backend servers.
+    pub conditions: &'a Conditions,
+}
+
+/// A choice that is open to one job.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// The job.
+    pub job: &'a Job,
+    /// Its lane.
+    pub lane: LaneKey,
+    /// Whether waiting any longer endangers its deadline: it may run beside
+    /// long prompts.
+    pub pressed: bool,
+    /// Backend servers that are kept for other jobs.
+    pub kept: &'a [BackendKey],
+}
 
 /// Applies the operators' routes on one instance.
 #[derive(Debug)]
 pub struct Router {
     local: DomainKey,
+    lanes: Lanes,
+    loads: Loads,
+    /// Learned speeds.
+    pub predictor: Predictor,
+    /// Where prefixes are cached.
+    pub affinity: Affinity,
+    /// The split of engines by prompt length.
+    pub split: Split,
 }
 
 impl Router {
     /// Returns the router of an instance in the failure domain `local`.
     #[must_use]
     pub fn new(local: DomainKey) -> Router {
-        Router { local }
+        Router {
+            local,
+            lanes: Lanes::default(),
+            loads: Loads::default(),
+            predictor: Predictor::default(),
+            affinity: Affinity::default(),
+            split: Split::default(),
+        }
     }
 
     /// Returns the backend servers that may serve the job, best first.
     #[must_use]
-    pub fn candidates(&self, fleet: &Fleet, job: &Job) -> Vec<BackendKey> {
-        let Some(route) = self.route(fleet, job) else {
+    pub fn candidates(&mut self, fleet: &Fleet, job: &Job) -> Vec<BackendKey> {
+        let Some(lane) = self.lane(fleet, job).and_then(|key| self.lanes.get(key)) else {
+            return Vec::new();
+        };
+        lane.places()
+            .map(|place| place.backend)
+            .filter(|backend| !job.excluded.contains(backend))
+            .collect()
+    }
+
+    /// Returns the lane of a job: the backend servers of its route and model.
+    /// The key holds until the fleet's generation changes.
+    pub fn lane(&mut self, fleet: &Fleet, job: &Job) -> Option<LaneKey> {
+        self.lanes.find(fleet, self.local, job)
+    }
+
+    /// Returns a lane's backend servers.
+    #[must_use]
+    pub fn places(&self, lane: LaneKey) -> Option<&Lane> {
+        self.lanes.get(lane)
+    }
+
+    /// Takes a credit of the best backend server that has room for the job, and
+    /// notes the attempt as in flight.
+    pub fn place(
+        &mut self,
+        view: View<'_>,
+        capacity: &mut Capacity,
+        ask: Ask<'_>,
+    ) -> Option<CreditUse> {
+        let tiers = self.lanes.get(ask.lane)?.tiers.len();
+        for tier in 0..tiers {
+            let ranked = self.rank_tier(view, capacity, ask, tier);
+            let cost = ask.job.cost(0);
+            let held = ranked.into_iter().find_map(|(backend, flight)| {
+                let held = capacity.take(view.now, view.fleet, view.conditions, backend, cost)?;
+                Some((held, flight))
+            });
+            if let Some((held, flight)) = held {
+                self.affinity.sent(view.now, flight.prefix, flight.backend);
+                self.loads.start(ask.job.request, flight);
+                return Some(held);
+            }
+        }
+        None
+    }
+
+    /// Notes the first token of an attempt. Returns the backend server and a
+    /// sign of its condition if the token was several times late.
+    pub fn first_token(
+        &mut self,
+        now: Millis,
+        fleet: &Fleet,
+        request: RequestId,
+    ) -> Option<(BackendKey, Sign)> {
+        let flight = self.loads.first_token(now, request)?;
+        let took = now.since(flight.sent);
+        if self.is_engine(fleet, flight.backend) {
+            self.learn_prefill(fleet, &flight, took);
+        }
+        let late = flight.predicted.is_late(took);
+        late.then_some((flight.backend, Sign::Late))
+    }
+
+    /// Notes the end of a request's attempt, with the answer's length in tokens
+    /// if it is whole. Returns whether it kept to its predicted time.
+    pub fn ended(
+        &mut self,
+        now: Millis,
+        fleet: &Fleet,
+        request: RequestId,
+        tokens: Option<u32>,
+    ) -> bool {
+        let Some(flight) = self.loads.end(request) else {
+            return true;
+        };
+        let Some(tokens) = tokens else {
+            return false;
+        };
+        let start = match self.is_engine(fleet, flight.backend) {
+            true => flight.first_token.unwrap_or(now),
+            false => flight.sent,
+        };
+        let took = now.since(start);
+        let (backend, model) = (flight.backend, &flight.model);
+        self.predictor
+            .observe_whole(fleet, backend, model, tokens, took);
+        flight.predicted.is_in_time(now.since(flight.sent))
+    }
+
+    /// Takes over a load report.
+    pub fn reported(&mut self, now: Millis, backend: BackendKey, report: &LoadReport) {
+        self.loads.reported(now, backend, report);
+    }
+
+    /// Takes over an engine's cache events.
+    pub fn cache_events(&mut self, now: Millis, backend: BackendKey, events: &[CacheEvent]) {
+        self.affinity.events(now, backend, events);
+    }
+
+    /// Returns what this instance has in flight on a backend server.
+    #[must_use]
+    pub fn load(&self, backend: BackendKey) -> Load {
+        self.loads.get(backend)
+    }
+
+    /// Returns this instance's requests on a backend server.
+    #[must_use]
+    pub fn in_flight(&self, backend: BackendKey) -> Vec<InFlight> {
+        self.loads
+            .on(backend)
+            .map(|(request, flight)| InFlight {
+                request,
+                importance: flight.importance,
+                cost: flight.cost,
+            })
+            .collect()
+    }
+
+    /// Returns the best prediction for a job over its lane's first tier that is
+    /// not empty, were nothing else to be done.
+    #[must_use]
+    pub fn predict_best(&self, fleet: &Fleet, lane: LaneKey, job: &Job) -> Option<Prediction> {
+        let tiers = &self.lanes.get(lane)?.tiers;
+        let tier = tiers.iter().find(|tier| !tier.is_empty())?;
+        let speeds = tier
+            .iter()
+            .map(|place| self.predictor.speeds(fleet, place.backend, &job.model))
+            .reduce(|a, b| a.faster(b))?;
+        Some(speeds.predict(job, 0, 0))
+    }
+
+    /// Returns a tier's backend servers with room for the job, best first.
+    fn rank_tier(
+        &self,
+        view: View<'_>,
+        capacity: &Capacity,
+        ask: Ask<'_>,
+        tier: usize,
+    ) -> Vec<(BackendKey, Flight)> {
+        let Some(places) = self
+            .lanes
+            .get(ask.lane)
+            .and_then(|lane| lane.tiers.get(tier))
+        else {
             return Vec::new();
         };
-        let mut found = Vec::new();
-        for selector in &route.prefer {
-            for (key, _) in fleet.backends() {
-                let allowed = serves(fleet, key, job)
-                    && !found.contains(&key)
-                    && !job.excluded.contains(&key)
-                    && selector.matches(|label| fleet.backend_label(key, self.local, label));
-                if allowed {
-                    found.push(key);
-                }
+        let preferred = self.preferred(view.now, ask.job, places);
+        let cost = ask.job.cost(0);
+        let mut ranked = Vec::new();
+        for (index, place) in places.iter().enumerate() {
+            let key = place.backend;
+            let free = capacity.available(view.now, view.fleet, view.conditions, key);
+            let open = fits(free, cost)
+                && !ask.job.excluded.contains(&key)
+                && !ask.kept.contains(&key)
+                && self.bears_length(places, place, ask)
+                && self.bears_alone(view.now, key, ask.job);
+            if !open {
+                continue;
             }
+            let flight = self.flight(view, key, ask.job);
+            let silent = view.conditions.condition(view.fleet, key) == Condition::Silent;
+            let rank = (
+                silent,
+                Reverse(preferred.contains(&index)),
+                flight.predicted.first_token,
+                self.loads.streams(view.now, key),
+                place.hash ^ ask.job.request.0,
+            );
+            ranked.push((rank, key, flight));
+        }
+        ranked.sort_by_key(|(rank, ..)| *rank);
+        ranked
+            .into_iter()
+            .map(|(_, key, flight)| (key, flight))
+            .collect()
+    }
+
+    /// Returns which places keep the job's prefix and are not loaded far above
+    /// the mean, as indices.
+    fn preferred(&self, now: Millis, job: &Job, places: &[Place]) -> Vec<usize> {
+        if job.prefix == 0 || places.len() < 2 {
+            return Vec::new();
         }
-        found
-    }
-
-    /// Returns the first route that matches the job.
-    fn route<'a>(&self, fleet: &'a Fleet, job: &Job) -> Option<&'a Route> {
-        let kind = fleet.kind(job.kind);
-        let workspace = fleet.workspace(job.workspace);
-        let lookup = |label: &str| match label {
-            "kind" => Some(kind.name.as_str()),
-            "workspace" => Some(workspace.name.as_str()),
-            "model" => Some(job.model.as_str()),
-            "length" => Some(job.length().as_str()),
-            _ => kind
-                .labels
-                .get(label)
-                .or_else(|| workspace.labels.get(label))
-                .map(String::as_str),
+        let copies = self.affinity.copies(now, job.prefix, places.len());
+        let mut scored: Vec<(f64, usize)> = places
+            .iter()
+            .enumerate()
+            .map(|(index, place)| (score(job.prefix, place.hash, place.weight), index))
+            .collect();
+        scored.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        let load = |index: usize| {
+            let place: &Place = &places[index];
+            f64::from(self.loads.streams(now, place.backend)) / place.weight
         };
-        let routes = &fleet.declaration().routes;
-        routes.iter().find(|route| route.matches.matches(lookup))
+        let mean = (0..places.len()).map(load).sum::<f64>() / places.len() as f64;
+        scored.truncate(copies);
+        scored
+            .into_iter()
+            .map(|(_, index)| index)
+            .filter(|&index| load(index) <= mean * AFFINITY_LOAD_BOUND + 1.0 / places[index].weight)
+            .collect()
+    }
+
+    /// Returns whether the job's length may go to a place.
+    fn bears_length(&self, places: &[Place], place: &Place, ask: Ask<'_>) -> bool {
+        if ask.job.target == Target::Service {
+            return true;
+        }
+        let long_tokens = self.loads.get(place.backend).long_prefill_tokens;
+        if ask.job.length() == LengthClass::Short {
+            return long_tokens == 0 || ask.pressed;
+        }
+        let takes_long = self.split.takes_long(place)
+            || !places.iter().any(|place| self.split.takes_long(place));
+        let tokens = ask.job.cost(0).prefill_tokens;
+        takes_long && (long_tokens == 0 || long_tokens + tokens <= LONG_PREFILL_TOKENS)
+    }
+
+    /// Returns whether nobody has to run alone, or does.
+    fn bears_alone(&self, now: Millis, backend: BackendKey, job: &Job) -> bool {
+        let load = self.loads.get(backend);
+        !load.alone && (!job.alone || self.loads.streams(now, backend) == 0)
+    }
+
+    /// Returns the attempt that a job would be on a backend server.
+    fn flight(&self, view: View<'_>, backend: BackendKey, job: &Job) -> Flight {
+        let ahead_tokens = self.loads.prefill_ahead(view.now, backend);
+        let cached_tokens = self.affinity.cached_tokens(view.now, job.prefix, backend);
+        let predictor = &self.predictor;
+        let predicted = predictor.predict(view.fleet, backend, job, ahead_tokens, cached_tokens);
+        Flight {
+            ahead_tokens,
+            cached_tokens,
+            predicted,
+            ..Flight::new(view.now, backend, job)
+        }
+    }
+
+    /// Learns from a first token: the speed where no cached prefix is expected,
+    /// else how much was cached.
+    fn learn_prefill(&mut self, fleet: &Fleet, flight: &Flight, took: Millis) {
+        let tokens = flight.cost.prefill_tokens + flight.ahead_tokens;
+        if flight.cached_tokens == 0 {
+            let (backend, model) = (flight.backend, &flight.model);
+            self.predictor
+                .observe_first_token(fleet, backend, model, tokens, took);
+            return;
+        }
+        let speeds = self.predictor.speeds(fleet, flight.backend, &flight.model);
+        let processed = (took.as_secs_f64() * speeds.prefill_tokens_per_s) as u64;
+        let cached = tokens.saturating_sub(processed);
+        let cached = cached.min(flight.cost.prefill_tokens);
+        self.affinity.observe(flight.prefix, cached);
+    }
+
+    fn is_engine(&self, fleet: &Fleet, backend: BackendKey) -> bool {
+        fleet.backend(backend).target == Target::Engine
     }
 }
 
-/// Returns whether a backend server is in service and has the job's model.
-fn serves(fleet: &Fleet, key: BackendKey, job: &Job) -> bool {
-    let backend = fleet.backend(key);
-    let label = match backend.target {
-        crate::declaration::Target::Engine => "model",
-        crate::declaration::Target::Service => "service",
-    };
-    let offered = backend.labels.get(label).map_or("", String::as_str);
-    backend.target == job.target
-        && fleet.in_service(key)
-        && offered.split(',').any(|name| name.trim() == job.model)
+/// Returns whether a cost and its stream fit into what is free.
+fn fits(free: Limits, cost: Cost) -> bool {
+    free.streams > 0
+        && free.memory_tokens >= cost.memory_tokens
+        && free.prefill_tokens >= cost.prefill_tokens
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/routing/load.rs
@@ -0,0 +1,214 @@
+//! What is in flight on each backend server: this instance's attempts, and what
+//! load reports say of others'.
+//!
+//! A report lags. What this instance sent since the report's time is added to
+//! its figures, so that a burst is not sent where the last report saw room.
+
+use std::collections::BTreeMap;
+
+use la_arena::ArenaMap;
+
+use crate::backend::LoadReport;
+use crate::clock::Millis;
+use crate::fleet::BackendKey;
+use crate::id::RequestId;
+use crate::job::Cost;
+use crate::job::Job;
+use crate::job::LengthClass;
+use crate::prediction::Prediction;
+
+/// Age at which a report tells nothing any more.
+pub const REPORT_LIFE: Millis = Millis::from_secs(5);
+
+/// An attempt in flight.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Flight {
+    /// The backend server.
+    pub backend: BackendKey,
+    /// The model, or the plain service's name.
+    pub model: String,
+    /// Hash of the prompt's first part.
+    pub prefix: u64,
+    /// Length class of the prompt.
+    pub length: LengthClass,
+    /// Who is moved last: 0 to 100.
+    pub importance: u8,
+    /// What it takes besides one stream.
+    pub cost: Cost,
+    /// Whether it runs alone.
+    pub alone: bool,
+    /// When it was sent.
+    pub sent: Millis,
+    /// Prompt tokens that were to be processed before it.
+    pub ahead_tokens: u64,
+    /// Prompt tokens that the engine was predicted to hold.
+    pub cached_tokens: u64,
+    /// Predicted times from the sending on.
+    pub predicted: Prediction,
+    /// When its first token came.
+    pub first_token: Option<Millis>,
+}
+
+impl Flight {
+    /// Returns the flight of a job that is sent now.
+    #[must_use]
+    pub fn new(now: Millis, backend: BackendKey, job: &Job) -> Flight {
+        Flight {
+            backend,
+            model: job.model.clone(),
+            prefix: job.prefix,
+            length: job.length(),
+            importance: job.importance,
+            cost: job.cost(0),
+            alone: job.alone,
+            sent: now,
+            ahead_tokens: 0,
+            cached_tokens: 0,
+            predicted: Prediction::default(),
+            first_token: None,
+        }
+    }
+}
+
+/// What is in flight on one backend server.
+#[derive(Debug, Clone, Default)]
+pub struct Load {
+    /// Attempts of this instance.
+    pub streams: u32,
+    /// Prompt tokens of this instance that are not processed yet.
+    pub prefill_tokens: u64,
+    /// Those of them in prompts that are not short.
+    pub long_prefill_tokens: u64,
+    /// Whether one of the attempts has to run alone.
+    pub alone: bool,
+    reported_prefill_tokens: u64,
+    reported_streams: u32,
+    prefill_tokens_since: u64,
+    streams_since: u32,
+    taken: Option<Millis>,
+}
+
+/// Attempts in flight and the load of each backend server.
+#[derive(Debug, Default)]
+pub struct Loads {
+    flights: BTreeMap<RequestId, Flight>,
+    loads: ArenaMap<BackendKey, Load>,
+}
+
+impl Loads {
+    /// Adds an attempt. One of the same request that was not ended is ended.
+    pub fn start(&mut self, request: RequestId, flight: Flight) {
+        self.end(request);
+        let load = self.loads.entry(flight.backend).or_default();
+        load.streams += 1;
+        load.prefill_tokens += flight.cost.prefill_tokens;
+        if flight.length != LengthClass::Short {
+            load.long_prefill_tokens += flight.cost.prefill_tokens;
+        }
+        load.prefill_tokens_since += flight.cost.prefill_tokens;
+        load.streams_since += 1;
+        load.alone |= flight.alone;
+        self.flights.insert(request, flight);
+    }
+
+    /// Notes the first token of an attempt and returns the attempt.
+    pub fn first_token(&mut self, now: Millis, request: RequestId) -> Option<Flight> {
+        let flight = self.flights.get_mut(&request)?;
+        if flight.first_token.is_some() {
+            return None;
+        }
+        flight.first_token = Some(now);
+        let flight = flight.clone();
+        self.prefilled(&flight);
+        Some(flight)
+    }
+
+    /// Removes an attempt and returns it.
+    pub fn end(&mut self, request: RequestId) -> Option<Flight> {
+        let flight = self.flights.remove(&request)?;
+        if flight.first_token.is_none() {
+            self.prefilled(&flight);
+        }
+        let load = self.loads.entry(flight.backend).or_default();
+        load.streams = load.streams.saturating_sub(1);
+        load.alone &= !flight.alone;
+        Some(flight)
+    }
+
+    /// Takes over a load report.
+    pub fn reported(&mut self, now: Millis, backend: BackendKey, report: &LoadReport) {
+        let taken = now.since(report.age_ms);
+        let since = |flight: &&Flight| flight.sent >= taken;
+        let flights = self.on(backend).map(|(_, flight)| flight).filter(since);
+        let flights: Vec<&Flight> = flights.collect();
+        let streams = u32::try_from(flights.len()).unwrap_or(u32::MAX);
+        let waiting = flights.iter().filter(|flight| flight.first_token.is_none());
+        let tokens = waiting.map(|flight| flight.cost.prefill_tokens).sum();
+        let load = self.loads.entry(backend).or_default();
+        load.taken = Some(taken);
+        load.reported_prefill_tokens = report.prefill_waiting;
+        load.reported_streams = u32::try_from(report.streams.len()).unwrap_or(u32::MAX);
+        load.prefill_tokens_since = tokens;
+        load.streams_since = streams;
+    }
+
+    /// Returns what this instance has in flight on a backend server.
+    #[must_use]
+    pub fn get(&self, backend: BackendKey) -> Load {
+        self.loads.get(backend).cloned().unwrap_or_default()
+    }
+
+    /// Returns the prompt tokens that a backend server has still to process:
+    /// the newest report's and those sent since, and at least this instance's.
+    #[must_use]
+    pub fn prefill_ahead(&self, now: Millis, backend: BackendKey) -> u64 {
+        match self.loads.get(backend) {
+            Some(load) if load.is_fresh(now) => load
+                .prefill_tokens
+                .max(load.reported_prefill_tokens + load.prefill_tokens_since),
+            Some(load) => load.prefill_tokens,
+            None => 0,
+        }
+    }
+
+    /// Returns the streams on a backend server: the newest report's and those
+    /// sent since, and at least this instance's.
+    #[must_use]
+    pub fn streams(&self, now: Millis, backend: BackendKey) -> u32 {
+        match self.loads.get(backend) {
+            Some(load) if load.is_fresh(now) => load
+                .streams
+                .max(load.reported_streams.saturating_add(load.streams_since)),
+            Some(load) => load.streams,
+            None => 0,
+        }
+    }
+
+    /// Returns this instance's attempts on a backend server, by request.
+    pub fn on(&self, backend: BackendKey) -> impl Iterator<Item = (RequestId, &Flight)> {
+        self.flights
+            .iter()
+            .filter(move |(_, flight)| flight.backend == backend)
+            .map(|(&request, flight)| (request, flight))
+    }
+
+    fn prefilled(&mut self, flight: &Flight) {
+        let load = self.loads.entry(flight.backend).or_default();
+        let tokens = flight.cost.prefill_tokens;
+        load.prefill_tokens = load.prefill_tokens.saturating_sub(tokens);
+        if load.taken.is_some_and(|taken| flight.sent >= taken) {
+            load.prefill_tokens_since = load.prefill_tokens_since.saturating_sub(tokens);
+        }
+        if flight.length != LengthClass::Short {
+            load.long_prefill_tokens = load.long_prefill_tokens.saturating_sub(tokens);
+        }
+    }
+}
+
+impl Load {
+    /// Returns whether there is a report that is not too old.
+    fn is_fresh(&self, now: Millis) -> bool {
+        self.taken
+            .is_some_and(|taken| now.since(taken) <= REPORT_LIFE)
+    }
+}
--- /dev/null
+++ b/src/routing/tests.rs
@@ -0,0 +1,252 @@
+use super::*;
+use crate::fixture::Fixture;
+use crate::fixture::fleet;
+use crate::fixture::job;
+use crate::id::Boot;
+use crate::id::Epoch;
+
+const RULES: &str = "
+[[domain]]
+name = 'ikeja'
+region = 'lagos'
+[[domain]]
+name = 'lekki'
+region = 'lagos'
+[[limit]]
+warm = { streams = 8, memory_tokens = 400000, prefill_tokens = 400000 }
+cold = { streams = 8, memory_tokens = 400000, prefill_tokens = 400000 }
+[[kind]]
+name = 'summary'
+deadline_ms = 60000
+importance = 50
+[[workspace]]
+name = 'agents'
+token_sha256 = ''
+[[route]]
+name = 'near first'
+prefer = ['locality = local, gpu != old', 'locality = region']
+";
+
+const ENGINES: &[(&str, &str, &str)] = &[
+    ("a1", "ikeja", ""),
+    ("a2", "ikeja", ""),
+    ("a3", "ikeja", ""),
+    ("a4", "ikeja", ""),
+    ("b1", "lekki", ""),
+    ("old", "ikeja", "gpu=old"),
+    ("other", "ikeja", "model=x,y"),
+];
+
+struct World {
+    fixture: Fixture,
+    fleet: Fleet,
+    conditions: Conditions,
+    capacity: Capacity,
+    router: Router,
+}
+
+impl World {
+    fn new() -> World {
+        let fleet = fleet(RULES, ENGINES);
+        let local = fleet.domain_key("ikeja").unwrap();
+        World {
+            fixture: Fixture::new(),
+            fleet,
+            conditions: Conditions::default(),
+            capacity: Capacity::default(),
+            router: Router::new(local),
+        }
+    }
+
+    fn view(&self) -> View<'_> {
+        View {
+            now: self.fixture.now,
+            fleet: &self.fleet,
+            conditions: &self.conditions,
+        }
+    }
+
+    fn place(&mut self, job: &Job) -> Option<String> {
+        let lane = self.router.lane(&self.fleet, job)?;
+        let view = View {
+            now: self.fixture.now,
+            fleet: &self.fleet,
+            conditions: &self.conditions,
+        };
+        let ask = Ask {
+            job,
+            lane,
+            pressed: false,
+            kept: &[],
+        };
+        let held = self.router.place(view, &mut self.capacity, ask)?;
+        Some(self.fleet.backend(held.backend).name.clone())
+    }
+}
+
+#[test]
+fn preferences_come_in_order_and_full_ones_spill_over() {
+    let mut world = World::new();
+    let mut taken = Vec::new();
+    for request in 0..40 {
+        let job = job(&world.fleet, request, 1_000, 10);
+        taken.push(world.place(&job).unwrap());
+    }
+    assert!(taken[..32].iter().all(|name| name.starts_with('a')));
+    assert!(taken[32..].iter().all(|name| name == "b1"));
+    let job = job(&world.fleet, 99, 1_000, 10);
+    assert_eq!(world.place(&job), None);
+}
+
+#[test]
+fn long_prompts_keep_to_their_part_and_to_the_bound() {
+    let mut world = World::new();
+    let short = job(&world.fleet, 0, 1_000, 10);
+    let long = |request| job(&World::new().fleet, request, 120_000, 10);
+    let now = world.fixture.now;
+    world.router.split.observe(now, LengthClass::Short, 300_000);
+    world.router.split.observe(now, LengthClass::Long, 120_000);
+    let first = world.place(&long(1)).unwrap();
+    let second = world.place(&long(2)).unwrap();
+    assert_ne!(first, second, "one long prompt an engine");
+    assert_eq!(world.place(&long(3)).as_deref(), Some("b1"));
+    assert_eq!(world.place(&long(4)), None);
+    for request in 10..26 {
+        let name = world.place(&Job {
+            request: RequestId(request),
+            ..short.clone()
+        });
+        let name = name.unwrap();
+        assert!(
+            name != first && name != second,
+            "{name} processes a long prompt"
+        );
+    }
+    let now = Millis(1_000);
+    assert!(
+        world
+            .router
+            .first_token(now, &world.fleet, RequestId(1))
+            .is_none()
+    );
+    assert_eq!(world.place(&long(5)), Some(first));
+}
+
+#[test]
+fn lagging_reports_are_added_to_what_was_sent_since() {
+    let mut world = World::new();
+    let key = world.fleet.backend_key("a1").unwrap();
+    let report = LoadReport {
+        boot: Boot(1),
+        epoch: Epoch(0),
+        age_ms: Millis(500),
+        memory_used: 0,
+        memory_total: 400_000,
+        prefill_waiting: 9_000,
+        streams: Vec::new(),
+        models: Vec::new(),
+    };
+    let job = job(&world.fleet, 1, 5_000, 10);
+    let flight = Flight::new(Millis(1_000), key, &job);
+    world.router.loads.start(RequestId(1), flight);
+    let ahead = |router: &Router, now| router.loads.prefill_ahead(Millis(now), key);
+    world.router.reported(Millis(1_200), key, &report);
+    assert_eq!(
+        ahead(&world.router, 1_200),
+        14_000,
+        "sent after the report was taken"
+    );
+    world.router.reported(Millis(1_600), key, &report);
+    assert_eq!(ahead(&world.router, 1_600), 9_000, "the report has it");
+    assert_eq!(ahead(&world.router, 20_000), 5_000, "the report is too old");
+    world
+        .router
+        .ended(Millis(20_000), &world.fleet, RequestId(1), None);
+    assert_eq!(ahead(&world.router, 20_000), 0);
+}
+
+#[test]
+fn a_suspect_runs_alone() {
+    let mut world = World::new();
+    let mut suspect = job(&world.fleet, 1, 1_000, 10);
+    suspect.alone = true;
+    let taken = world.place(&suspect).unwrap();
+    for request in 2..26 {
+        let job = job(&world.fleet, request, 1_000, 10);
+        assert_ne!(world.place(&job), Some(taken.clone()));
+    }
+    let second = Job {
+        request: RequestId(30),
+        ..suspect.clone()
+    };
+    assert_eq!(
+        world.place(&second).as_deref(),
+        Some("b1"),
+        "only b1 is empty"
+    );
+    assert_eq!(
+        world.place(&Job {
+            request: RequestId(31),
+            ..suspect
+        }),
+        None
+    );
+}
+
+#[test]
+fn late_first_token_is_a_sign_and_speeds_are_learned() {
+    let mut world = World::new();
+    let job = job(&world.fleet, 1, 8_000, 10);
+    world.place(&job).unwrap();
+    let now = Millis(9_000);
+    let sign = world.router.first_token(now, &world.fleet, RequestId(1));
+    let (key, sign) = sign.unwrap();
+    assert_eq!(sign, Sign::Late);
+    let learned = world.router.predictor.speeds(&world.fleet, key, "m");
+    assert!(learned.prefill_tokens_per_s < 8_000.0);
+    assert!(
+        !world
+            .router
+            .ended(now, &world.fleet, RequestId(1), Some(10))
+    );
+}
+
+#[test]
+fn explain_names_the_first_reason_against_each() {
+    let mut world = World::new();
+    let mut declaration = world.fleet.declaration().clone();
+    declaration.domains[1].out = true;
+    world.fleet.declare(&declaration);
+    let mut job = job(&world.fleet, 1, 1_000, 10);
+    job.excluded = vec![world.fleet.backend_key("a3").unwrap()];
+    let mut router = std::mem::replace(
+        &mut world.router,
+        Router::new(world.fleet.domain_key("ikeja").unwrap()),
+    );
+    let explanation = router.explain(world.view(), &world.capacity, &job);
+    assert_eq!(explanation.route.as_deref(), Some("near first"));
+    let outcome = |name: &str| {
+        let found = explanation
+            .backends
+            .iter()
+            .find(|entry| entry.backend == name);
+        found.unwrap().outcome.clone()
+    };
+    assert!(matches!(
+        outcome("a1"),
+        Outcome::Candidate { rank: 0..=2, .. }
+    ));
+    assert_eq!(outcome("a3"), Outcome::Excluded);
+    assert_eq!(outcome("b1"), Outcome::Out);
+    let offers = "x,y".to_owned();
+    assert_eq!(outcome("other"), Outcome::OtherModel { offers });
+    let Outcome::Unmet { requirements } = outcome("old") else {
+        panic!("old is matched by no preference");
+    };
+    assert!(requirements[0].contains("gpu"), "{requirements:?}");
+    let text = serde_json::to_string(&explanation).unwrap();
+    assert_eq!(
+        serde_json::from_str::<Explanation>(&text).unwrap(),
+        explanation
+    );
+}
