--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod attempt;
+pub mod affinity;
 pub mod backend;
 pub mod capacity;
 pub mod clock;
@@ -24,6 +25,7 @@
 pub mod peer;
 pub mod platform;
 pub mod relay;
+pub mod prediction;
 pub mod routing;
 pub mod selector;
 pub mod store;
