--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,8 @@
 //! talk to it over channels.
 
 pub mod admission;
-pub mod attempt;
 pub mod affinity;
+pub mod attempt;
 pub mod backend;
 pub mod capacity;
 pub mod clock;
@@ -24,8 +24,8 @@
 pub mod once;
 pub mod peer;
 pub mod platform;
-pub mod relay;
 pub mod prediction;
+pub mod relay;
 pub mod routing;
 pub mod selector;
 pub mod store;
--- a/src/routing/explain.rs
+++ b/src/routing/explain.rs
@@ -20,7 +20,8 @@
 use crate::routing::lane::route;
 
 /// Why a request would go where it goes.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Explanation {
     /// The route that matches; none: no route does.
     pub route: Option<String>,
@@ -29,7 +30,8 @@
 }
 
 /// Why one backend server would or would not be taken.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct BackendOutcome {
     /// Its name.
     pub backend: String,
@@ -45,7 +47,8 @@
 
 /// What would become of a request on one backend server, the first reason
 /// against it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "outcome")]
 pub enum Outcome {
     /// It would be taken; `rank` counts from 0 over all tiers.
