Wire heartbeats into the core

Cause: the keeper of a shard of claims has to be one of the live instances. Before: each instance took itself for the keeper. Conclusion: as designed.

--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -21,10 +21,16 @@
 use crate::condition::Sign;
 use crate::declaration::Declaration;
 use crate::fleet::Fleet;
+use crate::fleet::Listing;
+use crate::id::Epoch;
 use crate::id::RequestId;
 use crate::id::Revision;
+use crate::membership::Load;
+use crate::membership::Membership;
+use crate::membership::OwnState;
 use crate::metrics::Count;
 use crate::metrics::Level;
+use crate::once::Member;
 use crate::once::Once;
 use crate::peer::PeerFrame;
 use crate::peer::PeerMessage;
@@ -45,7 +51,9 @@
     pub(super) flights: HashMap<RequestId, Flight>,
     pub(super) lingers: Lingers,
     pub(super) budgets: Budgets,
+    pub(super) members: Membership,
     pub(super) once: Once,
+    pub(super) revision: Revision,
     pub(super) leaving: bool,
     pub(super) stopped: bool,
 }
@@ -63,7 +71,9 @@
             flights: HashMap::new(),
             lingers: Lingers::default(),
             budgets: Budgets::default(),
+            members: Membership::new(me),
             once: Once::new(me.unix_zero),
+            revision: Revision::default(),
             leaving: false,
             stopped: false,
         }
@@ -77,6 +87,7 @@
         revision: Revision,
     ) {
         self.fleet.declare(declaration);
+        self.revision = revision;
         let value = i64::try_from(revision.0).unwrap_or(i64::MAX);
         cx.metrics.set(Level::Revision, value);
         let detail = format!("revision {} is in force", revision.0);
@@ -92,7 +103,7 @@
             Input::Backend { backend, answer } => self.backend(cx, &backend, answer),
             Input::Peer(frame) => self.peer(cx, frame),
             Input::Store { ticket, result } => self.store(cx, ticket, result),
-            Input::Listings(listings) => self.fleet.list(listings),
+            Input::Listings(listings) => self.listings(cx, listings),
             Input::Admin { ticket, query } => self.admin(cx, ticket, query),
             Input::Shutdown => self.shutdown(cx),
         }
@@ -107,6 +118,7 @@
     }
 
     fn tick(&mut self, cx: &mut Cx<'_>) {
+        self.gather(cx);
         let outcomes = self.once.tick(cx);
         self.claimed(cx, outcomes);
         self.expire(cx);
@@ -121,6 +133,35 @@
         }
     }
 
+    fn listings(&mut self, cx: &mut Cx<'_>, listings: Vec<Listing>) {
+        self.members.on_list(cx, &listings);
+        self.fleet.list(listings);
+    }
+
+    /// Sends heartbeats and tells the duties who is live.
+    fn gather(&mut self, cx: &mut Cx<'_>) {
+        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        let waiting = count(self.queue.len());
+        let own = OwnState {
+            epoch: Epoch::default(),
+            revision: self.revision,
+            load: Load {
+                waiting,
+                running: count(self.flights.len()).saturating_sub(waiting),
+            },
+        };
+        self.members.tick(cx, own);
+        let live = self.members.live_in(&cx.me.domain);
+        let keepers = live
+            .into_iter()
+            .map(|name| Member {
+                name: name.to_owned(),
+                addr: self.members.addr(name).unwrap_or_default().to_owned(),
+            })
+            .collect();
+        self.once.set_members(keepers);
+    }
+
     fn backend(&mut self, cx: &mut Cx<'_>, name: &str, answer: BackendAnswer) {
         let Some(backend) = self.fleet.backend_key(name) else {
             return;
@@ -154,7 +195,9 @@
                     let outcomes = self.once.on_message(cx, &frame.from, message);
                     self.claimed(cx, outcomes);
                 }
-                PeerMessage::Membership(_) => {}
+                PeerMessage::Membership(beat) => {
+                    self.members.on_message(cx, &frame.from, frame.boot, beat);
+                }
             }
         }
     }
@@ -184,6 +227,7 @@
 
     fn shutdown(&mut self, cx: &mut Cx<'_>) {
         self.leaving = true;
+        self.members.leave(cx);
         cx.metrics.set(Level::Ready, 0);
         let detail = format!("leaving with {} requests open", self.flights.len());
         cx.event(EventKind::Ready, Subject::default(), detail);
--- a/src/control/request.rs
+++ b/src/control/request.rs
@@ -73,7 +73,7 @@
     pub(super) fn admit(&mut self, cx: &mut Cx<'_>, mut flight: Flight, job: Job) {
         let request = job.request;
         let model = job.model.clone();
-        match self.queue.admit(cx, &self.fleet, &self.router, job) {
+        match self.queue.admit(cx, &self.fleet, &mut self.router, job) {
             Ok(()) => {
                 self.budgets.earn(&model);
                 flight.phase = Phase::Waiting;
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -116,7 +116,9 @@
                 panic!("membership only speaks to peers");
             };
             *self.sent.entry(from.to_owned()).or_default() += 1;
-            let PeerMessage::Membership(beat) = message;
+            let PeerMessage::Membership(beat) = message else {
+                panic!("membership sends nothing else");
+            };
             let boot = self.nodes[from].me.boot;
             let lost = self.down.contains(&to) || self.cut.contains(&link(from, &to));
             let now = self.now;
@@ -156,6 +158,7 @@
         domain: domain(name).to_owned(),
         boot: Boot(boot),
         peer_addr: format!("{name}:1"),
+        unix_zero: Millis::ZERO,
     }
 }
 
