Test relays and verdicts of the HTTP adapter over real sockets

A plain service's answer that was cut off counted as whole: attohttpc takes a connection's early end for the end of a body with a length. The length is now compared, and such a call counts as one that may have run. docs/PROTOCOLS.md says that answers carry a length or chunks.

Property tests feed the frame parser and let attempts of one request push in any order: the caller's text has every token once. Scripted connections cause each way to fail: refused, turned away, broken at every place, silent before and after the head, crossed and late frames, a line without end.

--- a/src/backend.rs
+++ b/src/backend.rs
@@ -36,7 +36,7 @@
     pub tokens: u64,
     /// Hash of its first part, for prefix affinity.
     pub prefix: u64,
-    /// Output tokens allowed.
+    /// Output tokens allowed; 0 until the core fills in the kind's number.
     pub max_tokens: u32,
 }
 
--- a/src/backend/http.rs
+++ b/src/backend/http.rs
@@ -10,6 +10,8 @@
 mod order;
 mod service;
 mod stream;
+#[cfg(test)]
+mod tests;
 
 use std::cell::Cell;
 use std::io;
--- a/src/backend/http/frame.rs
+++ b/src/backend/http/frame.rs
@@ -5,6 +5,7 @@
 use crate::backend::Rejection;
 use crate::id::AttemptId;
 use crate::id::RequestId;
+use crate::relay::Finish;
 
 /// Longest line of a stream, in bytes.
 pub(super) const MAX_LINE_BYTES: u64 = 64 * 1024;
@@ -21,7 +22,11 @@
         text: String,
     },
     /// The answer is whole: `offset` tokens.
-    Finish { attempt: AttemptId, offset: u32 },
+    Finish {
+        attempt: AttemptId,
+        offset: u32,
+        finish: Finish,
+    },
     /// Not a frame.
     Malformed,
 }
@@ -32,7 +37,7 @@
     attempt: u32,
     offset: u32,
     text: Option<String>,
-    finish: Option<String>,
+    finish: Option<Finish>,
 }
 
 /// Parses one line.
@@ -57,7 +62,11 @@
             offset,
             text,
         },
-        (None, Some(_)) => Frame::Finish { attempt, offset },
+        (None, Some(finish)) => Frame::Finish {
+            attempt,
+            offset,
+            finish,
+        },
         _ => Frame::Malformed,
     }
 }
--- a/src/backend/http/service.rs
+++ b/src/backend/http/service.rs
@@ -2,6 +2,9 @@
 
 use std::io::Read;
 
+use attohttpc::Response;
+use attohttpc::header::CONTENT_LENGTH;
+
 use super::AttemptEnd;
 use super::AttemptEvent;
 use super::Call;
@@ -43,10 +46,13 @@
     };
     flow.tell(AttemptEvent::Accepted);
     let status = response.status().as_u16();
+    let length = content_length(&response);
     let mut answer = Vec::new();
     let limit = cfg.max_answer_bytes;
     match response.take(limit + 1).read_to_end(&mut answer) {
         Ok(_) if answer.len() as u64 > limit => broken(0),
+        // attohttpc takes a connection's early end for the end of the body.
+        Ok(_) if length.is_some_and(|length| length != answer.len() as u64) => broken(0),
         Ok(_) => {
             flow.first_token();
             // The core records the answer even if the caller has gone.
@@ -61,3 +67,8 @@
         Err(_) => broken(0),
     }
 }
+
+fn content_length(response: &Response) -> Option<u64> {
+    let value = response.headers().get(CONTENT_LENGTH)?;
+    value.to_str().ok()?.parse().ok()
+}
--- a/src/backend/http/stream.rs
+++ b/src/backend/http/stream.rs
@@ -24,6 +24,7 @@
 use crate::backend::CallStart;
 use crate::backend::Prompt;
 use crate::relay::Begun;
+use crate::relay::Finish;
 use crate::relay::Push;
 
 #[derive(Serialize)]
@@ -190,7 +191,7 @@
             Step::Over(broken(flow.side().offset()))
         }
         Frame::Token { offset, text, .. } => take_token(offset, &text, flow),
-        Frame::Finish { offset, .. } => Step::Over(finish(offset, flow)),
+        Frame::Finish { offset, finish, .. } => Step::Over(end(offset, finish, flow)),
     }
 }
 
@@ -211,10 +212,11 @@
 }
 
 /// An answer is whole only if the caller has as many tokens as the engine says.
-fn finish(tokens: u32, flow: &Flow) -> AttemptEnd {
+fn end(tokens: u32, finish: Finish, flow: &Flow) -> AttemptEnd {
     let offset = flow.side().offset();
-    match offset == tokens {
-        true => AttemptEnd::Whole { tokens },
-        false => broken(offset),
+    if offset != tokens {
+        return broken(offset);
     }
+    flow.side().set_finish(finish);
+    AttemptEnd::Whole { tokens }
 }
--- /dev/null
+++ b/src/entry/sse.rs
@@ -0,0 +1,85 @@
+//! Server-sent events, each flushed by itself.
+//!
+//! A chunked `tiny_http` response gathers bytes before it sends them and would
+//! hold back first tokens; so only its head is written by `tiny_http`, and the
+//! events go through the request's writer in chunks that are flushed one by
+//! one.
+
+use std::io;
+use std::io::Write;
+
+use chunked_transfer::Encoder;
+use serde_json::Value;
+use tiny_http::HTTPVersion;
+use tiny_http::Header;
+use tiny_http::Request;
+use tiny_http::Response;
+use tiny_http::StatusCode;
+
+use crate::id::RequestId;
+
+/// Bytes that a chunk gathers at most until it is flushed.
+const CHUNK_BYTES: usize = 64 * 1024;
+
+/// A stream of events to one caller. Dropping it ends the chunked body.
+pub(super) struct Events {
+    body: Encoder<Box<dyn Write + Send>>,
+}
+
+impl Events {
+    /// Sends the head of a stream.
+    pub(super) fn start(req: Request, request: RequestId) -> io::Result<Events> {
+        let version = req.http_version().clone();
+        let mut writer = req.into_writer();
+        head(request).raw_print(&mut writer, version, &[], true, None)?;
+        writer.flush()?;
+        Ok(Events {
+            body: Encoder::with_chunks_size(writer, CHUNK_BYTES),
+        })
+    }
+
+    /// Returns whether a caller's version of HTTP has streams of unknown length.
+    pub(super) fn supported(version: &HTTPVersion) -> bool {
+        *version >= (1, 1)
+    }
+
+    pub(super) fn data(&mut self, value: &Value) -> io::Result<()> {
+        write!(self.body, "data: {value}\n\n")?;
+        self.flush()
+    }
+
+    pub(super) fn error(&mut self, value: &Value) -> io::Result<()> {
+        write!(self.body, "event: error\ndata: {value}\n\n")?;
+        self.flush()
+    }
+
+    pub(super) fn done(&mut self) -> io::Result<()> {
+        self.body.write_all(b"data: [DONE]\n\n")?;
+        self.flush()
+    }
+
+    /// Sends a comment, which shows whether the caller is still there.
+    pub(super) fn comment(&mut self) -> io::Result<()> {
+        self.body.write_all(b": waiting\n\n")?;
+        self.flush()
+    }
+
+    /// Flushes the chunk, and then the connection's own buffer.
+    fn flush(&mut self) -> io::Result<()> {
+        self.body.flush()?;
+        self.body.get_mut().flush()
+    }
+}
+
+fn head(request: RequestId) -> Response<io::Empty> {
+    let headers = [
+        ("Content-Type", "text/event-stream".to_owned()),
+        ("Cache-Control", "no-store".to_owned()),
+        ("X-Request-Id", request.to_string()),
+    ];
+    let headers = headers
+        .into_iter()
+        .filter_map(|(name, value)| Header::from_bytes(name, value).ok())
+        .collect();
+    Response::new(StatusCode(200), headers, io::empty(), None, None)
+}
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -10,6 +10,9 @@
 //! token is taken over, so that a caller gets every token once and in order,
 //! whatever comes late, twice or crossed.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -19,6 +22,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::control::Reply;
 use crate::id::AttemptId;
 use crate::id::RequestId;
@@ -32,11 +38,36 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CallerEvent {
     /// Text of one or more tokens.
-    Text(String),
+    Text { text: String, tokens: u32 },
     /// A plain service's answer.
     Body { status: u16, body: Vec<u8> },
-    /// The final word; nothing follows.
-    End(Reply),
+    /// The final word; nothing follows. An engine's whole answer has a `finish`.
+    End {
+        reply: Reply,
+        finish: Option<Finish>,
+    },
+}
+
+/// Why an engine ended an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Finish {
+    /// It came to its end.
+    Stop,
+    /// It came to the length allowed.
+    Length,
+}
+
+impl Finish {
+    /// Returns the word that callers read.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Finish::Stop => "stop",
+            Finish::Length => "length",
+        }
+    }
 }
 
 /// What became of a frame.
@@ -211,6 +242,14 @@
         self.relays.count(push)
     }
 
+    /// Notes why the engine ended the answer; the final word carries it.
+    pub fn set_finish(&self, finish: Finish) {
+        let mut shard = self.relays.shard(self.attempt.request);
+        if let Some(relay) = shard.open_relay(self.attempt.request) {
+            relay.finish = Some(finish);
+        }
+    }
+
     /// Counts a frame that belongs to another attempt.
     pub fn count_stale(&self) {
         self.relays.count(Push::Stale);
@@ -331,9 +370,12 @@
     text: String,
     /// Bytes of `text` that the caller's thread has taken.
     taken: usize,
+    /// Tokens that the caller's thread has taken.
+    taken_tokens: u32,
     /// A plain service has answered.
     answered: bool,
     body: Option<(u16, Vec<u8>)>,
+    finish: Option<Finish>,
     reply: Option<Reply>,
     ended: bool,
     wake: flume::Sender<()>,
@@ -346,8 +388,10 @@
             next: 0,
             text: String::new(),
             taken: 0,
+            taken_tokens: 0,
             answered: false,
             body: None,
+            finish: None,
             reply: None,
             ended: false,
             wake,
@@ -362,8 +406,10 @@
     fn take(&mut self) -> Option<CallerEvent> {
         if self.taken < self.text.len() {
             let text = self.text[self.taken..].to_owned();
+            let tokens = self.next - self.taken_tokens;
             self.taken = self.text.len();
-            return Some(CallerEvent::Text(text));
+            self.taken_tokens = self.next;
+            return Some(CallerEvent::Text { text, tokens });
         }
         if let Some((status, body)) = self.body.take() {
             return Some(CallerEvent::Body { status, body });
@@ -373,7 +419,8 @@
         }
         let reply = self.reply.clone()?;
         self.ended = true;
-        Some(CallerEvent::End(reply))
+        let finish = self.finish;
+        Some(CallerEvent::End { reply, finish })
     }
 }
 
