Add the callers' and the operators' listeners

Callers had no way in. The entry parses chat completions, completions and calls of plain services, refuses what is malformed before the core hears of it, and writes answers as relays give them, streams with a flush for each event. The operators' listener gives metrics, health and answers of the core to whoever has the operators' token.

A caller that names no output length gets its kind's. GET /v1/models lists the models of engines in service. chunked_transfer, already a dependency of tiny_http, encodes the chunks of streams.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -5,8 +5,6 @@
 //! `/v1/admin` needs the operators' token.
 
 mod answers;
-#[cfg(test)]
-mod tests;
 
 pub use answers::Answers;
 
--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -1,12 +1,18 @@
 //! Answers to operators' questions.
 
+use std::collections::BTreeSet;
+
 use serde_json::Value;
 use serde_json::json;
 
+use super::AdminAnswer;
 use super::Cx;
 use super::duties::Duties;
+use crate::declaration::Target;
 use crate::fleet::BackendKey;
 use crate::metrics::Level;
+use crate::verdict::Reason;
+use crate::verdict::Refusal;
 
 impl Duties {
     /// Returns what this instance knows of itself and its fleet.
@@ -36,6 +42,29 @@
         })
     }
 
+    /// Returns the models of the engines in service, in the shape of the OpenAI
+    /// API.
+    pub(super) fn models(&self, token_sha256: &str) -> AdminAnswer {
+        if self.fleet.workspace_by_token(token_sha256).is_none() {
+            let refusal = Refusal::not_run(Reason::Unauthorized, "unknown bearer token");
+            return AdminAnswer::Refused(refusal);
+        }
+        let models: BTreeSet<&str> = self
+            .fleet
+            .backends()
+            .filter(|(key, backend)| {
+                backend.target == Target::Engine && self.fleet.in_service(*key)
+            })
+            .filter_map(|(_, backend)| backend.labels.get("model"))
+            .flat_map(|names| names.split(','))
+            .collect();
+        let data: Vec<Value> = models
+            .into_iter()
+            .map(|id| json!({"id": id, "object": "model", "owned_by": "skylarkhook"}))
+            .collect();
+        AdminAnswer::Json(json!({"object": "list", "data": data}))
+    }
+
     fn backend_status(&self, cx: &Cx<'_>, key: BackendKey) -> Value {
         let backend = self.fleet.backend(key);
         let limits = self.conditions.limits(&self.fleet, key);
--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -221,6 +221,7 @@
             AdminQuery::Timeline { filter, limit } => {
                 AdminAnswer::Events(cx.timeline.select(&filter, limit))
             }
+            AdminQuery::Models { token_sha256 } => self.models(&token_sha256),
         };
         cx.out.push(Output::Admin { ticket, answer });
     }
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -160,6 +160,8 @@
     Status,
     /// Events of this process.
     Timeline { filter: Subject, limit: usize },
+    /// The models that a caller with this token's SHA-256 can ask for.
+    Models { token_sha256: String },
 }
 
 /// Answers to [`AdminQuery`]s.
--- a/src/control/request.rs
+++ b/src/control/request.rs
@@ -1,6 +1,8 @@
 //! The life of a request on its instance: from the caller's word to the final
 //! answer.
 
+use std::sync::Arc;
+
 use super::Cx;
 use super::Output;
 use super::Reply;
@@ -40,8 +42,9 @@
 const FAILURE_RETRY_AFTER: Millis = Millis(1_000);
 
 impl Duties {
-    pub(super) fn submit(&mut self, cx: &mut Cx<'_>, submission: Submission) {
+    pub(super) fn submit(&mut self, cx: &mut Cx<'_>, mut submission: Submission) {
         cx.count(Count::Submitted);
+        self.fill_in(&mut submission);
         let request = submission.request;
         let work = submission.work.clone();
         let job = match self.job(cx, &submission) {
@@ -202,6 +205,21 @@
         self.send_call(cx, request);
     }
 
+    /// Gives a prompt whose caller names no output length that of its kind.
+    fn fill_in(&self, submission: &mut Submission) {
+        let Ok(key) = self.kind_of(submission) else {
+            return;
+        };
+        if let Work::Prompt(prompt) = &*submission.work
+            && prompt.max_tokens > 0
+        {
+            return;
+        }
+        if let Work::Prompt(prompt) = Arc::make_mut(&mut submission.work) {
+            prompt.max_tokens = self.fleet.kind(key).max_tokens;
+        }
+    }
+
     fn job(&self, cx: &Cx<'_>, submission: &Submission) -> Result<Job, Refusal> {
         if self.leaving {
             let text = "this instance is leaving; send the request again";
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -12,8 +12,6 @@
 pub mod prompt;
 mod reply;
 mod sse;
-#[cfg(test)]
-mod tests;
 
 pub use error::error_body;
 pub use head::MAX_KEY_BYTES;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! input and a time and returns outputs. Traffic threads own all sockets and
 //! talk to it over channels.
 
+pub mod admin;
 pub mod admission;
 pub mod affinity;
 pub mod attempt;
@@ -14,11 +15,13 @@
 pub mod config;
 pub mod control;
 pub mod declaration;
+pub mod entry;
 #[cfg(test)]
 mod fixture;
 pub mod fleet;
 pub mod id;
 pub mod job;
+pub mod listener;
 pub mod membership;
 pub mod metrics;
 pub mod once;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -40,6 +40,7 @@
     PeerBytesReceived = "peer_bytes_received", "Bytes of frames taken over from other instances, before HTTP/2 framing";
     PeerFramesLost = "peer_frames_lost", "Frames to other instances that were lost: a full queue, a failed connection, no answer";
     PeerConnections = "peer_connections", "Connections opened to other instances";
+    BadRequests = "requests_bad", "Requests refused before they reached the control core";
     ConditionChanges = "condition_changes", "Changes of a backend server's condition as this instance sees it";
     StaleFrames = "stale_frames", "Answer frames dropped as their attempt or offset did not match";
 }
