Test the listeners over real sockets and keep pooled threads through panics

Property tests feed the parsers of bodies and paths.

The pool's test found a fault: work that waited for a thread stayed for ever when the work before it panicked. Panics are now caught and logged.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -5,6 +5,8 @@
 //! `/v1/admin` needs the operators' token.
 
 mod answers;
+#[cfg(test)]
+mod tests;
 
 pub use answers::Answers;
 
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -1,5 +1,10 @@
 //! A pool of threads for blocking work.
 
+#[cfg(test)]
+mod tests;
+
+use std::panic;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::atomic::AtomicIsize;
 use std::sync::atomic::AtomicUsize;
@@ -82,7 +87,7 @@
             .name(self.shared.name.to_owned())
             .stack_size(STACK_BYTES);
         let spawned = builder.spawn(move || {
-            first();
+            run(first);
             serve(&counted.0, &jobs);
         });
         if let Err(error) = spawned {
@@ -109,7 +114,7 @@
     }
 }
 
-/// Counts a thread off when it ends, in a panic too.
+/// Counts a thread off when it ends.
 struct Counted(Arc<Shared>);
 
 impl Drop for Counted {
@@ -118,6 +123,13 @@
     }
 }
 
+/// Runs work; a panic in it ends neither the thread nor the work that waits.
+fn run(work: Work) {
+    if panic::catch_unwind(AssertUnwindSafe(work)).is_err() {
+        warn!("work on a pooled thread panicked");
+    }
+}
+
 fn serve(shared: &Shared, jobs: &flume::Receiver<Job>) {
     loop {
         while let Ok(job) = jobs.try_recv() {
@@ -125,7 +137,7 @@
                 // The thread it was meant for goes on waiting.
                 shared.free.fetch_add(1, Ordering::AcqRel);
             }
-            (job.work)();
+            run(job.work);
         }
         shared.free.fetch_add(1, Ordering::AcqRel);
         match jobs.recv_timeout(IDLE) {
@@ -133,7 +145,7 @@
                 if !job.reserved {
                     shared.reserve();
                 }
-                (job.work)();
+                run(job.work);
             }
             // Reserving itself keeps a job from being meant for this thread.
             Err(_) if shared.reserve() => return,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -12,6 +12,8 @@
 pub mod prompt;
 mod reply;
 mod sse;
+#[cfg(test)]
+mod tests;
 
 pub use error::error_body;
 pub use head::MAX_KEY_BYTES;
