Hold requests that crash backend servers

Cause: a request that kills its engine is sent again by its caller and kills the next one. A crash is named by its attempt, so records merge by union.

Before: no record of crashes. Conclusion: two crashes a fingerprint at most, plus those under way before the news arrives.

--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -34,6 +34,7 @@
 use crate::once::Once;
 use crate::peer::PeerFrame;
 use crate::peer::PeerMessage;
+use crate::quarantine::Quarantine;
 use crate::routing::Router;
 use crate::store::StoreResult;
 use crate::timeline::EventKind;
@@ -52,7 +53,9 @@
     pub(super) lingers: Lingers,
     pub(super) budgets: Budgets,
     pub(super) members: Membership,
+    pub(super) everyone: Vec<Member>,
     pub(super) once: Once,
+    pub(super) quarantine: Quarantine,
     pub(super) revision: Revision,
     pub(super) leaving: bool,
     pub(super) stopped: bool,
@@ -72,6 +75,8 @@
             lingers: Lingers::default(),
             budgets: Budgets::default(),
             members: Membership::new(me),
+            everyone: Vec::new(),
+            quarantine: Quarantine::default(),
             once: Once::new(me.unix_zero),
             revision: Revision::default(),
             leaving: false,
@@ -160,6 +165,15 @@
             })
             .collect();
         self.once.set_members(keepers);
+        let others = self.members.members();
+        self.everyone = others
+            .filter(|(_, member)| member.state.serves())
+            .map(|(name, member)| Member {
+                name: name.to_owned(),
+                addr: member.addr.clone(),
+            })
+            .collect();
+        self.quarantine.tick(cx, &self.everyone);
     }
 
     fn backend(&mut self, cx: &mut Cx<'_>, name: &str, answer: BackendAnswer) {
@@ -191,6 +205,7 @@
         cx.timeline.observe(frame.stamp);
         for message in frame.messages {
             match message {
+                PeerMessage::Quarantine(message) => self.quarantine.on_message(cx.now, message),
                 PeerMessage::Once(message) => {
                     let outcomes = self.once.on_message(cx, &frame.from, message);
                     self.claimed(cx, outcomes);
--- a/src/control/request.rs
+++ b/src/control/request.rs
@@ -28,6 +28,8 @@
 use crate::id::RequestId;
 use crate::job::Job;
 use crate::metrics::Count;
+use crate::quarantine::HOLD;
+use crate::quarantine::Standing;
 use crate::timeline::EventKind;
 use crate::timeline::Subject;
 use crate::verdict::Reason;
@@ -38,6 +40,8 @@
 pub const SILENCE_LIMIT: Millis = Millis(2_000);
 /// When callers may come back after a failure of backend servers.
 const FAILURE_RETRY_AFTER: Millis = Millis(1_000);
+/// What callers read of a request that is held.
+const HELD: &str = "this request crashed backend servers and is held for a while";
 
 impl Duties {
     pub(super) fn submit(&mut self, cx: &mut Cx<'_>, submission: Submission) {
@@ -48,6 +52,14 @@
             Ok(job) => job,
             Err(refusal) => return self.refuse_new(cx, request, refusal),
         };
+        let job = match self.quarantine.standing(cx.now, job.fingerprint) {
+            Standing::Free => job,
+            Standing::Suspect => Job { alone: true, ..job },
+            Standing::Held { retry_after } => {
+                let refusal = Refusal::not_run(Reason::Quarantined, HELD);
+                return self.refuse_new(cx, request, refusal.retry_after(retry_after));
+            }
+        };
         let kind = self.fleet.kind(job.kind);
         let flight = Flight {
             job: None,
@@ -280,17 +292,22 @@
             return;
         };
         let phase = std::mem::replace(&mut flight.phase, Phase::Waiting);
-        let (Phase::Running(running), Some(job)) = (phase, flight.job.take()) else {
+        let (Phase::Running(running), Some(mut job)) = (phase, flight.job.take()) else {
             return;
         };
         let outcome = Outcome::of(&running, end);
         self.note(cx, &running, &outcome, end);
-        let next = flight.next(&running, end, &outcome, &mut self.budgets, &job.model);
+        let mut next = flight.next(&running, end, &outcome, &mut self.budgets, &job.model);
+        if outcome.crashed && self.crashed(cx, &mut job, attempt) {
+            next = Next::Fail(Reason::Quarantined);
+        }
         flight.ran = flight.ran.and(outcome.verdict);
         match next {
             Next::Whole => {
                 self.capacity.release(running.held);
                 self.settle_claim(cx, request, &flight);
+                let fingerprint = job.fingerprint;
+                self.quarantine.completed(cx, &self.everyone, fingerprint);
                 if !flight.detached {
                     self.whole(cx, request);
                 }
@@ -304,6 +321,7 @@
                 let refusal = Refusal::not_run(reason, text);
                 let refusal = match reason {
                     Reason::BackendFailed => refusal.retry_after(FAILURE_RETRY_AFTER),
+                    Reason::Quarantined => refusal.retry_after(HOLD),
                     _ => refusal,
                 };
                 self.failed(cx, request, &flight, refusal);
@@ -311,6 +329,17 @@
         }
     }
 
+    /// Notes that a backend server died under a request, which runs alone from
+    /// now on; returns whether it is held.
+    fn crashed(&mut self, cx: &mut Cx<'_>, job: &mut Job, attempt: AttemptId) -> bool {
+        job.alone = true;
+        let everyone = &self.everyone;
+        let standing = self
+            .quarantine
+            .crashed(cx, everyone, job.fingerprint, attempt);
+        matches!(standing, Standing::Held { .. })
+    }
+
     /// Tells conditions and the time line how an attempt ended.
     fn note(&mut self, cx: &mut Cx<'_>, running: &Running, outcome: &Outcome, end: &AttemptEnd) {
         let backend = running.held.backend;
--- a/src/fixture.rs
+++ b/src/fixture.rs
@@ -62,6 +62,11 @@
             metrics: &self.metrics,
         }
     }
+
+    /// Returns the outputs since the last call.
+    pub fn take(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.out)
+    }
 }
 
 /// Returns a fleet of engines `(name, domain, labels)`; labels are written
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod peer;
 pub mod platform;
 pub mod prediction;
+pub mod quarantine;
 pub mod relay;
 pub mod routing;
 pub mod selector;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -31,6 +31,7 @@
     CallersGone = "callers_gone", "Callers that left before their answer was whole";
     Attempts = "attempts", "Calls sent to backend servers";
     Retries = "retries", "Calls sent to backend servers after a first try";
+    Quarantined = "requests_quarantined", "Fingerprints that were held as they crashed backend servers";
     StoreCalls = "store_calls", "Calls sent to the platform's key-value service";
     StoreFailures = "store_failures", "Calls to the key-value service without an answer";
     PeerFramesSent = "peer_frames_sent", "Frames sent to other instances";
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -27,6 +27,7 @@
 use crate::id::Boot;
 use crate::membership;
 use crate::once;
+use crate::quarantine;
 
 /// Longest frame, in bytes: a declaration of a megabyte fits.
 pub const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
@@ -51,6 +52,8 @@
 pub enum PeerMessage {
     /// Claims of idempotency keys.
     Once(once::Message),
+    /// Fingerprints of requests that crash backend servers.
+    Quarantine(quarantine::Message),
     /// Who is alive.
     Membership(membership::Heartbeat),
 }
--- /dev/null
+++ b/src/quarantine/tests.rs
@@ -0,0 +1,95 @@
+use proptest::prelude::*;
+
+use super::*;
+use crate::fixture::Fixture;
+use crate::id::RequestId;
+
+const POISON: Fingerprint = Fingerprint(13);
+
+fn attempt(request: u64) -> AttemptId {
+    AttemptId {
+        request: RequestId(request),
+        number: 1,
+    }
+}
+
+#[test]
+fn two_crashes_hold_a_fingerprint_until_the_time_is_over() {
+    let mut fixture = Fixture::new();
+    let mut quarantine = Quarantine::default();
+    let first = quarantine.crashed(&mut fixture.cx(), &[], POISON, attempt(1));
+    assert_eq!(first, Standing::Suspect);
+    let again = quarantine.crashed(&mut fixture.cx(), &[], POISON, attempt(1));
+    assert_eq!(again, Standing::Suspect, "one crash counts once");
+    let second = quarantine.crashed(&mut fixture.cx(), &[], POISON, attempt(2));
+    assert_eq!(second, Standing::Held { retry_after: HOLD });
+    assert_eq!(quarantine.standing(HOLD, POISON), Standing::Free);
+}
+
+#[test]
+fn a_neighbour_that_completes_is_no_suspect_any_more() {
+    let mut fixture = Fixture::new();
+    let mut quarantine = Quarantine::default();
+    quarantine.crashed(&mut fixture.cx(), &[], POISON, attempt(1));
+    quarantine.completed(&mut fixture.cx(), &[], POISON);
+    assert_eq!(quarantine.standing(Millis(1), POISON), Standing::Free);
+    let next = quarantine.crashed(&mut fixture.cx(), &[], POISON, attempt(2));
+    assert_eq!(next, Standing::Suspect);
+}
+
+#[test]
+fn crashes_seen_by_two_instances_add_up() {
+    let mut fixture = Fixture::new();
+    let members = [Member {
+        name: "other".to_owned(),
+        addr: "1".to_owned(),
+    }];
+    let mut here = Quarantine::default();
+    let mut there = Quarantine::default();
+    here.crashed(&mut fixture.cx(), &members, POISON, attempt(1));
+    there.crashed(&mut fixture.cx(), &[], POISON, attempt(2));
+    let sent = fixture.take();
+    assert_eq!(sent.len(), 1);
+    for output in sent {
+        let Output::Peer {
+            message: PeerMessage::Quarantine(message),
+            ..
+        } = output
+        else {
+            panic!("unexpected {output:?}");
+        };
+        there.on_message(Millis(0), message);
+    }
+    let standing = there.standing(Millis(0), POISON);
+    assert_eq!(standing, Standing::Held { retry_after: HOLD });
+}
+
+proptest! {
+    /// Records merge to the same whatever the order and however often.
+    #[test]
+    fn records_merge_in_any_order(crashes in prop::collection::vec((0..3_u64, 0..6_u64), 1..20)) {
+        let mut fixture = Fixture::new();
+        let messages: Vec<Message> = crashes
+            .iter()
+            .map(|&(fingerprint, request)| {
+                let record = Record {
+                    crashes: [attempt(request)].into(),
+                    cleared: BTreeSet::new(),
+                };
+                Message::Records(vec![(Fingerprint(fingerprint), record, Millis(0))])
+            })
+            .collect();
+        let mut forth = Quarantine::default();
+        let mut back = Quarantine::default();
+        for message in &messages {
+            forth.on_message(fixture.now, message.clone());
+        }
+        for message in messages.iter().rev().chain(&messages) {
+            back.on_message(fixture.now, message.clone());
+        }
+        for fingerprint in (0..3).map(Fingerprint) {
+            let now = fixture.cx().now;
+            prop_assert_eq!(forth.standing(now, fingerprint), back.standing(now, fingerprint));
+        }
+    }
+}
