Serve a whole set of stand-ins from one file, and add the load tool

Stand-ins could only be started from code, and nothing sent them work. A set reads one INI file, one section a stand-in, and an error names the section and the key. The load tool sends requests at times planned from a seed, whatever becomes of earlier ones, goes round robin over the instances with failover on refused connections as a balancer does, and compares each answer with the one its prompt has to get. Two baselines, round robin and least outstanding, go straight to the engines.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 pub mod engine;
 pub mod list;
+pub mod load;
 pub mod serve;
 pub mod service;
 pub mod site;
--- a/bench/src/store.rs
+++ b/bench/src/store.rs
@@ -20,12 +20,12 @@
 use serde::Deserialize;
 use serde_json::Value;
 use serde_json::json;
-use stats::Window;
 use tiny_http::Header;
 use tiny_http::Method;
 use tiny_http::Request;
 use tiny_http::Response;
 
+use self::stats::Window;
 use crate::site::Site;
 use crate::site::cut;
 use crate::site::json_body;
@@ -46,6 +46,8 @@
 
 /// Settings of a key-value service.
 #[derive(Debug, Clone)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
 pub struct StoreConfig {
     /// Address to listen on, `ip:port`.
     pub addr: String,
@@ -54,7 +56,7 @@
     /// Reads and watches taken in a second.
     pub reads_per_s: u32,
     /// Time that each call takes.
-    pub latency: Millis,
+    pub latency_ms: Millis,
 }
 
 impl Default for StoreConfig {
@@ -63,7 +65,7 @@
             addr: "127.0.0.1:0".to_owned(),
             writes_per_s: 400,
             reads_per_s: 2000,
-            latency: Millis::ZERO,
+            latency_ms: Millis::ZERO,
         }
     }
 }
@@ -427,7 +429,7 @@
             body,
             lost,
         };
-        let delay = self.cfg.latency + self.slow;
+        let delay = self.cfg.latency_ms + self.slow;
         if delay == Millis::ZERO {
             return answer.give();
         }
--- a/bench/src/store/tests.rs
+++ b/bench/src/store/tests.rs
@@ -16,6 +16,7 @@
 fn call(method: &str, store: &StoreHandle, path: &str, body: &str) -> Option<(u16, Value)> {
     let url = format!("http://{}{path}", store.addr());
     let request = minreq::Request::new(minreq::Method::Custom(method.to_owned()), url)
+        .with_header("Connection", "close")
         .with_body(body)
         .with_timeout(5);
     let answer = request.send().ok()?;
