--- /dev/null
+++ b/src/daemon/control_thread.rs
@@ -0,0 +1,90 @@
+//! The thread that owns the control core.
+
+use std::thread;
+
+use flume::Receiver;
+use flume::RecvTimeoutError;
+use flume::Sender;
+
+use super::carrier::Carrier;
+use crate::clock::Clock;
+use crate::clock::Millis;
+use crate::control::Control;
+use crate::control::Input;
+use crate::control::Output;
+
+/// Inputs handled between two looks at the timers.
+const INPUTS_A_TICK: usize = 256;
+
+/// What the daemon wants of its control thread.
+#[derive(Debug)]
+pub(super) enum Command {
+    /// Handle an input.
+    Input(Input),
+    /// Do nothing for a while.
+    Pause(Millis),
+    /// End.
+    Stop,
+}
+
+/// The state of the control thread.
+#[derive(Debug)]
+pub(super) struct ControlThread {
+    pub(super) control: Control,
+    pub(super) clock: Clock,
+    pub(super) tick: Millis,
+    pub(super) inputs: Receiver<Input>,
+    pub(super) commands: Receiver<Command>,
+    pub(super) carrier: Carrier,
+    pub(super) stopped: Sender<()>,
+}
+
+impl ControlThread {
+    pub(super) fn run(mut self) {
+        let mut next_tick = Millis::ZERO;
+        loop {
+            if !self.obey() {
+                break;
+            }
+            if self.clock.now() >= next_tick {
+                next_tick = self.clock.now() + self.tick;
+                self.handle(Input::Tick);
+            }
+            for _ in 0..INPUTS_A_TICK {
+                let wait = next_tick.since(self.clock.now());
+                match self.inputs.recv_timeout(wait.as_duration()) {
+                    Ok(input) => self.handle(input),
+                    Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => break,
+                }
+                if self.clock.now() >= next_tick {
+                    break;
+                }
+            }
+        }
+        self.carrier.stop();
+    }
+
+    /// Carries out commands; returns whether to go on.
+    fn obey(&mut self) -> bool {
+        while let Ok(command) = self.commands.try_recv() {
+            match command {
+                Command::Input(input) => self.handle(input),
+                Command::Pause(span) => thread::sleep(span.as_duration()),
+                Command::Stop => return false,
+            }
+        }
+        true
+    }
+
+    fn handle(&mut self, input: Input) {
+        let now = self.clock.now();
+        let mut outputs = self.control.handle(now, input);
+        if outputs.contains(&Output::Stopped) {
+            outputs.retain(|output| *output != Output::Stopped);
+            let _ = self.stopped.try_send(());
+        }
+        if !outputs.is_empty() {
+            self.carrier.carry(&mut self.control, outputs);
+        }
+    }
+}
