--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -45,6 +45,8 @@
     pub cached_tokens: u64,
     /// Predicted times from the sending on.
     pub predicted: Prediction,
+    /// The part of the backend server that it keeps busy.
+    pub part: f64,
     /// When its first token came.
     pub first_token: Option<Millis>,
 }
@@ -65,6 +67,7 @@
             ahead_tokens: 0,
             cached_tokens: 0,
             predicted: Prediction::default(),
+            part: 0.0,
             first_token: None,
         }
     }
@@ -79,6 +82,8 @@
     pub prefill_tokens: u64,
     /// Those of them in prompts that are not short.
     pub long_prefill_tokens: u64,
+    /// The part of the backend server that this instance's attempts keep busy.
+    pub part: f64,
     /// Whether one of the attempts has to run alone.
     pub alone: bool,
     reported_prefill_tokens: u64,
@@ -107,6 +112,7 @@
         }
         load.prefill_tokens_since += flight.cost.prefill_tokens;
         load.streams_since += 1;
+        load.part += flight.part;
         load.alone |= flight.alone;
         self.flights.insert(request, flight);
     }
@@ -131,6 +137,11 @@
         }
         let load = self.loads.entry(flight.backend).or_default();
         load.streams = load.streams.saturating_sub(1);
+        load.part = if load.streams == 0 {
+            0.0
+        } else {
+            load.part - flight.part
+        };
         load.alone &= !flight.alone;
         Some(flight)
     }
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -79,7 +79,7 @@
             pressed: false,
             kept: &[],
         };
-        let held = self.router.place(view, &mut self.capacity, ask)?;
+        let held = self.router.place(view, &mut self.capacity, ask).ok()?;
         Some(self.fleet.backend(held.backend).name.clone())
     }
 }
