--- a/src/condition.rs
+++ b/src/condition.rs
@@ -34,7 +34,8 @@
 use crate::timeline::Subject;
 
 /// Condition of one backend server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Condition {
     /// Bears its cold limit, and more with each step of the ramp.
@@ -50,7 +51,8 @@
 }
 
 /// Something that tells about a backend server's condition.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Sign {
     /// A request completed; within its predicted time or not.
     Completed { in_time: bool },
@@ -93,7 +95,8 @@
 }
 
 /// What an instance tells the home of a backend server about its condition.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct News {
     /// Requests completed within their predicted time.
     pub in_time: u32,
--- /dev/null
+++ b/src/control/claim.rs
@@ -0,0 +1,164 @@
+//! Calls with an idempotency key: claimed before they are sent, settled after.
+
+use xxhash_rust::xxh3::Xxh3;
+
+use super::Cx;
+use super::Output;
+use super::Reply;
+use super::duties::Duties;
+use crate::attempt::Flight;
+use crate::attempt::Phase;
+use crate::backend::ServiceCall;
+use crate::backend::Work;
+use crate::clock::Millis;
+use crate::id::RequestId;
+use crate::job::Job;
+use crate::metrics::Count;
+use crate::once::ClaimAnswer;
+use crate::once::ClaimOutcome;
+use crate::once::MAX_RECORDED_BYTES;
+use crate::once::Recorded;
+use crate::once::Slot;
+use crate::timeline::EventKind;
+use crate::timeline::Subject;
+use crate::verdict::Reason;
+use crate::verdict::Refusal;
+
+/// When callers may come back while no claim can be made.
+const CLAIM_RETRY_AFTER: Millis = Millis(2_000);
+
+impl Duties {
+    /// Returns the slot of a call that must be claimed first.
+    pub(super) fn slot_of(&self, job: &Job, work: &Work) -> Option<Slot> {
+        if self.fleet.kind(job.kind).idempotent {
+            return None;
+        }
+        let Work::Service(call) = work else {
+            return None;
+        };
+        let key = call.idempotency_key.as_ref()?;
+        let workspace = &self.fleet.workspace(job.workspace).name;
+        Some(Slot::of(workspace, key))
+    }
+
+    /// Claims the key of a new flight, which waits for the answer.
+    pub(super) fn claim(&mut self, cx: &mut Cx<'_>, flight: Flight, job: Job, slot: Slot) {
+        let request = job.request;
+        let body = match &*flight.work {
+            Work::Service(call) => body_hash(call),
+            Work::Prompt(_) => 0,
+        };
+        let retention = self.fleet.kind(job.kind).claim_retention_ms;
+        let flight = Flight {
+            job: Some(job),
+            slot: Some(slot),
+            phase: Phase::Claiming,
+            ..flight
+        };
+        self.flights.insert(request, flight);
+        let outcomes = self.once.claim(cx, request, slot, body, retention);
+        self.claimed(cx, outcomes);
+    }
+
+    /// Acts on claims that were answered.
+    pub(super) fn claimed(&mut self, cx: &mut Cx<'_>, outcomes: Vec<ClaimOutcome>) {
+        for ClaimOutcome { request, answer } in outcomes {
+            self.claim_answered(cx, request, answer);
+        }
+    }
+
+    /// Gives the claim of a call back that surely did not run.
+    pub(super) fn release_claim(&mut self, cx: &mut Cx<'_>, request: RequestId, slot: Slot) {
+        let outcomes = self.once.release(cx, request, slot);
+        self.claimed(cx, outcomes);
+    }
+
+    /// Records the answer of a claimed call.
+    pub(super) fn settle_claim(&mut self, cx: &mut Cx<'_>, request: RequestId, flight: &Flight) {
+        let Some(slot) = flight.slot else {
+            return;
+        };
+        let result = match &flight.answer {
+            Some((status, body)) => Recorded {
+                status: *status,
+                body: Some(body.clone()).filter(|body| body.len() <= MAX_RECORDED_BYTES),
+            },
+            None => Recorded {
+                status: 200,
+                body: None,
+            },
+        };
+        let outcomes = self.once.settle(cx, request, slot, result);
+        self.claimed(cx, outcomes);
+    }
+
+    fn claim_answered(&mut self, cx: &mut Cx<'_>, request: RequestId, answer: Option<ClaimAnswer>) {
+        let claiming = self
+            .flights
+            .get(&request)
+            .is_some_and(|flight| matches!(flight.phase, Phase::Claiming));
+        if !claiming {
+            return;
+        }
+        let Some(mut flight) = self.flights.remove(&request) else {
+            return;
+        };
+        let Some(job) = flight.job.take() else {
+            return;
+        };
+        match answer {
+            Some(ClaimAnswer::Granted) => self.admit(cx, flight, job),
+            Some(ClaimAnswer::Recorded(Recorded {
+                status,
+                body: Some(body),
+            })) => self.replay(cx, request, status, body),
+            Some(answer) => self.fail(cx, request, claim_refusal(&answer)),
+            None => self.fail(cx, request, unavailable()),
+        }
+    }
+
+    /// Gives a recorded answer again.
+    fn replay(&mut self, cx: &mut Cx<'_>, request: RequestId, status: u16, body: Vec<u8>) {
+        cx.count(Count::Done);
+        let detail = "recorded answer".to_owned();
+        cx.event(EventKind::Done, Subject::request(request), detail);
+        let reply = Reply::Recorded { status, body };
+        cx.out.push(Output::Reply { request, reply });
+    }
+}
+
+fn body_hash(call: &ServiceCall) -> u64 {
+    let mut hash = Xxh3::new();
+    hash.update(call.service.as_bytes());
+    hash.update(b"/");
+    hash.update(call.operation.as_bytes());
+    hash.update(b"/");
+    hash.update(&call.body);
+    hash.digest()
+}
+
+fn unavailable() -> Refusal {
+    let text = "the idempotency key could not be claimed in time";
+    Refusal::not_run(Reason::ClaimUnavailable, text).retry_after(CLAIM_RETRY_AFTER)
+}
+
+fn claim_refusal(answer: &ClaimAnswer) -> Refusal {
+    match answer {
+        ClaimAnswer::OtherBody => {
+            let text = "the idempotency key belongs to a call with another body";
+            Refusal::not_run(Reason::KeyReused, text)
+        }
+        ClaimAnswer::Recorded(_) => Refusal {
+            verdict: crate::verdict::Verdict::Done,
+            ..Refusal::not_run(
+                Reason::KeyUnsettled,
+                "the call ran; its answer was not kept",
+            )
+        },
+        ClaimAnswer::Unsettled => {
+            let text = "another call with this idempotency key has no result yet";
+            Refusal::may_have_run(Reason::KeyUnsettled, text).retry_after(CLAIM_RETRY_AFTER)
+        }
+        ClaimAnswer::Granted | ClaimAnswer::NoRoom | ClaimAnswer::Stored => unavailable(),
+    }
+}
--- a/src/declaration.rs
+++ b/src/declaration.rs
@@ -16,7 +16,8 @@
 pub type Labels = BTreeMap<String, String>;
 
 /// A whole document.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Declaration {
     /// Failure domains.
@@ -40,7 +41,8 @@
 }
 
 /// A failure domain.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Domain {
     /// Its name, as in the instance list.
@@ -57,7 +59,8 @@
 }
 
 /// Labels laid over a backend server's own.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Overlay {
     /// The backend server's name, as in the instance list.
@@ -71,7 +74,8 @@
 }
 
 /// What a backend server bears.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Limits {
     /// Requests in flight.
@@ -85,7 +89,8 @@
 }
 
 /// Limits for the backend servers that a selector matches.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LimitRule {
     /// Which backend servers.
@@ -112,7 +117,8 @@
 }
 
 /// What kind of backend server serves a request kind.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Target {
     /// A model engine.
@@ -123,7 +129,8 @@
 }
 
 /// A request kind.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Kind {
     /// Its name; callers of engines choose it by the header `X-Request-Kind`.
@@ -168,7 +175,8 @@
 }
 
 /// Where matching requests may go, best first.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Route {
     /// A name for `explain`.
@@ -184,7 +192,8 @@
 }
 
 /// A workspace.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Workspace {
     /// Its name.
--- a/src/fixture.rs
+++ b/src/fixture.rs
@@ -43,6 +43,7 @@
                 domain: "ikeja".to_owned(),
                 boot: Boot(1),
                 peer_addr: String::new(),
+                unix_zero: Millis::ZERO,
             },
             out: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(7),
--- a/src/id.rs
+++ b/src/id.rs
@@ -3,10 +3,16 @@
 use std::fmt;
 
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
+use serde::Serializer;
+use serde::de::Error;
+use serde_with::DeserializeAs;
+use serde_with::SerializeAs;
 
 /// One caller's request; unique over all instances.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct RequestId(pub u64);
 
@@ -16,8 +22,28 @@
     }
 }
 
+/// Writes a [`RequestId`] as 16 hexadecimal digits, as JSON documents have it.
+#[derive(Debug, Clone, Copy)]
+pub struct HexDigits;
+
+impl SerializeAs<RequestId> for HexDigits {
+    fn serialize_as<S: Serializer>(id: &RequestId, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(id)
+    }
+}
+
+impl<'de> DeserializeAs<'de, RequestId> for HexDigits {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<RequestId, D::Error> {
+        let digits = String::deserialize(deserializer)?;
+        u64::from_str_radix(&digits, 16)
+            .map(RequestId)
+            .map_err(Error::custom)
+    }
+}
+
 /// One try at a request on one backend server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct AttemptId {
     /// The request that is tried.
     pub request: RequestId,
@@ -32,28 +58,26 @@
 }
 
 /// Fencing number of a failure domain's home assignment; only grows.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Epoch(pub u64);
 
 /// Revision of the operators' declarations; only grows.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Revision(pub u64);
 
 /// Number that a process draws at its start and keeps until its end.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Boot(pub u64);
 
 /// Hash of workspace, kind, model and prompt: the same request sent again has
 /// the same fingerprint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Fingerprint(pub u64);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -36,6 +36,10 @@
     PeerFramesSent = "peer_frames_sent", "Frames sent to other instances";
     PeerBytesSent = "peer_bytes_sent", "Bytes of frames sent to other instances, before HTTP/2 framing";
     PeerFramesDropped = "peer_frames_dropped", "Frames from other instances that were malformed or not authentic";
+    PeerFramesReceived = "peer_frames_received", "Frames taken over from other instances";
+    PeerBytesReceived = "peer_bytes_received", "Bytes of frames taken over from other instances, before HTTP/2 framing";
+    PeerFramesLost = "peer_frames_lost", "Frames to other instances that were lost: a full queue, a failed connection, no answer";
+    PeerConnections = "peer_connections", "Connections opened to other instances";
     ConditionChanges = "condition_changes", "Changes of a backend server's condition as this instance sees it";
     Evicted = "requests_evicted", "Admitted requests refused in the queue, before any attempt or between two";
     StaleFrames = "stale_frames", "Answer frames dropped as their attempt or offset did not match";
@@ -49,6 +53,7 @@
     BackendsWarm = "backends_warm", "Backend servers that this instance counts as warm";
     BackendsCold = "backends_cold", "Backend servers that this instance counts as cold or warming up";
     BackendsSilent = "backends_silent", "Backend servers that this instance counts as silent";
+    MembersLive = "members_live", "Other instances that are known and not suspected, leaving or gone";
     Ready = "ready", "1 when the instance takes callers, else 0";
 }
 
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -69,7 +69,8 @@
 }
 
 /// One event.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Event {
     /// Logical clock.
     pub stamp: u64,
@@ -90,7 +91,8 @@
 }
 
 /// What an event concerns.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Subject {
     /// The request concerned.
     pub request: Option<RequestId>,
