--- a/src/control.rs
+++ b/src/control.rs
@@ -6,6 +6,7 @@
 //! property tests.
 
 mod admin;
+mod attempts;
 mod claim;
 mod duties;
 mod message;
@@ -13,6 +14,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use attempts::SILENCE_LIMIT;
 pub use message::AdminAnswer;
 pub use message::AdminQuery;
 pub use message::Duty;
@@ -22,7 +24,6 @@
 pub use message::Reply;
 pub use message::Submission;
 pub use message::Ticket;
-pub use request::SILENCE_LIMIT;
 
 use std::sync::Arc;
 
--- /dev/null
+++ b/src/control/attempts.rs
@@ -0,0 +1,275 @@
+//! Attempts of admitted requests: calls to backend servers, their news and what
+//! follows their end.
+
+use super::Cx;
+use super::Output;
+use super::duties::Duties;
+use super::request::FAILURE_RETRY_AFTER;
+use crate::admission::Decision;
+use crate::admission::Dispatch;
+use crate::attempt::Flight;
+use crate::attempt::Next;
+use crate::attempt::Outcome;
+use crate::attempt::Phase;
+use crate::attempt::Running;
+use crate::backend::AttemptEnd;
+use crate::backend::AttemptEvent;
+use crate::backend::Call;
+use crate::backend::CallStart;
+use crate::backend::Work;
+use crate::clock::Millis;
+use crate::condition::Sign;
+use crate::id::AttemptId;
+use crate::id::RequestId;
+use crate::job::Job;
+use crate::metrics::Count;
+use crate::quarantine::HOLD;
+use crate::quarantine::Standing;
+use crate::timeline::EventKind;
+use crate::timeline::Subject;
+use crate::verdict::Reason;
+use crate::verdict::Refusal;
+
+/// Longest time without progress before a connection counts as silent.
+pub const SILENCE_LIMIT: Millis = Millis(2_000);
+
+impl Duties {
+    pub(super) fn attempt(&mut self, cx: &mut Cx<'_>, attempt: AttemptId, event: AttemptEvent) {
+        let Some(flight) = self.flights.get_mut(&attempt.request) else {
+            return;
+        };
+        let Phase::Running(running) = &mut flight.phase else {
+            return;
+        };
+        if running.attempt != attempt {
+            return;
+        }
+        match event {
+            AttemptEvent::Accepted => {}
+            AttemptEvent::FirstToken => {
+                running.first_token.get_or_insert(cx.now);
+                self.capacity.prefill_done(&mut running.held);
+            }
+            AttemptEvent::Progress { offset } => running.offset = running.offset.max(offset),
+            AttemptEvent::Answer { status, body } => flight.answer = Some((status, body)),
+            AttemptEvent::Ended(end) => self.ended(cx, attempt, &end),
+        }
+    }
+
+    /// Sends what the queue lets go.
+    pub(super) fn dispatch(&mut self, cx: &mut Cx<'_>) {
+        let decisions = self.queue.dispatch(
+            cx,
+            &self.fleet,
+            &mut self.router,
+            &mut self.capacity,
+            &self.conditions,
+        );
+        for decision in decisions {
+            match decision {
+                Decision::Run(dispatch) => self.run(cx, dispatch),
+                Decision::Refuse(job, refusal) => {
+                    if let Some(flight) = self.flights.remove(&job.request) {
+                        self.failed(cx, job.request, &flight, refusal);
+                    }
+                }
+            }
+        }
+    }
+
+    fn run(&mut self, cx: &mut Cx<'_>, dispatch: Dispatch) {
+        let Dispatch { job, held } = dispatch;
+        let Some(flight) = self.flights.get_mut(&job.request) else {
+            return self.capacity.release(held);
+        };
+        flight.number += 1;
+        flight.tries += 1;
+        if flight.tries > 1 {
+            cx.count(Count::Retries);
+        }
+        let start = match job.offset {
+            0 => CallStart::Fresh,
+            offset => CallStart::Continue { offset },
+        };
+        let running = Running {
+            attempt: AttemptId {
+                request: job.request,
+                number: flight.number,
+            },
+            held,
+            sent: cx.now,
+            first_token: None,
+            start,
+            offset: job.offset,
+            resumes: 0,
+        };
+        let request = job.request;
+        flight.job = Some(job);
+        flight.phase = Phase::Running(running);
+        self.send_call(cx, request);
+    }
+
+    fn ended(&mut self, cx: &mut Cx<'_>, attempt: AttemptId, end: &AttemptEnd) {
+        let request = attempt.request;
+        let Some(mut flight) = self.flights.remove(&request) else {
+            return;
+        };
+        let phase = std::mem::replace(&mut flight.phase, Phase::Waiting);
+        let (Phase::Running(running), Some(mut job)) = (phase, flight.job.take()) else {
+            return;
+        };
+        let outcome = Outcome::of(&running, end);
+        self.note(cx, &running, &outcome, end);
+        let mut next = flight.next(&running, end, &outcome, &mut self.budgets, &job.model);
+        if outcome.crashed && self.crashed(cx, &mut job, attempt) {
+            next = Next::Fail(Reason::Quarantined);
+        }
+        flight.ran = flight.ran.and(outcome.verdict);
+        match next {
+            Next::Whole => {
+                self.capacity.release(running.held);
+                self.settle_claim(cx, request, &flight);
+                let fingerprint = job.fingerprint;
+                self.quarantine.completed(cx, &self.everyone, fingerprint);
+                if !flight.detached {
+                    self.whole(cx, request);
+                }
+            }
+            Next::Resume => self.resume(cx, flight, running, job, outcome.offset),
+            Next::Elsewhere => self.elsewhere(cx, flight, running, job, &outcome),
+            Next::Fail(reason) => {
+                let service = matches!(*flight.work, Work::Service(_));
+                self.let_go(cx, request, running, outcome.lingers, service);
+                let text = format!("the backend server failed: {end:?}");
+                let refusal = Refusal::not_run(reason, text);
+                let refusal = match reason {
+                    Reason::BackendFailed => refusal.retry_after(FAILURE_RETRY_AFTER),
+                    Reason::Quarantined => refusal.retry_after(HOLD),
+                    _ => refusal,
+                };
+                self.failed(cx, request, &flight, refusal);
+            }
+        }
+    }
+
+    /// Notes that a backend server died under a request, which runs alone from
+    /// now on; returns whether it is held.
+    fn crashed(&mut self, cx: &mut Cx<'_>, job: &mut Job, attempt: AttemptId) -> bool {
+        job.alone = true;
+        let everyone = &self.everyone;
+        let standing = self
+            .quarantine
+            .crashed(cx, everyone, job.fingerprint, attempt);
+        matches!(standing, Standing::Held { .. })
+    }
+
+    /// Tells conditions and the time line how an attempt ended.
+    fn note(&mut self, cx: &mut Cx<'_>, running: &Running, outcome: &Outcome, end: &AttemptEnd) {
+        let backend = running.held.backend;
+        let sign = match end {
+            AttemptEnd::Whole { .. } => Some(Sign::Completed { in_time: true }),
+            _ => outcome.sign,
+        };
+        if let Some(sign) = sign {
+            self.conditions.sign(cx, &self.fleet, backend, sign);
+        }
+        let subject = Subject {
+            request: Some(running.attempt.request),
+            ..Subject::backend(&self.fleet.backend(backend).name)
+        };
+        let detail = format!("attempt {}: {end:?}", running.attempt.number);
+        cx.event(EventKind::AttemptEnded, subject, detail);
+    }
+
+    fn resume(
+        &mut self,
+        cx: &mut Cx<'_>,
+        mut flight: Flight,
+        running: Running,
+        job: Job,
+        offset: u32,
+    ) {
+        let request = job.request;
+        let progressed = offset > running.offset;
+        flight.number += 1;
+        let start = CallStart::Resume { offset };
+        flight.phase = Phase::Running(Running {
+            attempt: AttemptId {
+                request,
+                number: flight.number,
+            },
+            start,
+            offset,
+            resumes: if progressed { 1 } else { running.resumes + 1 },
+            ..running
+        });
+        flight.job = Some(Job { offset, ..job });
+        self.flights.insert(request, flight);
+        self.send_call(cx, request);
+    }
+
+    fn elsewhere(
+        &mut self,
+        cx: &mut Cx<'_>,
+        mut flight: Flight,
+        running: Running,
+        mut job: Job,
+        outcome: &Outcome,
+    ) {
+        let request = job.request;
+        let service = matches!(*flight.work, Work::Service(_));
+        job.offset = outcome.offset;
+        if !job.excluded.contains(&running.held.backend) {
+            job.excluded.push(running.held.backend);
+        }
+        self.let_go(cx, request, running, outcome.lingers, service);
+        flight.phase = Phase::Waiting;
+        self.flights.insert(request, flight);
+        self.queue.requeue(job);
+    }
+
+    /// Frees an attempt's credit, at once or when nothing of it can still run.
+    pub(super) fn let_go(
+        &mut self,
+        cx: &mut Cx<'_>,
+        request: RequestId,
+        running: Running,
+        lingers: bool,
+        service: bool,
+    ) {
+        if !lingers {
+            return self.capacity.release(running.held);
+        }
+        let held = running.held;
+        self.lingers.add(cx, &self.fleet, request, held, service);
+    }
+
+    fn send_call(&mut self, cx: &mut Cx<'_>, request: RequestId) {
+        let Some(flight) = self.flights.get(&request) else {
+            return;
+        };
+        let (Phase::Running(running), Some(job)) = (&flight.phase, &flight.job) else {
+            return;
+        };
+        let backend = self.fleet.backend(running.held.backend);
+        let call = Call {
+            attempt: running.attempt,
+            addr: backend.addr.clone(),
+            workspace: flight.workspace.clone(),
+            epoch: running.held.epoch,
+            priority: job.importance,
+            deadline: flight.deadline,
+            silence: SILENCE_LIMIT,
+            start: running.start,
+            work: flight.work.clone(),
+        };
+        let subject = Subject {
+            request: Some(request),
+            ..Subject::backend(&backend.name)
+        };
+        let detail = format!("attempt {}: {:?}", running.attempt.number, running.start);
+        cx.count(Count::Attempts);
+        cx.event(EventKind::AttemptSent, subject, detail);
+        cx.out.push(Output::Send(call));
+    }
+}
