--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -16,7 +16,9 @@
 use crate::attempt::Flight;
 use crate::attempt::Lingers;
 use crate::backend::BackendAnswer;
+use crate::backend::BackendOrder;
 use crate::capacity::Capacity;
+use crate::clock::Millis;
 use crate::condition::Conditions;
 use crate::condition::Sign;
 use crate::declaration::Declaration;
@@ -41,6 +43,9 @@
 use crate::timeline::Subject;
 use crate::verdict::Refusal;
 
+/// Period at which load reports are asked for.
+const LOAD_PERIOD: Millis = Millis(1_000);
+
 /// The state of all duties.
 #[derive(Debug)]
 pub(super) struct Duties {
@@ -57,6 +62,7 @@
     pub(super) once: Once,
     pub(super) quarantine: Quarantine,
     pub(super) revision: Revision,
+    pub(super) next_poll: Millis,
     pub(super) leaving: bool,
     pub(super) stopped: bool,
 }
@@ -79,6 +85,7 @@
             quarantine: Quarantine::default(),
             once: Once::new(me.unix_zero),
             revision: Revision::default(),
+            next_poll: Millis::ZERO,
             leaving: false,
             stopped: false,
         }
@@ -126,6 +133,7 @@
         self.gather(cx);
         let outcomes = self.once.tick(cx);
         self.claimed(cx, outcomes);
+        self.poll(cx);
         self.expire(cx);
         for held in self.lingers.tick(cx, &self.fleet) {
             self.capacity.release(held);
@@ -138,6 +146,26 @@
         }
     }
 
+    /// Asks the backend servers of the own failure domain for load reports and
+    /// engines for cache events.
+    fn poll(&mut self, cx: &mut Cx<'_>) {
+        if cx.now < self.next_poll {
+            return;
+        }
+        self.next_poll = cx.now + LOAD_PERIOD;
+        let local = self.fleet.domain_key(&cx.me.domain);
+        for (_, backend) in self.fleet.backends() {
+            if Some(backend.domain) != local || backend.leaving {
+                continue;
+            }
+            cx.out.push(Output::Order {
+                backend: backend.name.clone(),
+                addr: backend.addr.clone(),
+                order: BackendOrder::Load,
+            });
+        }
+    }
+
     fn listings(&mut self, cx: &mut Cx<'_>, listings: Vec<Listing>) {
         self.members.on_list(cx, &listings);
         self.fleet.list(listings);
@@ -236,6 +264,7 @@
             AdminQuery::Timeline { filter, limit } => {
                 AdminAnswer::Events(cx.timeline.select(&filter, limit))
             }
+            AdminQuery::Models { token_sha256 } => self.models(&token_sha256),
         };
         cx.out.push(Output::Admin { ticket, answer });
     }
