--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -16,7 +16,9 @@
 use crate::attempt::Flight;
 use crate::attempt::Lingers;
 use crate::backend::BackendAnswer;
+use crate::backend::BackendOrder;
 use crate::capacity::Capacity;
+use crate::clock::Millis;
 use crate::condition::Conditions;
 use crate::condition::Sign;
 use crate::declaration::Declaration;
@@ -34,12 +36,16 @@
 use crate::once::Once;
 use crate::peer::PeerFrame;
 use crate::peer::PeerMessage;
+use crate::quarantine::Quarantine;
 use crate::routing::Router;
 use crate::store::StoreResult;
 use crate::timeline::EventKind;
 use crate::timeline::Subject;
 use crate::verdict::Refusal;
 
+/// Period at which load reports are asked for.
+const LOAD_PERIOD: Millis = Millis(1_000);
+
 /// The state of all duties.
 #[derive(Debug)]
 pub(super) struct Duties {
@@ -52,8 +58,11 @@
     pub(super) lingers: Lingers,
     pub(super) budgets: Budgets,
     pub(super) members: Membership,
+    pub(super) everyone: Vec<Member>,
     pub(super) once: Once,
+    pub(super) quarantine: Quarantine,
     pub(super) revision: Revision,
+    pub(super) next_poll: Millis,
     pub(super) leaving: bool,
     pub(super) stopped: bool,
 }
@@ -72,8 +81,11 @@
             lingers: Lingers::default(),
             budgets: Budgets::default(),
             members: Membership::new(me),
+            everyone: Vec::new(),
+            quarantine: Quarantine::default(),
             once: Once::new(me.unix_zero),
             revision: Revision::default(),
+            next_poll: Millis::ZERO,
             leaving: false,
             stopped: false,
         }
@@ -121,6 +133,7 @@
         self.gather(cx);
         let outcomes = self.once.tick(cx);
         self.claimed(cx, outcomes);
+        self.poll(cx);
         self.expire(cx);
         for held in self.lingers.tick(cx, &self.fleet) {
             self.capacity.release(held);
@@ -133,6 +146,26 @@
         }
     }
 
+    /// Asks the backend servers of the own failure domain for load reports and
+    /// engines for cache events.
+    fn poll(&mut self, cx: &mut Cx<'_>) {
+        if cx.now < self.next_poll {
+            return;
+        }
+        self.next_poll = cx.now + LOAD_PERIOD;
+        let local = self.fleet.domain_key(&cx.me.domain);
+        for (_, backend) in self.fleet.backends() {
+            if Some(backend.domain) != local || backend.leaving {
+                continue;
+            }
+            cx.out.push(Output::Order {
+                backend: backend.name.clone(),
+                addr: backend.addr.clone(),
+                order: BackendOrder::Load,
+            });
+        }
+    }
+
     fn listings(&mut self, cx: &mut Cx<'_>, listings: Vec<Listing>) {
         self.members.on_list(cx, &listings);
         self.fleet.list(listings);
@@ -160,6 +193,15 @@
             })
             .collect();
         self.once.set_members(keepers);
+        let others = self.members.members();
+        self.everyone = others
+            .filter(|(_, member)| member.state.serves())
+            .map(|(name, member)| Member {
+                name: name.to_owned(),
+                addr: member.addr.clone(),
+            })
+            .collect();
+        self.quarantine.tick(cx, &self.everyone);
     }
 
     fn backend(&mut self, cx: &mut Cx<'_>, name: &str, answer: BackendAnswer) {
@@ -191,6 +233,7 @@
         cx.timeline.observe(frame.stamp);
         for message in frame.messages {
             match message {
+                PeerMessage::Quarantine(message) => self.quarantine.on_message(cx.now, message),
                 PeerMessage::Once(message) => {
                     let outcomes = self.once.on_message(cx, &frame.from, message);
                     self.claimed(cx, outcomes);
--- a/src/entry/sse.rs
+++ b/src/entry/sse.rs
@@ -23,7 +23,7 @@
 
 /// A stream of events to one caller. Dropping it ends the chunked body.
 pub(super) struct Events {
-    body: Encoder<Box<dyn Write + Send>>,
+    body: Encoder<Flushed>,
 }
 
 impl Events {
@@ -34,7 +34,7 @@
         head(request).raw_print(&mut writer, version, &[], true, None)?;
         writer.flush()?;
         Ok(Events {
-            body: Encoder::with_chunks_size(writer, CHUNK_BYTES),
+            body: Encoder::with_chunks_size(Flushed(writer), CHUNK_BYTES),
         })
     }
 
@@ -71,6 +71,28 @@
     }
 }
 
+/// A connection's writer that is flushed when it is dropped: the encoder writes
+/// the last chunk when it goes, and a caller that keeps its connection open
+/// would otherwise wait for it.
+struct Flushed(Box<dyn Write + Send>);
+
+impl Write for Flushed {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.0.write(buf)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.0.flush()
+    }
+}
+
+impl Drop for Flushed {
+    fn drop(&mut self) {
+        // A caller that is gone needs no last chunk.
+        let _ = self.0.flush();
+    }
+}
+
 fn head(request: RequestId) -> Response<io::Empty> {
     let headers = [
         ("Content-Type", "text/event-stream".to_owned()),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod condition;
 pub mod config;
 pub mod control;
+pub mod daemon;
 pub mod declaration;
 pub mod entry;
 #[cfg(test)]
@@ -28,6 +29,7 @@
 pub mod peer;
 pub mod platform;
 pub mod prediction;
+pub mod quarantine;
 pub mod relay;
 pub mod routing;
 pub mod selector;
