Count times to first tokens and whole answers, and let services be quiet

First-token time by length class and whole time by kind are histograms now, in the table of metrics; label values come from closed or declared sets.

A plain service sends nothing before its answer, but its connection counted as silent after 2 s, so that a slow non-idempotent call failed as one that may have run. A service call may now be quiet until its deadline, an idempotent one for half of that, so that another try has time.

--- a/src/control/attempts.rs
+++ b/src/control/attempts.rs
@@ -19,10 +19,12 @@
 use crate::backend::Work;
 use crate::clock::Millis;
 use crate::condition::Sign;
+use crate::declaration::Target;
 use crate::id::AttemptId;
 use crate::id::RequestId;
 use crate::job::Job;
 use crate::metrics::Count;
+use crate::metrics::Timing;
 use crate::quarantine::HOLD;
 use crate::quarantine::Standing;
 use crate::timeline::EventKind;
@@ -30,7 +32,8 @@
 use crate::verdict::Reason;
 use crate::verdict::Refusal;
 
-/// Longest time without progress before a connection counts as silent.
+/// Longest time without progress before a connection to an engine counts as
+/// silent.
 pub const SILENCE_LIMIT: Millis = Millis(2_000);
 
 impl Duties {
@@ -47,6 +50,9 @@
         match event {
             AttemptEvent::Accepted => {}
             AttemptEvent::FirstToken => {
+                if let (None, Some(job)) = (running.first_token, &flight.job) {
+                    observe_first_token(cx, job);
+                }
                 running.first_token.get_or_insert(cx.now);
                 self.capacity.prefill_done(&mut running.held);
             }
@@ -132,6 +138,9 @@
                 let fingerprint = job.fingerprint;
                 self.quarantine.completed(cx, &self.everyone, fingerprint);
                 if !flight.detached {
+                    let kind = &self.fleet.kind(job.kind).name;
+                    cx.metrics
+                        .observe(Timing::Whole, kind, cx.now.since(job.admitted));
                     self.whole(cx, request);
                 }
             }
@@ -259,7 +268,7 @@
             epoch: running.held.epoch,
             priority: job.importance,
             deadline: flight.deadline,
-            silence: SILENCE_LIMIT,
+            silence: silence_limit(cx.now, flight),
             start: running.start,
             work: flight.work.clone(),
         };
@@ -273,3 +282,27 @@
         cx.out.push(Output::Send(call));
     }
 }
+
+/// Returns the longest time without progress for a call.
+///
+/// A plain service sends nothing before its answer, so that only the deadline
+/// tells a slow one from a silent connection; an idempotent call keeps half of
+/// its time for another try.
+fn silence_limit(now: Millis, flight: &Flight) -> Millis {
+    let left = flight.deadline.since(now);
+    match (&*flight.work, flight.idempotent) {
+        (Work::Prompt(_), _) => SILENCE_LIMIT,
+        (Work::Service(_), true) => Millis(left.0 / 2).max(SILENCE_LIMIT),
+        (Work::Service(_), false) => left.max(SILENCE_LIMIT),
+    }
+}
+
+/// Takes the time to the first token of an answer that begins.
+fn observe_first_token(cx: &Cx<'_>, job: &Job) {
+    if job.target != Target::Engine || job.offset > 0 {
+        return;
+    }
+    let length = job.length().as_str();
+    let span = cx.now.since(job.admitted);
+    cx.metrics.observe(Timing::FirstToken, length, span);
+}
--- a/src/control/tests.rs
+++ b/src/control/tests.rs
@@ -1,5 +1,7 @@
 //! The core as a whole, on a virtual clock.
 
+mod calls;
+
 use std::sync::Arc;
 
 use super::Control;
--- /dev/null
+++ b/src/control/tests/calls.rs
@@ -0,0 +1,104 @@
+//! Expected: calls carry what their kind declares, and times are counted.
+
+use super::*;
+use crate::backend::ServiceCall;
+
+/// A core with a plain service of two kinds besides the engines.
+fn with_service() -> Control {
+    let kinds = r#"
+[[kind]]
+name = "read"
+target = "service"
+service = "queue"
+operations = ["status"]
+deadline_ms = 60000
+importance = 50
+
+[[kind]]
+name = "write"
+target = "service"
+service = "queue"
+deadline_ms = 60000
+importance = 50
+idempotent = false
+"#;
+    let mut control = control();
+    let text = format!("{DECLARATION}{kinds}");
+    let declaration: Declaration = toml::from_str(&text).expect("a declaration");
+    control.declare(Millis(0), &declaration, Revision(2));
+    let service = Listing {
+        role: Role::Service,
+        labels: [("service".to_owned(), "queue".to_owned())].into(),
+        ..engine("s1")
+    };
+    let listings = vec![engine("e1"), service];
+    let _ = control.handle(Millis(0), Input::Listings(listings));
+    control
+}
+
+fn service(request: u64, operation: &str) -> Input {
+    let Input::Submit(submission) = prompt(request) else {
+        panic!("no submission");
+    };
+    let call = ServiceCall {
+        service: "queue".to_owned(),
+        operation: operation.to_owned(),
+        body: Vec::new(),
+        idempotency_key: None,
+    };
+    Input::Submit(Submission {
+        work: Arc::new(Work::Service(call)),
+        ..submission
+    })
+}
+
+/// A service is quiet until its answer: only the deadline tells it from a
+/// silent connection.
+#[test]
+fn a_service_call_may_be_quiet_as_long_as_its_kind_allows() {
+    let mut control = with_service();
+    for (request, operation, silence) in [(1, "status", 30_000), (2, "log", 60_000)] {
+        let out = control.handle(Millis(0), service(request, operation));
+        assert_eq!(calls(&out)[0].silence, Millis(silence), "{operation}");
+    }
+    let out = control.handle(Millis(0), prompt(3));
+    assert_eq!(calls(&out)[0].silence, super::super::SILENCE_LIMIT);
+}
+
+#[test]
+fn a_prompt_whose_caller_names_no_length_gets_its_kinds() {
+    let mut control = control();
+    let Input::Submit(mut submission) = prompt(1) else {
+        panic!("no submission");
+    };
+    if let Work::Prompt(prompt) = Arc::make_mut(&mut submission.work) {
+        prompt.max_tokens = 0;
+    }
+    let out = control.handle(Millis(0), Input::Submit(submission));
+    let Work::Prompt(sent) = &*calls(&out)[0].work else {
+        panic!("no prompt");
+    };
+    assert_eq!(sent.max_tokens, 256);
+}
+
+#[test]
+fn times_are_counted_once_a_request() {
+    let mut control = control();
+    let out = control.handle(Millis(0), prompt(1));
+    let call = calls(&out)[0].clone();
+    for _ in 0..2 {
+        let event = AttemptEvent::FirstToken;
+        let attempt = call.attempt;
+        let _ = control.handle(Millis(300), Input::Attempt { attempt, event });
+    }
+    let whole = AttemptEnd::Whole { tokens: 4 };
+    let _ = control.handle(Millis(1500), ended(&call, whole));
+    let text = control.metrics.encode().expect("metrics");
+    for line in [
+        r#"skylarkhook_first_token_seconds_sum{length="short"} 0.3"#,
+        r#"skylarkhook_first_token_seconds_count{length="short"} 1"#,
+        r#"skylarkhook_whole_answer_seconds_sum{kind="summary"} 1.5"#,
+    ] {
+        assert!(text.contains(line), "{line} is not in\n{text}");
+    }
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -4,12 +4,20 @@
 //! needs. Duties count through [`Metrics::add`]; the admin listener encodes the
 //! registry in the OpenMetrics text format.
 
+#[cfg(test)]
+mod tests;
+
 use std::fmt;
 
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use prometheus_client::registry::Unit;
+
+use crate::clock::Millis;
 
 macro_rules! metrics {
     ($all:ident, $type:ident: $($name:ident = $text:literal, $help:literal;)*) => {
@@ -59,11 +67,49 @@
     Ready = "ready", "1 when the instance takes callers, else 0";
 }
 
+macro_rules! timings {
+    ($($name:ident = $text:literal, $label:literal, $help:literal, $buckets:expr;)*) => {
+        /// A histogram of times of this process, in seconds, by one label; the
+        /// table gives name, label, help and upper bounds.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+        pub enum Timing {
+            $(#[doc = $help] $name,)*
+        }
+
+        const TIMINGS: &[TimingLine] = &[$(TimingLine {
+            name: $text,
+            label: $label,
+            help: $help,
+            new: || Histogram::new($buckets),
+        },)*];
+    };
+}
+
+timings! {
+    FirstToken = "first_token", "length", "Time from admission to the first token, by length class of the prompt",
+        [0.05, 0.1, 0.2, 0.4, 0.87, 1.5, 3.0, 6.0, 12.0, 30.0, 60.0, 120.0, 300.0];
+    Whole = "whole_answer", "kind", "Time from admission to the whole answer, by request kind",
+        [0.01, 0.05, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 120.0, 300.0, 900.0];
+}
+
+/// One line of the table of timings.
+struct TimingLine {
+    name: &'static str,
+    label: &'static str,
+    help: &'static str,
+    new: fn() -> Histogram,
+}
+
+/// One label and its value.
+type Label = [(&'static str, String); 1];
+type Timings = Family<Label, Histogram, fn() -> Histogram>;
+
 /// All metrics of one process.
 pub struct Metrics {
     registry: Registry,
     counters: Vec<Counter>,
     gauges: Vec<Gauge>,
+    timings: Vec<Timings>,
 }
 
 impl Metrics {
@@ -87,10 +133,20 @@
                 gauge
             })
             .collect();
+        let timings = TIMINGS
+            .iter()
+            .map(|line| {
+                let timings = Timings::new_with_constructor(line.new);
+                let (name, help) = (line.name, line.help);
+                registry.register_with_unit(name, help, Unit::Seconds, timings.clone());
+                timings
+            })
+            .collect();
         Metrics {
             registry,
             counters,
             gauges,
+            timings,
         }
     }
 
@@ -116,6 +172,15 @@
         self.gauges[level as usize].get()
     }
 
+    /// Takes one time into a histogram, under its label's value. The values come
+    /// from a closed or declared set, never from a caller.
+    pub fn observe(&self, timing: Timing, value: &str, span: Millis) {
+        let label = [(TIMINGS[timing as usize].label, value.to_owned())];
+        self.timings[timing as usize]
+            .get_or_create(&label)
+            .observe(span.as_secs_f64());
+    }
+
     /// Returns all metrics in the OpenMetrics text format.
     ///
     /// # Errors
