--- a/src/entry.rs
+++ b/src/entry.rs
@@ -21,7 +21,9 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -57,6 +59,8 @@
 
 /// When a caller may come back after a refusal for too many open requests.
 const BUSY_RETRY_AFTER: Millis = Millis(1000);
+/// How often an entry that ends looks whether requests are open.
+const IDLE_POLL: Duration = Duration::from_millis(5);
 /// Threads that wait for what is left of refused bodies.
 const REFUSED_BODY_THREADS: usize = 64;
 /// Longest wait for the core's list of models.
@@ -153,6 +157,20 @@
         self.listener.open()
     }
 
+    /// Waits until no request is open, for `limit` at most; returns whether none
+    /// is. After the core's last final word, callers may still be reading.
+    #[must_use]
+    pub fn wait_idle(&self, limit: Duration) -> bool {
+        let started = Instant::now();
+        while self.open() > 0 {
+            if started.elapsed() >= limit {
+                return false;
+            }
+            thread::sleep(IDLE_POLL);
+        }
+        true
+    }
+
     /// Stops listening; requests in flight are answered.
     pub fn stop(&mut self) {
         self.listener.stop();
--- a/src/entry/tests/callers.rs
+++ b/src/entry/tests/callers.rs
@@ -258,3 +258,18 @@
     assert_eq!((status, &answer["error"]["ran"]), (503, &"no".into()));
     assert!(ports.relays.is_empty());
 }
+
+/// The last answers reach their callers before the process may end.
+#[test]
+fn an_entry_is_idle_once_its_callers_have_their_answers() {
+    let rig = Rig::start(EntrySettings::default());
+    assert!(rig.entry.wait_idle(Duration::ZERO));
+    let (mut caller, submission) = rig.submit(COMPLETION, STREAMED);
+    assert!(!rig.entry.wait_idle(Duration::ZERO));
+    let side = rig.attempt(&submission);
+    side.set_finish(Finish::Stop);
+    rig.ports.relays.finish(submission.request, Reply::Whole);
+    assert!(rig.entry.wait_idle(LONG));
+    caller.event();
+    assert_eq!(caller.event(), "data: [DONE]");
+}
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -5,6 +5,9 @@
 //! `MayHaveRun`. The reasons are a closed set, listed in one table with their
 //! code and HTTP status.
 
+#[cfg(test)]
+mod tests;
+
 use std::fmt;
 
 use serde::Deserialize;
