--- a/bench/tests/whole_path.rs
+++ b/bench/tests/whole_path.rs
@@ -7,6 +7,7 @@
 
 use serde_json::Value;
 use serde_json::json;
+
 use skylarkhook::clock::Millis;
 use skylarkhook::config::Secret;
 use skylarkhook::config::Settings;
