Order the queue by deadline, refuse by importance, share by weight

The first queue was first come, first served, and found out at the deadline that an answer was late. Now: - a job no idle backend server finishes in time is refused on arrival; one that other work makes late is refused as soon as a plan of the queue shows it: the least important gives way (Moore's rule with importance), of equals one of the workspace with the most waiting tokens for its weight; - jobs go by the moment they are due to start, half-way to the last moment they can; from then on an engine is kept free for one that finds no room; - workspaces take turns by start-time fair queueing within 16,384 tokens a unit of weight; - queues are bounded: 4 M tokens a workspace and kind, 16 M in all; - a job waits in the queue rather than behind over 500 ms of prompts in an engine, and is not sent where its predicted finish is too late.

Found on the way, each by a test here: a learned speed that counted half processed prompts ahead as whole was up to 4 times too high, and jobs sent on it were late; speeds now come from the time since the last prompt was processed. A last start below time zero was taken for feasible.

--- /dev/null
+++ b/src/admission/pool.rs
@@ -0,0 +1,418 @@
+//! Pools: waiting jobs that compete for the same backend servers.
+//!
+//! Lanes that share a backend server belong to one pool. In a pool the
+//! workspaces take turns by weighted fair queueing over tokens (start-time fair
+//! queueing, Goyal, Vin and Cheng 1996): of those that are not ahead of the one
+//! furthest behind by more than a quantum, the job that is due first goes first.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::ops::Bound;
+
+use crate::admission::LOAD_RETRY;
+use crate::admission::entry::Entry;
+use crate::admission::entry::OrderKey;
+use crate::admission::plan;
+use crate::admission::plan::Item;
+use crate::capacity::Capacity;
+use crate::capacity::CreditUse;
+use crate::clock::Millis;
+use crate::fleet::BackendKey;
+use crate::fleet::Fleet;
+use crate::fleet::WorkspaceKey;
+use crate::id::RequestId;
+use crate::routing::Ask;
+use crate::routing::Full;
+use crate::routing::LaneKey;
+use crate::routing::Router;
+use crate::routing::View;
+use crate::verdict::Reason;
+use crate::verdict::Refusal;
+
+/// Tokens, for each unit of weight, by which a workspace may be ahead of the one
+/// furthest behind and still take its turn by deadline.
+pub const FAIR_QUANTUM_TOKENS: u64 = 16_384;
+/// Jobs without room that are looked at in one pass.
+const MISSES: usize = 16;
+/// Jobs of one workspace without room that are looked at in one pass.
+const WORKSPACE_MISSES: usize = 4;
+/// Part of a lane's backend servers that may be kept for jobs that are due.
+const KEPT_PART: usize = 4;
+/// Half-life of the highest rate of work that was seen while jobs waited.
+const RATE_HALF_LIFE: Millis = Millis::from_secs(5);
+/// How long jobs have to wait before any give way to others: credits may be on
+/// their way.
+const PLAN_DELAY: Millis = Millis(500);
+/// Period at which waiting jobs are planned anew.
+const PLAN_PERIOD: Millis = Millis(200);
+
+/// The waiting jobs of one workspace in a pool.
+#[derive(Debug)]
+struct Line {
+    entries: BTreeMap<OrderKey, Entry>,
+    /// Tokens that the workspace got, for each unit of weight.
+    virtual_time: f64,
+    weight: u32,
+}
+
+/// Waiting jobs that compete for the same backend servers.
+#[derive(Debug, Default)]
+pub struct Pool {
+    backends: Vec<BackendKey>,
+    lines: BTreeMap<WorkspaceKey, Line>,
+    len: usize,
+    work_ms: f64,
+    rate: f64,
+    measured: Millis,
+    since: Option<Millis>,
+    planned: Option<Millis>,
+    first_latest: Option<Millis>,
+}
+
+/// The last job of each workspace that was looked at in a pass, and how many
+/// were.
+type Cursor = BTreeMap<WorkspaceKey, (OrderKey, usize)>;
+
+/// Orders the workspaces' first jobs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Turn {
+    /// Virtual time of a workspace that is ahead by more than the quantum; 0 for
+    /// the others.
+    ahead_tokens: u64,
+    key: OrderKey,
+}
+
+impl Pool {
+    /// Returns how many jobs wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns how long the waiting jobs keep the backend servers busy.
+    #[must_use]
+    pub fn wait(&self) -> Millis {
+        if self.rate <= 0.0 {
+            return Millis::ZERO;
+        }
+        Millis((self.work_ms / self.rate) as u64)
+    }
+
+    /// Adds a job.
+    pub fn insert(&mut self, fleet: &Fleet, entry: Entry) {
+        let least = self.least_virtual_time();
+        let weight = fleet.workspace(entry.job.workspace).weight.max(1);
+        let line = self.lines.entry(entry.job.workspace).or_insert(Line {
+            entries: BTreeMap::new(),
+            virtual_time: 0.0,
+            weight,
+        });
+        line.weight = weight;
+        if line.entries.is_empty() {
+            line.virtual_time = line.virtual_time.max(least.unwrap_or(0.0));
+        }
+        self.len += 1;
+        self.work_ms += entry.work_ms;
+        self.planned = None;
+        let first = self.first_latest.unwrap_or(Millis::NEVER);
+        self.first_latest = Some(first.min(entry.latest));
+        line.entries.insert(entry.key(), entry);
+    }
+
+    /// Removes the jobs that can no longer finish in time.
+    pub fn expire(&mut self, now: Millis) -> Vec<(Entry, Refusal)> {
+        if self.first_latest.is_none_or(|first| now <= first) {
+            return Vec::new();
+        }
+        let late: Vec<(WorkspaceKey, OrderKey)> = self
+            .entries()
+            .filter(|entry| entry.latest < now)
+            .map(|entry| (entry.job.workspace, entry.key()))
+            .collect();
+        let refused = self.refuse(&late);
+        self.first_latest = self.entries().map(|entry| entry.latest).min();
+        refused
+    }
+
+    /// Sends off the jobs for which there is room, in order.
+    pub fn serve(
+        &mut self,
+        view: View<'_>,
+        router: &mut Router,
+        capacity: &mut Capacity,
+    ) -> Vec<(Entry, CreditUse)> {
+        let mut served = Vec::new();
+        let mut cursor = Cursor::new();
+        let mut kept = Vec::new();
+        let mut full: Vec<LaneKey> = Vec::new();
+        let mut misses = 0;
+        while misses < MISSES {
+            let Some((workspace, key)) = self.next(&cursor) else {
+                break;
+            };
+            let Some(entry) = self.lines[&workspace].entries.get(&key) else {
+                break;
+            };
+            let ask = Ask {
+                job: &entry.job,
+                lane: entry.lane,
+                pressed: view.now >= entry.due,
+                kept: &kept,
+            };
+            let result = match full.contains(&entry.lane) {
+                true => Err(Full::Streams),
+                false => router.place(view, capacity, ask),
+            };
+            match result {
+                Ok(held) => {
+                    if let Some(entry) = self.take(workspace, key) {
+                        self.charge(&entry);
+                        served.push((entry, held));
+                    }
+                }
+                Err(why) => {
+                    misses += 1;
+                    let seen = cursor.get(&workspace).map_or(0, |(_, seen)| *seen);
+                    cursor.insert(workspace, (key, seen + 1));
+                    if why == Full::Streams {
+                        full.push(entry.lane);
+                    } else if ask.pressed {
+                        let most = router.places(entry.lane).map_or(0, |lane| lane.len());
+                        let room = kept.len() < most.div_ceil(KEPT_PART);
+                        kept.extend(router.keep(view, capacity, ask).filter(|_| room));
+                    }
+                }
+            }
+        }
+        self.measure(view.now, router);
+        served
+    }
+
+    /// Removes the jobs that cannot all finish in time, the least important
+    /// first.
+    pub fn refuse_late(&mut self, now: Millis, router: &Router) -> Vec<(Entry, Refusal)> {
+        let waited = self.since.map_or(Millis::ZERO, |since| now.since(since));
+        let planned = self.planned.is_some_and(|at| now.since(at) < PLAN_PERIOD);
+        if planned || waited < PLAN_DELAY || self.rate <= 0.0 {
+            return Vec::new();
+        }
+        self.planned = Some(now);
+        let rate = self.rate * router.pace();
+        let mut items: Vec<Item> = self.lines.values().flat_map(Line::items).collect();
+        items.sort_by_key(|item| item.key);
+        let late = plan::late(now, &items, rate);
+        let late: Vec<_> = late.iter().map(|item| (item.workspace, item.key)).collect();
+        self.refuse(&late)
+    }
+
+    /// Returns all waiting jobs, by workspace and order.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.lines.values().flat_map(|line| line.entries.values())
+    }
+
+    /// Returns the next job to look at: of the workspaces within the quantum the
+    /// one that is due first, then of the others the one furthest behind.
+    fn next(&self, cursor: &Cursor) -> Option<(WorkspaceKey, OrderKey)> {
+        let bound = self.least_virtual_time()? + FAIR_QUANTUM_TOKENS as f64;
+        let mut best: Option<(Turn, WorkspaceKey)> = None;
+        for (&workspace, line) in &self.lines {
+            let after = match cursor.get(&workspace) {
+                Some((_, seen)) if *seen >= WORKSPACE_MISSES => continue,
+                Some((key, _)) => Bound::Excluded(*key),
+                None => Bound::Unbounded,
+            };
+            let Some((&key, _)) = line.entries.range((after, Bound::Unbounded)).next() else {
+                continue;
+            };
+            let ahead_tokens = match line.virtual_time > bound {
+                true => line.virtual_time as u64,
+                false => 0,
+            };
+            let turn = Turn { ahead_tokens, key };
+            if best.is_none_or(|(known, _)| turn < known) {
+                best = Some((turn, workspace));
+            }
+        }
+        best.map(|(turn, workspace)| (workspace, turn.key))
+    }
+
+    fn take(&mut self, workspace: WorkspaceKey, key: OrderKey) -> Option<Entry> {
+        let entry = self.lines.get_mut(&workspace)?.entries.remove(&key)?;
+        self.len -= 1;
+        self.work_ms = if self.len == 0 {
+            0.0
+        } else {
+            self.work_ms - entry.work_ms
+        };
+        Some(entry)
+    }
+
+    /// Charges a workspace for a job that is sent off.
+    fn charge(&mut self, entry: &Entry) {
+        if let Some(line) = self.lines.get_mut(&entry.job.workspace) {
+            line.virtual_time += entry.tokens as f64 / f64::from(line.weight);
+        }
+    }
+
+    fn refuse(&mut self, late: &[(WorkspaceKey, OrderKey)]) -> Vec<(Entry, Refusal)> {
+        let wait = self.wait().max(LOAD_RETRY);
+        let text = "the answer would be late: other requests come first";
+        let refusal = Refusal::not_run(Reason::DeadlineUnreachable, text).retry_after(wait);
+        let taken = late
+            .iter()
+            .filter_map(|&(workspace, key)| self.take(workspace, key));
+        taken.map(|entry| (entry, refusal.clone())).collect()
+    }
+
+    /// Measures how many whole backend servers are kept busy while jobs wait.
+    fn measure(&mut self, now: Millis, router: &Router) {
+        if self.len == 0 {
+            self.since = None;
+            self.rate = 0.0;
+            self.lines.clear();
+            return;
+        }
+        self.since.get_or_insert(now);
+        let loads = self.backends.iter().map(|&backend| router.load(backend));
+        let busy: f64 = loads.map(|load| load.part).sum();
+        let halvings = now.since(self.measured).0 as f64 / RATE_HALF_LIFE.0 as f64;
+        self.measured = now;
+        self.rate = busy + (self.rate - busy).max(0.0) * (-halvings).exp2();
+    }
+
+    /// Returns the virtual time of the waiting workspace furthest behind.
+    fn least_virtual_time(&self) -> Option<f64> {
+        let waiting = self.lines.values().filter(|line| !line.entries.is_empty());
+        waiting.map(|line| line.virtual_time).min_by(f64::total_cmp)
+    }
+}
+
+impl Line {
+    fn items(&self) -> impl Iterator<Item = Item> {
+        self.entries.values().map(|entry| Item {
+            key: entry.key(),
+            workspace: entry.job.workspace,
+            weight: self.weight,
+            importance: entry.job.importance,
+            latest: entry.latest,
+            tokens: entry.tokens,
+            work_ms: entry.work_ms,
+        })
+    }
+}
+
+/// All pools of an instance.
+#[derive(Debug, Default)]
+pub struct Pools {
+    pools: Vec<Pool>,
+    lanes: HashMap<LaneKey, usize>,
+    backends: HashMap<BackendKey, usize>,
+}
+
+impl Pools {
+    /// Returns all pools.
+    pub fn iter(&self) -> impl Iterator<Item = &Pool> {
+        self.pools.iter()
+    }
+
+    /// Returns all pools.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Pool> {
+        self.pools.iter_mut()
+    }
+
+    /// Returns how many jobs wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.pools.iter().map(Pool::len).sum()
+    }
+
+    /// Adds a job to the pool of its lane.
+    pub fn insert(&mut self, router: &Router, fleet: &Fleet, entry: Entry) {
+        let index = match self.lanes.get(&entry.lane) {
+            Some(&index) => index,
+            None => self.join(router, fleet, entry.lane),
+        };
+        self.pools[index].insert(fleet, entry);
+    }
+
+    /// Removes a job.
+    pub fn remove(&mut self, request: RequestId) -> Option<Entry> {
+        self.pools.iter_mut().find_map(|pool| {
+            let (workspace, key) = pool
+                .entries()
+                .find(|entry| entry.job.request == request)
+                .map(|entry| (entry.job.workspace, entry.key()))?;
+            pool.take(workspace, key)
+        })
+    }
+
+    /// Returns the least important job below an importance, of the workspace
+    /// with the most waiting tokens for its weight.
+    #[must_use]
+    pub fn least_important(&self, below: u8) -> Option<RequestId> {
+        let lines = self.pools.iter().flat_map(|pool| pool.lines.values());
+        lines
+            .flat_map(|line| {
+                let tokens: u64 = line.entries.values().map(|entry| entry.tokens).sum();
+                let pressure = tokens / u64::from(line.weight);
+                line.entries.values().map(move |entry| (entry, pressure))
+            })
+            .filter(|(entry, _)| entry.job.importance < below)
+            .min_by_key(|(entry, pressure)| {
+                let latest = std::cmp::Reverse(entry.key());
+                (entry.job.importance, std::cmp::Reverse(*pressure), latest)
+            })
+            .map(|(entry, _)| entry.job.request)
+    }
+
+    /// Removes all jobs, in order of arrival, and forgets the pools.
+    pub fn take(&mut self) -> Vec<Entry> {
+        let pools = std::mem::take(self).pools;
+        let lines = pools.into_iter().flat_map(|pool| pool.lines.into_values());
+        let mut entries: Vec<Entry> = lines.flat_map(|line| line.entries.into_values()).collect();
+        entries.sort_by_key(|entry| entry.sequence);
+        entries
+    }
+
+    /// Gives a lane its pool, and joins the pools that it connects.
+    fn join(&mut self, router: &Router, fleet: &Fleet, lane: LaneKey) -> usize {
+        let places = router
+            .places(lane)
+            .into_iter()
+            .flat_map(|lane| lane.places());
+        let backends: Vec<BackendKey> = places.map(|place| place.backend).collect();
+        let mut known: Vec<usize> = backends
+            .iter()
+            .filter_map(|backend| self.backends.get(backend).copied())
+            .collect();
+        known.sort_unstable();
+        known.dedup();
+        let index = known.first().copied().unwrap_or_else(|| {
+            self.pools.push(Pool::default());
+            self.pools.len() - 1
+        });
+        for &other in known.iter().skip(1) {
+            let joined = std::mem::take(&mut self.pools[other]);
+            self.lanes
+                .values_mut()
+                .filter(|pool| **pool == other)
+                .for_each(|pool| *pool = index);
+            self.backends
+                .values_mut()
+                .filter(|pool| **pool == other)
+                .for_each(|pool| *pool = index);
+            self.pools[index].backends.extend(joined.backends);
+            let lines = joined.lines.into_values();
+            for entry in lines.flat_map(|line| line.entries.into_values()) {
+                self.pools[index].insert(fleet, entry);
+            }
+        }
+        for backend in backends {
+            if self.backends.insert(backend, index).is_none() {
+                self.pools[index].backends.push(backend);
+            }
+        }
+        self.lanes.insert(lane, index);
+        index
+    }
+}
--- /dev/null
+++ b/src/admission/tests.rs
@@ -0,0 +1,372 @@
+use proptest::prelude::*;
+use rand::Rng;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::*;
+use crate::declaration::Limits;
+use crate::fixture::drive::Drive;
+use crate::fixture::drive::Fate;
+use crate::fixture::drive::Policy;
+use crate::fixture::drive::percentile;
+use crate::fixture::fleet;
+use crate::fixture::job;
+use crate::job::LengthClass;
+use crate::verdict::Verdict;
+
+const RULES: &str = "
+[[domain]]
+name = 'ikeja'
+[[limit]]
+warm = { streams = 16, memory_tokens = 600000, prefill_tokens = 600000 }
+cold = { streams = 2, memory_tokens = 100000, prefill_tokens = 100000 }
+[[kind]]
+name = 'summary'
+deadline_ms = 30000
+importance = 50
+[[kind]]
+name = 'dispute'
+deadline_ms = 600000
+importance = 90
+[[kind]]
+name = 'digest'
+deadline_ms = 60000
+importance = 10
+[[workspace]]
+name = 'small'
+token_sha256 = 'a'
+[[workspace]]
+name = 'large'
+token_sha256 = 'b'
+weight = 3
+[[route]]
+name = 'all'
+prefer = ['']
+";
+
+const NAMES: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
+
+fn engines(count: usize) -> Fleet {
+    let engines: Vec<_> = NAMES[..count]
+        .iter()
+        .map(|&name| (name, "ikeja", ""))
+        .collect();
+    fleet(RULES, &engines)
+}
+
+fn with_kind(fleet: &Fleet, kind: &str, at: u64, job: Job) -> Job {
+    let key = fleet.kind_key(kind).unwrap();
+    let rule = fleet.kind(key);
+    Job {
+        kind: key,
+        importance: rule.importance,
+        admitted: Millis(at),
+        deadline: Millis(at) + rule.deadline_ms,
+        ..job
+    }
+}
+
+/// Returns a random span with the mean `mean`, exponentially distributed.
+fn exponential(rng: &mut impl Rng, mean: f64) -> f64 {
+    -mean * (1.0 - rng.random::<f64>()).ln()
+}
+
+fn all_settled_in_time(fates: &[Fate]) {
+    for fate in fates {
+        let deadline = fate.job.deadline;
+        match (&fate.refused, fate.done) {
+            (Some((at, refusal)), None) => {
+                assert!(*at < deadline, "refused late");
+                assert_eq!(refusal.verdict, Verdict::NotRun);
+                assert!(fate.sent.is_none(), "not run, but sent");
+                let has_time = refusal.retry_after.is_some();
+                assert!(has_time || refusal.reason == Reason::PromptTooLong);
+            }
+            (None, Some(done)) => assert!(done <= deadline, "{fate:?} was late"),
+            other => panic!("{other:?} for {:?}", fate.job),
+        }
+    }
+}
+
+/// Twice the load that the engines bear, of which the most important kind is a
+/// third of what they bear.
+fn overload(fleet: &Fleet, span_ms: u64) -> Vec<Job> {
+    let mut rng = ChaCha8Rng::seed_from_u64(11);
+    let tokens = 110;
+    let capacity_per_ms = 4.0 * 16.0 / (f64::from(tokens) / 22.0 * 1000.0 + 260.0);
+    let mut at = 0.0;
+    let mut jobs = Vec::new();
+    while at < span_ms as f64 {
+        at += exponential(&mut rng, 1.0 / (2.0 * capacity_per_ms));
+        let kind = match rng.random_range(0..6) {
+            0 => "dispute",
+            1..4 => "summary",
+            _ => "digest",
+        };
+        let prompt = rng.random_range(500..1_500);
+        let job = job(fleet, jobs.len() as u64, prompt, tokens);
+        jobs.push(with_kind(fleet, kind, at as u64, job));
+    }
+    jobs
+}
+
+#[test]
+fn overload_costs_the_least_important_and_no_goodput() {
+    let fleet = engines(4);
+    let span = 240_000;
+    let jobs = overload(&fleet, span);
+    let drive = Drive::new(fleet, Policy::Skylarkhook).run(jobs);
+    all_settled_in_time(&drive.fates);
+    let dispute = drive.fleet.kind_key("dispute").unwrap();
+    let lost = drive.fates.iter().filter(|fate| fate.job.kind == dispute);
+    let lost = lost.filter(|fate| fate.done.is_none()).count();
+    let (from, to) = (30_000, span);
+    let busy: u64 = drive
+        .fates
+        .iter()
+        .filter_map(|fate| Some((fate.sent?.0.0.max(from), fate.done?.0.min(to))))
+        .map(|(start, end)| end.saturating_sub(start))
+        .sum();
+    let goodput = busy as f64 / ((to - from) * 4 * 16) as f64;
+    println!("goodput {goodput:.4} of the streams, most important lost: {lost}");
+    assert_eq!(lost, 0);
+    assert!(goodput >= 0.95, "{goodput}");
+    assert_eq!(drive.excess(), Limits::default());
+}
+
+#[test]
+fn workspaces_get_their_shares_whatever_they_ask_for() {
+    let fleet = engines(2);
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    let large = fleet.workspace_key("large").unwrap();
+    let mut at = 0.0;
+    let mut jobs = Vec::new();
+    while at < 200_000.0 {
+        at += exponential(&mut rng, 25.0);
+        let job = job(&fleet, jobs.len() as u64, 1_000, 110);
+        let mut job = with_kind(&fleet, "summary", at as u64, job);
+        if rng.random_range(0..33) > 0 {
+            job.workspace = large;
+        }
+        jobs.push(job);
+    }
+    let small = fleet.workspace_key("small").unwrap();
+    let drive = Drive::new(fleet, Policy::Skylarkhook).run(jobs);
+    all_settled_in_time(&drive.fates);
+    let served = |key| {
+        let fates = drive.fates.iter().filter(|fate| fate.job.workspace == key);
+        let (all, done): (Vec<_>, Vec<_>) = fates.map(|fate| ((), fate.done)).unzip();
+        (all.len(), done.iter().flatten().count())
+    };
+    let ((small_all, small_done), (_, large_done)) = (served(small), served(large));
+    println!("small {small_done} of {small_all}, large {large_done}");
+    // The small workspace asks for less than its quarter and loses next to
+    // nothing; the large one takes what is left.
+    assert!(small_done * 100 >= small_all * 95);
+}
+
+#[test]
+fn weights_divide_what_two_greedy_workspaces_get() {
+    let fleet = engines(2);
+    let large = fleet.workspace_key("large").unwrap();
+    let jobs: Vec<Job> = (0..8_000)
+        .map(|index| {
+            let job = job(&fleet, index, 1_000, 110);
+            let mut job = with_kind(&fleet, "summary", index * 25, job);
+            if index % 2 == 0 {
+                job.workspace = large;
+            }
+            job
+        })
+        .collect();
+    let drive = Drive::new(fleet, Policy::Skylarkhook).run(jobs);
+    let done = |of_large: bool| {
+        let fates = drive.fates.iter();
+        let fates = fates.filter(|fate| (fate.job.workspace == large) == of_large);
+        fates.filter(|fate| fate.done.is_some()).count() as f64
+    };
+    let ratio = done(true) / done(false);
+    println!("served by weight 3 to 1: {ratio:.3}");
+    assert!((2.7..3.3).contains(&ratio), "{ratio}");
+}
+
+#[test]
+fn a_large_prompt_is_not_starved_by_small_ones() {
+    let fleet = engines(1);
+    let mut jobs: Vec<Job> = (0..3_000)
+        .map(|index| {
+            let job = job(&fleet, index, 14_000, 22);
+            with_kind(&fleet, "digest", index * 50, job)
+        })
+        .collect();
+    let large = job(&fleet, 9_999, 590_000, 22);
+    let large = with_kind(&fleet, "dispute", 5_000, large);
+    jobs.push(Job {
+        importance: 10,
+        ..large
+    });
+    let drive = Drive::new(fleet, Policy::Skylarkhook).run(jobs);
+    all_settled_in_time(&drive.fates);
+    let large = drive.fates.last().unwrap();
+    assert!(large.done.is_some(), "{:?}", large.refused);
+}
+
+#[test]
+fn arrival_that_no_idle_engine_finishes_is_refused_at_once() {
+    let fleet = engines(2);
+    let slow = job(&fleet, 1, 1_000, 5_000);
+    let huge = job(&fleet, 2, 700_000, 100);
+    let huge = with_kind(&fleet, "dispute", 0, huge);
+    let drive = Drive::new(fleet, Policy::Skylarkhook).run(vec![slow, huge]);
+    let reason = |index: usize| {
+        let (at, refusal) = drive.fates[index].refused.clone().unwrap();
+        assert_eq!(at, Millis(0));
+        refusal.reason
+    };
+    assert_eq!(reason(0), Reason::DeadlineUnreachable);
+    assert_eq!(reason(1), Reason::PromptTooLong);
+}
+
+#[test]
+fn full_queue_gives_way_to_the_more_important() {
+    let fleet = engines(1);
+    let mut jobs = Vec::new();
+    for index in 0..120 {
+        let job = job(&fleet, index, 300_000, 10);
+        let mut job = with_kind(&fleet, "digest", 0, job);
+        job.deadline = Millis::from_secs(100_000);
+        job.workspace = fleet
+            .workspace_key(["small", "large"][index as usize % 2])
+            .unwrap();
+        let kind = ["summary", "dispute", "digest"][index as usize % 3];
+        job.kind = fleet.kind_key(kind).unwrap();
+        jobs.push(job);
+    }
+    let important = job(&fleet, 999, 300_000, 10);
+    let important = with_kind(&fleet, "dispute", 1, important);
+    jobs.push(important);
+    let drive = Drive::new(fleet, Policy::Skylarkhook).run(jobs);
+    all_settled_in_time(&drive.fates);
+    assert!(drive.fates.last().unwrap().done.is_some());
+    let full = |fate: &&Fate| {
+        let reason = fate.refused.as_ref().map(|(_, refusal)| refusal.reason);
+        reason == Some(Reason::QueueFull)
+    };
+    assert!(drive.fates.iter().filter(full).count() > 0);
+}
+
+#[test]
+fn nobody_in_service_is_said_after_a_grace() {
+    let mut fleet = engines(1);
+    let local = fleet.domain_key("ikeja").unwrap();
+    let mut router = Router::new(local);
+    let mut queue = Queue::default();
+    let mut capacity = Capacity::default();
+    let mut conditions = Conditions::default();
+    let mut fixture = crate::fixture::Fixture::new();
+    let job = job(&fleet, 1, 1_000, 10);
+    queue
+        .admit(&mut fixture.cx(), &fleet, &mut router, job)
+        .unwrap();
+    let listings = fleet.listings().to_vec();
+    fleet.list(Vec::new());
+    conditions.fleet_changed(&mut fixture.cx(), &fleet);
+    let mut dispatch = |fixture: &mut crate::fixture::Fixture, queue: &mut Queue, fleet: &Fleet| {
+        queue.dispatch(
+            &mut fixture.cx(),
+            fleet,
+            &mut router,
+            &mut capacity,
+            &conditions,
+        )
+    };
+    assert!(dispatch(&mut fixture, &mut queue, &fleet).is_empty());
+    assert_eq!(queue.len(), 1);
+    let mut back = Fleet::default();
+    back.declare(fleet.declaration());
+    back.list(listings);
+    fixture.now = STRANDED;
+    let decisions = dispatch(&mut fixture, &mut queue, &fleet);
+    assert!(matches!(
+        &decisions[..],
+        [Decision::Refuse(_, refusal)]
+            if refusal.reason == Reason::NoBackend && refusal.verdict == Verdict::NotRun
+    ));
+    assert!(queue.is_empty() && queue.tokens() == 0);
+}
+
+/// Short prompts of one seed, and with `long` the same ones with long prompts
+/// beside them.
+fn mixed(fleet: &Fleet, long: bool) -> Vec<Job> {
+    let mut rng = ChaCha8Rng::seed_from_u64(23);
+    let mut jobs = Vec::new();
+    let mut at = 0.0;
+    while at < 300_000.0 {
+        at += exponential(&mut rng, 100.0);
+        let prompt = rng.random_range(1_000..4_000);
+        let job = job(fleet, jobs.len() as u64, prompt, 60);
+        jobs.push(with_kind(fleet, "summary", at as u64, job));
+    }
+    let mut rng = ChaCha8Rng::seed_from_u64(29);
+    let mut at = 0.0;
+    while long && at < 300_000.0 {
+        at += exponential(&mut rng, 8_000.0);
+        let prompt = rng.random_range(20_000..200_000);
+        let job = job(fleet, 1_000_000 + jobs.len() as u64, prompt, 200);
+        jobs.push(with_kind(fleet, "dispute", at as u64, job));
+    }
+    jobs
+}
+
+#[test]
+fn short_requests_hardly_feel_long_ones() {
+    let p95 = |policy, long| {
+        let fleet = engines(8);
+        let jobs = mixed(&fleet, long);
+        let drive = Drive::new(fleet, policy).run(jobs);
+        let short = |fate: &&Fate| fate.job.length() == LengthClass::Short;
+        let served = drive.fates.iter().filter(short);
+        let refused = drive
+            .fates
+            .iter()
+            .filter(|fate| fate.refused.is_some())
+            .count();
+        let spans: Vec<Millis> = served.filter_map(|fate| fate.first_token).collect();
+        let of = |percent| percentile(spans.iter().copied(), percent);
+        let (p50, p95, p99) = (of(50), of(95), of(99));
+        println!("{policy:?} long {long}: p50 {p50} p95 {p95} p99 {p99} ms, refused {refused}");
+        p95 as f64
+    };
+    let slowdown = |policy| p95(policy, true) / p95(policy, false);
+    let ours = slowdown(Policy::Skylarkhook);
+    let round_robin = slowdown(Policy::RoundRobin);
+    let least_outstanding = slowdown(Policy::LeastOutstanding);
+    println!("slowdown {ours:.3}, {round_robin:.3}, {least_outstanding:.3}");
+    assert!(ours <= 1.2, "{ours}");
+    assert!(ours < round_robin && ours < least_outstanding);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    /// Each job gets one answer within its deadline, and no engine more than its
+    /// limits.
+    #[test]
+    fn random_load_is_settled_in_time_within_limits(
+        arrivals in prop::collection::vec((0..300u64, 1..500_000u64, 1..300u32, 0..3usize), 1..150),
+        count in 1..4usize,
+    ) {
+        let fleet = engines(count);
+        let mut at = 0;
+        let jobs = arrivals.into_iter().enumerate().map(|(index, (gap, prompt, tokens, kind))| {
+            at += gap;
+            let job = job(&fleet, index as u64, prompt, tokens);
+            with_kind(&fleet, ["summary", "dispute", "digest"][kind], at, job)
+        });
+        let jobs = jobs.collect();
+        let drive = Drive::new(fleet, Policy::Skylarkhook).run(jobs);
+        all_settled_in_time(&drive.fates);
+        prop_assert_eq!(drive.excess(), Limits::default());
+    }
+}
--- a/src/fixture.rs
+++ b/src/fixture.rs
@@ -1,6 +1,8 @@
 //! What tests of the scheduling duties share: a context on a virtual clock and
 //! a small fleet.
 
+pub mod drive;
+
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -37,12 +37,15 @@
     PeerBytesSent = "peer_bytes_sent", "Bytes of frames sent to other instances, before HTTP/2 framing";
     PeerFramesDropped = "peer_frames_dropped", "Frames from other instances that were malformed or not authentic";
     ConditionChanges = "condition_changes", "Changes of a backend server's condition as this instance sees it";
+    Evicted = "requests_evicted", "Admitted requests refused in the queue, before any attempt or between two";
     StaleFrames = "stale_frames", "Answer frames dropped as their attempt or offset did not match";
 }
 
 metrics! { GAUGES, Level:
     RequestsOpen = "requests_open", "Requests admitted and not yet answered";
     Revision = "declaration_revision", "Revision of the declarations in force";
+    Waiting = "requests_waiting", "Requests in the queue";
+    WaitingTokens = "tokens_waiting", "Tokens of the requests in the queue, output tokens weighted by 8";
     BackendsWarm = "backends_warm", "Backend servers that this instance counts as warm";
     BackendsCold = "backends_cold", "Backend servers that this instance counts as cold or warming up";
     BackendsSilent = "backends_silent", "Backend servers that this instance counts as silent";
--- a/src/prediction.rs
+++ b/src/prediction.rs
@@ -9,10 +9,12 @@
 use la_arena::ArenaMap;
 
 use crate::clock::Millis;
+use crate::declaration::Limits;
 use crate::declaration::Target;
 use crate::fleet::Backend;
 use crate::fleet::BackendKey;
 use crate::fleet::Fleet;
+use crate::job::Cost;
 use crate::job::Job;
 
 /// Prompt tokens a second where no label says otherwise.
@@ -71,6 +73,26 @@
     pub fn is_in_time(&self, took: Millis) -> bool {
         took <= Millis(self.whole.0 * IN_TIME_PERCENT / 100) + LATE_GRACE
     }
+
+    /// Returns what a request takes of a backend server with these warm limits,
+    /// in milliseconds of a whole one: the time in which it holds its stream and
+    /// memory times the larger part of a limit that it holds, and at least the
+    /// time in which its prompt is processed, as prompts are processed one after
+    /// the other.
+    #[must_use]
+    pub fn work_ms(&self, limits: Limits, cost: Cost) -> f64 {
+        let streams = 1.0 / f64::from(limits.streams.max(1));
+        let memory = match limits.memory_tokens {
+            0 => 0.0,
+            limit => cost.memory_tokens as f64 / limit as f64,
+        };
+        let held = self.whole.0 as f64 * streams.max(memory);
+        let prefill = match cost.prefill_tokens {
+            0 => 0.0,
+            _ => self.first_token.0 as f64,
+        };
+        held.max(prefill).max(1.0)
+    }
 }
 
 /// Learned speeds of all backend servers.
@@ -106,8 +128,7 @@
         speeds.predict(job, ahead_tokens, cached_tokens)
     }
 
-    /// Learns from a first token that took `took` while `tokens` prompt tokens,
-    /// those ahead included, were processed.
+    /// Learns from a prompt of `tokens` tokens that was processed in `took`.
     pub fn observe_first_token(
         &mut self,
         fleet: &Fleet,
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -51,10 +51,16 @@
 /// Prompt tokens of long prompts in flight on one engine from this instance; a
 /// longer prompt goes where there is none.
 pub const LONG_PREFILL_TOKENS: u64 = 131_072;
+/// Work of prompts that may wait in an engine before the one that is sent.
+pub const MOST_AHEAD: Millis = Millis(500);
 /// An engine that a prefix prefers is passed over when its load, in parts of
 /// its tier's mean, is above this (bounded loads after Mirrokni, Thorup and
 /// Zadimoghaddam 2018, "Consistent Hashing with Bounded Loads").
 pub const AFFINITY_LOAD_BOUND: f64 = 1.25;
+/// Weight of a new sample in the average of the pace.
+const PACE_LEARNING: f64 = 0.02;
+/// A sample of the pace counts as at most this, and at least as its inverse.
+const PACE_BOUND: f64 = 4.0;
 
 /// What the choice of a backend server rests on.
 #[derive(Debug, Clone, Copy)]
@@ -81,12 +87,22 @@
     pub kept: &'a [BackendKey],
 }
 
+/// Why there is no room for a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Full {
+    /// No backend server of the lane has a stream free.
+    Streams,
+    /// Some have, but not for this job.
+    Job,
+}
+
 /// Applies the operators' routes on one instance.
 #[derive(Debug)]
 pub struct Router {
     local: DomainKey,
     lanes: Lanes,
     loads: Loads,
+    pace: f64,
     /// Learned speeds.
     pub predictor: Predictor,
     /// Where prefixes are cached.
@@ -103,6 +119,7 @@
             local,
             lanes: Lanes::default(),
             loads: Loads::default(),
+            pace: 1.0,
             predictor: Predictor::default(),
             affinity: Affinity::default(),
             split: Split::default(),
@@ -135,27 +152,74 @@
 
     /// Takes a credit of the best backend server that has room for the job, and
     /// notes the attempt as in flight.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no room.
     pub fn place(
         &mut self,
         view: View<'_>,
         capacity: &mut Capacity,
         ask: Ask<'_>,
-    ) -> Option<CreditUse> {
-        let tiers = self.lanes.get(ask.lane)?.tiers.len();
+    ) -> Result<CreditUse, Full> {
+        let tiers = self.lanes.get(ask.lane).map_or(0, |lane| lane.tiers.len());
+        let cost = ask.job.cost(0);
+        let mut full = Full::Streams;
         for tier in 0..tiers {
-            let ranked = self.rank_tier(view, capacity, ask, tier);
-            let cost = ask.job.cost(0);
-            let held = ranked.into_iter().find_map(|(backend, flight)| {
-                let held = capacity.take(view.now, view.fleet, view.conditions, backend, cost)?;
-                Some((held, flight))
-            });
-            if let Some((held, flight)) = held {
-                self.affinity.sent(view.now, flight.prefix, flight.backend);
-                self.loads.start(ask.job.request, flight);
-                return Some(held);
+            let (ranked, why) = self.rank_tier(view, capacity, ask, tier);
+            for (backend, flight) in ranked {
+                let taken = capacity.take(view.now, view.fleet, view.conditions, backend, cost);
+                if let Some(held) = taken {
+                    self.affinity.sent(view.now, flight.prefix, backend);
+                    self.loads.start(ask.job.request, flight);
+                    return Ok(held);
+                }
+            }
+            if why == Full::Job {
+                full = Full::Job;
             }
         }
-        None
+        Err(full)
+    }
+
+    /// Returns the backend server that should be kept free for a job that is due
+    /// and found no room: the one with the most room that can hold it.
+    #[must_use]
+    pub fn keep(&self, view: View<'_>, capacity: &Capacity, ask: Ask<'_>) -> Option<BackendKey> {
+        let lane = self.lanes.get(ask.lane)?;
+        let cost = ask.job.cost(0);
+        lane.places()
+            .filter(|place| {
+                let limits = view.conditions.limits(view.fleet, place.backend);
+                limits.streams > 0
+                    && Lane::bears(limits, cost)
+                    && !ask.kept.contains(&place.backend)
+                    && !ask.job.excluded.contains(&place.backend)
+            })
+            .max_by_key(|place| {
+                let key = place.backend;
+                let free = capacity.available(view.now, view.fleet, view.conditions, key);
+                (
+                    free.memory_tokens,
+                    free.prefill_tokens,
+                    free.streams,
+                    place.hash,
+                )
+            })
+            .map(|place| place.backend)
+    }
+
+    /// Notes the prompt tokens that a request asks for.
+    pub fn observe_demand(&mut self, now: Millis, job: &Job) {
+        let tokens = job.cost(0).prefill_tokens;
+        self.split.observe(now, job.length(), tokens);
+    }
+
+    /// Returns how many times faster requests end than predicted; a moving
+    /// average.
+    #[must_use]
+    pub fn pace(&self) -> f64 {
+        self.pace
     }
 
     /// Notes the first token of an attempt. Returns the backend server and a
@@ -166,10 +230,10 @@
         fleet: &Fleet,
         request: RequestId,
     ) -> Option<(BackendKey, Sign)> {
-        let flight = self.loads.first_token(now, request)?;
+        let (flight, processing) = self.loads.first_token(now, request)?;
         let took = now.since(flight.sent);
         if self.is_engine(fleet, flight.backend) {
-            self.learn_prefill(fleet, &flight, took);
+            self.learn_prefill(fleet, &flight, processing);
         }
         let late = flight.predicted.is_late(took);
         late.then_some((flight.backend, Sign::Late))
@@ -198,7 +262,10 @@
         let (backend, model) = (flight.backend, &flight.model);
         self.predictor
             .observe_whole(fleet, backend, model, tokens, took);
-        flight.predicted.is_in_time(now.since(flight.sent))
+        let took = now.since(flight.sent);
+        let pace = flight.predicted.whole.0 as f64 / took.0.max(1) as f64;
+        self.pace += PACE_LEARNING * (pace.clamp(1.0 / PACE_BOUND, PACE_BOUND) - self.pace);
+        flight.predicted.is_in_time(took)
     }
 
     /// Takes over a load report.
@@ -243,20 +310,19 @@
         Some(speeds.predict(job, 0, 0))
     }
 
-    /// Returns a tier's backend servers with room for the job, best first.
+    /// Returns a tier's backend servers with room for the job, best first, and
+    /// why the others have none.
     fn rank_tier(
         &self,
         view: View<'_>,
         capacity: &Capacity,
         ask: Ask<'_>,
         tier: usize,
-    ) -> Vec<(BackendKey, Flight)> {
-        let Some(places) = self
-            .lanes
-            .get(ask.lane)
-            .and_then(|lane| lane.tiers.get(tier))
-        else {
-            return Vec::new();
+    ) -> (Vec<(BackendKey, Flight)>, Full) {
+        let mut full = Full::Streams;
+        let lane = self.lanes.get(ask.lane);
+        let Some(places) = lane.and_then(|lane| lane.tiers.get(tier)) else {
+            return (Vec::new(), full);
         };
         let preferred = self.preferred(view.now, ask.job, places);
         let cost = ask.job.cost(0);
@@ -264,6 +330,10 @@
         for (index, place) in places.iter().enumerate() {
             let key = place.backend;
             let free = capacity.available(view.now, view.fleet, view.conditions, key);
+            if free.streams == 0 {
+                continue;
+            }
+            full = Full::Job;
             let open = fits(free, cost)
                 && !ask.job.excluded.contains(&key)
                 && !ask.kept.contains(&key)
@@ -273,6 +343,10 @@
                 continue;
             }
             let flight = self.flight(view, key, ask.job);
+            let in_time = view.now + flight.predicted.whole <= ask.job.deadline;
+            if !in_time || !(ask.pressed || self.is_ready(view.fleet, &flight)) {
+                continue;
+            }
             let silent = view.conditions.condition(view.fleet, key) == Condition::Silent;
             let rank = (
                 silent,
@@ -284,10 +358,8 @@
             ranked.push((rank, key, flight));
         }
         ranked.sort_by_key(|(rank, ..)| *rank);
-        ranked
-            .into_iter()
-            .map(|(_, key, flight)| (key, flight))
-            .collect()
+        let ranked = ranked.into_iter().map(|(_, key, flight)| (key, flight));
+        (ranked.collect(), full)
     }
 
     /// Returns which places keep the job's prefix and are not loaded far above
@@ -331,6 +403,14 @@
         takes_long && (long_tokens == 0 || long_tokens + tokens <= LONG_PREFILL_TOKENS)
     }
 
+    /// Returns whether an engine would begin with the prompt soon: until then
+    /// the job is better kept in the queue, where the order can change.
+    fn is_ready(&self, fleet: &Fleet, flight: &Flight) -> bool {
+        let speeds = self.predictor.speeds(fleet, flight.backend, &flight.model);
+        let ahead_s = flight.ahead_tokens as f64 / speeds.prefill_tokens_per_s;
+        ahead_s <= MOST_AHEAD.as_secs_f64()
+    }
+
     /// Returns whether nobody has to run alone, or does.
     fn bears_alone(&self, now: Millis, backend: BackendKey, job: &Job) -> bool {
         let load = self.loads.get(backend);
@@ -339,11 +419,16 @@
 
     /// Returns the attempt that a job would be on a backend server.
     fn flight(&self, view: View<'_>, backend: BackendKey, job: &Job) -> Flight {
-        let ahead_tokens = self.loads.prefill_ahead(view.now, backend);
+        let speeds = self.predictor.speeds(view.fleet, backend, &job.model);
+        let tokens_per_s = speeds.prefill_tokens_per_s;
+        let ahead_tokens = self.loads.prefill_ahead(view.now, backend, tokens_per_s);
         let cached_tokens = self.affinity.cached_tokens(view.now, job.prefix, backend);
-        let predictor = &self.predictor;
-        let predicted = predictor.predict(view.fleet, backend, job, ahead_tokens, cached_tokens);
+        let predicted = speeds.predict(job, ahead_tokens, cached_tokens);
+        let warm = view.fleet.backend(backend).limit.as_ref();
+        let warm = warm.map(|rule| rule.warm).unwrap_or_default();
+        let work_ms = predicted.work_ms(warm, job.cost(cached_tokens));
         Flight {
+            part: work_ms / (predicted.whole.0.max(1) as f64),
             ahead_tokens,
             cached_tokens,
             predicted,
@@ -351,20 +436,18 @@
         }
     }
 
-    /// Learns from a first token: the speed where no cached prefix is expected,
-    /// else how much was cached.
+    /// Learns from a prompt that was processed in `took`: the speed where no
+    /// cached prefix is expected, else how much was cached.
     fn learn_prefill(&mut self, fleet: &Fleet, flight: &Flight, took: Millis) {
-        let tokens = flight.cost.prefill_tokens + flight.ahead_tokens;
+        let tokens = flight.cost.prefill_tokens;
+        let (backend, model) = (flight.backend, &flight.model);
         if flight.cached_tokens == 0 {
-            let (backend, model) = (flight.backend, &flight.model);
-            self.predictor
-                .observe_first_token(fleet, backend, model, tokens, took);
-            return;
+            let predictor = &mut self.predictor;
+            return predictor.observe_first_token(fleet, backend, model, tokens, took);
         }
-        let speeds = self.predictor.speeds(fleet, flight.backend, &flight.model);
+        let speeds = self.predictor.speeds(fleet, backend, model);
         let processed = (took.as_secs_f64() * speeds.prefill_tokens_per_s) as u64;
         let cached = tokens.saturating_sub(processed);
-        let cached = cached.min(flight.cost.prefill_tokens);
         self.affinity.observe(flight.prefix, cached);
     }
 
--- a/src/routing/explain.rs
+++ b/src/routing/explain.rs
@@ -126,7 +126,7 @@
         };
         let tiers = self.places(lane).map_or(0, |lane| lane.tiers.len());
         (0..tiers)
-            .flat_map(|tier| self.rank_tier(view, capacity, ask, tier))
+            .flat_map(|tier| self.rank_tier(view, capacity, ask, tier).0)
             .map(|(key, flight)| (key, flight.predicted.first_token))
             .collect()
     }
--- a/src/routing/lane.rs
+++ b/src/routing/lane.rs
@@ -53,10 +53,23 @@
         self.tiers.iter().flatten()
     }
 
+    /// Returns how many backend servers the lane has.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.tiers.iter().map(Vec::len).sum()
+    }
+
     /// Returns whether the lane has no backend server.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.tiers.iter().all(Vec::is_empty)
+        self.len() == 0
+    }
+
+    /// Returns whether all backend servers of the lane are excluded for the job.
+    #[must_use]
+    pub fn is_exhausted(&self, job: &Job) -> bool {
+        self.places()
+            .all(|place| job.excluded.contains(&place.backend))
     }
 
     /// Returns whether one warm backend server can hold the job.
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -5,6 +5,7 @@
 //! its figures, so that a burst is not sent where the last report saw room.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 
 use la_arena::ArenaMap;
 
@@ -45,6 +46,8 @@
     pub cached_tokens: u64,
     /// Predicted times from the sending on.
     pub predicted: Prediction,
+    /// The part of the backend server that it keeps busy.
+    pub part: f64,
     /// When its first token came.
     pub first_token: Option<Millis>,
 }
@@ -65,11 +68,20 @@
             ahead_tokens: 0,
             cached_tokens: 0,
             predicted: Prediction::default(),
+            part: 0.0,
             first_token: None,
         }
     }
 }
 
+/// A prompt that is not processed yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Prefill {
+    request: RequestId,
+    tokens: u64,
+    sent: Millis,
+}
+
 /// What is in flight on one backend server.
 #[derive(Debug, Clone, Default)]
 pub struct Load {
@@ -79,8 +91,13 @@
     pub prefill_tokens: u64,
     /// Those of them in prompts that are not short.
     pub long_prefill_tokens: u64,
+    /// The part of the backend server that this instance's attempts keep busy.
+    pub part: f64,
     /// Whether one of the attempts has to run alone.
     pub alone: bool,
+    /// When the last prompt of this instance was processed.
+    last_prefilled: Millis,
+    prefills: VecDeque<Prefill>,
     reported_prefill_tokens: u64,
     reported_streams: u32,
     prefill_tokens_since: u64,
@@ -105,32 +122,47 @@
         if flight.length != LengthClass::Short {
             load.long_prefill_tokens += flight.cost.prefill_tokens;
         }
+        load.prefills.push_back(Prefill {
+            request,
+            tokens: flight.cost.prefill_tokens,
+            sent: flight.sent,
+        });
         load.prefill_tokens_since += flight.cost.prefill_tokens;
         load.streams_since += 1;
+        load.part += flight.part;
         load.alone |= flight.alone;
         self.flights.insert(request, flight);
     }
 
-    /// Notes the first token of an attempt and returns the attempt.
-    pub fn first_token(&mut self, now: Millis, request: RequestId) -> Option<Flight> {
+    /// Notes the first token of an attempt. Returns the attempt and how long its
+    /// prompt was processed, were prompts processed in the order of sending.
+    pub fn first_token(&mut self, now: Millis, request: RequestId) -> Option<(Flight, Millis)> {
         let flight = self.flights.get_mut(&request)?;
         if flight.first_token.is_some() {
             return None;
         }
         flight.first_token = Some(now);
         let flight = flight.clone();
-        self.prefilled(&flight);
-        Some(flight)
+        let load = self.loads.entry(flight.backend).or_default();
+        let begun = flight.sent.max(load.last_prefilled);
+        load.last_prefilled = now;
+        self.prefilled(request, &flight);
+        Some((flight, now.since(begun)))
     }
 
     /// Removes an attempt and returns it.
     pub fn end(&mut self, request: RequestId) -> Option<Flight> {
         let flight = self.flights.remove(&request)?;
         if flight.first_token.is_none() {
-            self.prefilled(&flight);
+            self.prefilled(request, &flight);
         }
         let load = self.loads.entry(flight.backend).or_default();
         load.streams = load.streams.saturating_sub(1);
+        load.part = if load.streams == 0 {
+            0.0
+        } else {
+            load.part - flight.part
+        };
         load.alone &= !flight.alone;
         Some(flight)
     }
@@ -159,15 +191,17 @@
     }
 
     /// Returns the prompt tokens that a backend server has still to process:
-    /// the newest report's and those sent since, and at least this instance's.
+    /// the newest report's and those sent since, and at least this instance's
+    /// less what it has processed of the first at `tokens_per_s`.
     #[must_use]
-    pub fn prefill_ahead(&self, now: Millis, backend: BackendKey) -> u64 {
-        match self.loads.get(backend) {
-            Some(load) if load.is_fresh(now) => load
-                .prefill_tokens
-                .max(load.reported_prefill_tokens + load.prefill_tokens_since),
-            Some(load) => load.prefill_tokens,
-            None => 0,
+    pub fn prefill_ahead(&self, now: Millis, backend: BackendKey, tokens_per_s: f64) -> u64 {
+        let Some(load) = self.loads.get(backend) else {
+            return 0;
+        };
+        let own = load.prefill_tokens - load.processed(now, tokens_per_s);
+        match load.is_fresh(now) {
+            true => own.max(load.reported_prefill_tokens + load.prefill_tokens_since),
+            false => own,
         }
     }
 
@@ -192,8 +226,9 @@
             .map(|(&request, flight)| (request, flight))
     }
 
-    fn prefilled(&mut self, flight: &Flight) {
+    fn prefilled(&mut self, request: RequestId, flight: &Flight) {
         let load = self.loads.entry(flight.backend).or_default();
+        load.prefills.retain(|prefill| prefill.request != request);
         let tokens = flight.cost.prefill_tokens;
         load.prefill_tokens = load.prefill_tokens.saturating_sub(tokens);
         if load.taken.is_some_and(|taken| flight.sent >= taken) {
@@ -206,6 +241,16 @@
 }
 
 impl Load {
+    /// Returns how much of this instance's first prompt is processed.
+    fn processed(&self, now: Millis, tokens_per_s: f64) -> u64 {
+        let Some(first) = self.prefills.front() else {
+            return 0;
+        };
+        let span = now.since(first.sent.max(self.last_prefilled));
+        let tokens = (span.as_secs_f64() * tokens_per_s) as u64;
+        tokens.min(first.tokens).min(self.prefill_tokens)
+    }
+
     /// Returns whether there is a report that is not too old.
     fn is_fresh(&self, now: Millis) -> bool {
         self.taken
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -79,7 +79,7 @@
             pressed: false,
             kept: &[],
         };
-        let held = self.router.place(view, &mut self.capacity, ask)?;
+        let held = self.router.place(view, &mut self.capacity, ask).ok()?;
         Some(self.fleet.backend(held.backend).name.clone())
     }
 }
@@ -149,7 +149,7 @@
     let job = job(&world.fleet, 1, 5_000, 10);
     let flight = Flight::new(Millis(1_000), key, &job);
     world.router.loads.start(RequestId(1), flight);
-    let ahead = |router: &Router, now| router.loads.prefill_ahead(Millis(now), key);
+    let ahead = |router: &Router, now| router.loads.prefill_ahead(Millis(now), key, 0.0);
     world.router.reported(Millis(1_200), key, &report);
     assert_eq!(
         ahead(&world.router, 1_200),
