--- a/src/backend.rs
+++ b/src/backend.rs
@@ -3,17 +3,25 @@
 //!
 //! Tokens do not pass through the control thread: the traffic thread relays
 //! them to the caller and tells the core about the first token, progress at
-//! intervals, and the end. The adapters are in `backend/http.rs`.
+//! intervals, and the end. [`traffic`] runs the calls, [`http`] is the adapter.
+
+pub mod http;
+mod pool;
+pub mod traffic;
+
+pub use pool::Pool;
 
 use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde_with::serde_as;
 
 use crate::clock::Millis;
 use crate::id::AttemptId;
 use crate::id::Boot;
 use crate::id::Epoch;
+use crate::id::HexDigits;
 use crate::id::RequestId;
 use crate::verdict::Verdict;
 
@@ -97,6 +105,9 @@
     FirstToken,
     /// The relay has passed on all tokens before `offset`.
     Progress { offset: u32 },
+    /// A plain service's whole answer, which the relay has too; comes before
+    /// the end.
+    Answer { status: u16, body: Vec<u8> },
     /// The attempt is over.
     Ended(AttemptEnd),
 }
@@ -119,7 +130,8 @@
 }
 
 /// Why a backend server refused a call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Rejection {
     /// The epoch is older than one it has seen.
@@ -135,9 +147,12 @@
 }
 
 /// A stream that an engine runs, as its load report shows it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RunningStream {
     /// The request it serves.
+    #[serde_as(as = "HexDigits")]
     pub request: RequestId,
     /// The instance that started it.
     pub owner: String,
@@ -146,7 +161,8 @@
 }
 
 /// An engine's load report; it lags.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoadReport {
     /// The engine's boot number.
     pub boot: Boot,
@@ -167,7 +183,8 @@
 }
 
 /// One entry of an engine's cache event feed.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CacheEvent {
     /// Number in the feed; gaps show lost events.
     pub sequence: u64,
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -35,6 +35,8 @@
     pub boot: Boot,
     /// Its address for peers, `ip:port`.
     pub peer_addr: String,
+    /// Unix time at the zero of its clock.
+    pub unix_zero: Millis,
 }
 
 /// A caller's request, parsed but not yet admitted.
@@ -57,7 +59,8 @@
 }
 
 /// Whose store call it is; the answer goes back to that duty.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Duty {
     /// Homes and leases.
     Capacity,
@@ -68,7 +71,8 @@
 }
 
 /// Names one store call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Ticket {
     /// Whose call.
     pub duty: Duty,
@@ -148,7 +152,8 @@
 }
 
 /// An operator's question or order.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum AdminQuery {
     /// What this instance knows of itself and its fleet.
@@ -158,7 +163,8 @@
 }
 
 /// Answers to [`AdminQuery`]s.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum AdminAnswer {
     /// A JSON document.
--- a/src/fixture.rs
+++ b/src/fixture.rs
@@ -45,6 +45,7 @@
                 domain: "ikeja".to_owned(),
                 boot: Boot(1),
                 peer_addr: String::new(),
+                unix_zero: Millis::ZERO,
             },
             out: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(7),
@@ -63,6 +64,11 @@
             metrics: &self.metrics,
         }
     }
+
+    /// Returns the outputs since the last call.
+    pub fn take(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.out)
+    }
 }
 
 /// Returns a fleet of engines `(name, domain, labels)`; labels are written
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -30,7 +30,8 @@
 pub type WorkspaceKey = Idx<Workspace>;
 
 /// What a line of the instance list names.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Role {
     /// An instance of this system.
@@ -42,7 +43,8 @@
 }
 
 /// One line of the platform's instance list, which lags.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Listing {
     /// Its name, unique in the list.
     pub name: String,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,10 +6,12 @@
 
 pub mod admission;
 pub mod affinity;
+pub mod attempt;
 pub mod backend;
 pub mod capacity;
 pub mod clock;
 pub mod condition;
+pub mod config;
 pub mod control;
 pub mod declaration;
 #[cfg(test)]
@@ -17,9 +19,14 @@
 pub mod fleet;
 pub mod id;
 pub mod job;
+pub mod membership;
 pub mod metrics;
+pub mod once;
 pub mod peer;
+pub mod platform;
 pub mod prediction;
+pub mod quarantine;
+pub mod relay;
 pub mod routing;
 pub mod selector;
 pub mod store;
