Tell router and conditions what attempts and reports show

Router, speeds and conditions learned nothing in the control core: nobody told them of first tokens, ends, load reports, cache events or changes of the fleet. An attempt was never taken off the router's books, so one long prompt would have kept an engine from all others for good. Now the first token, the end of each attempt, reports, cache events and each declaration or list reach them; a completion says whether it kept to its predicted time; an order without an answer is a sign of silence; a rejection as cold is told apart from one for lack of room.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -169,7 +169,8 @@
 
 fn rejected(rejection: Rejection) -> Option<Sign> {
     match rejection {
-        Rejection::Full | Rejection::Cold => Some(Sign::Rejected),
+        Rejection::Full => Some(Sign::Rejected),
+        Rejection::Cold => Some(Sign::RejectedCold),
         Rejection::StaleEpoch | Rejection::UnknownStream | Rejection::Invalid => None,
     }
 }
--- a/src/control/attempts.rs
+++ b/src/control/attempts.rs
@@ -49,6 +49,11 @@
             AttemptEvent::FirstToken => {
                 running.first_token.get_or_insert(cx.now);
                 self.capacity.prefill_done(&mut running.held);
+                let request = attempt.request;
+                let late = self.router.first_token(cx.now, &self.fleet, request);
+                if let Some((backend, sign)) = late {
+                    self.conditions.sign(cx, &self.fleet, backend, sign);
+                }
             }
             AttemptEvent::Progress { offset } => running.offset = running.offset.max(offset),
             AttemptEvent::Answer { status, body } => flight.answer = Some((status, body)),
@@ -163,11 +168,16 @@
         matches!(standing, Standing::Held { .. })
     }
 
-    /// Tells conditions and the time line how an attempt ended.
+    /// Tells router, conditions and the time line how an attempt ended.
     fn note(&mut self, cx: &mut Cx<'_>, running: &Running, outcome: &Outcome, end: &AttemptEnd) {
         let backend = running.held.backend;
+        let request = running.attempt.request;
         let sign = match end {
-            AttemptEnd::Whole { .. } => Some(Sign::Completed { in_time: true }),
+            AttemptEnd::Whole { tokens } => {
+                let tokens = Some(*tokens);
+                let in_time = self.router.ended(cx.now, &self.fleet, request, tokens);
+                Some(Sign::Completed { in_time })
+            }
             _ => outcome.sign,
         };
         if let Some(sign) = sign {
@@ -237,6 +247,7 @@
         lingers: bool,
         service: bool,
     ) {
+        self.router.ended(cx.now, &self.fleet, request, None);
         if !lingers {
             return self.capacity.release(running.held);
         }
--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -92,6 +92,7 @@
         revision: Revision,
     ) {
         self.fleet.declare(declaration);
+        self.conditions.fleet_changed(cx, &self.fleet);
         self.revision = revision;
         let value = i64::try_from(revision.0).unwrap_or(i64::MAX);
         cx.metrics.set(Level::Revision, value);
@@ -141,6 +142,7 @@
     fn listings(&mut self, cx: &mut Cx<'_>, listings: Vec<Listing>) {
         self.members.on_list(cx, &listings);
         self.fleet.list(listings);
+        self.conditions.fleet_changed(cx, &self.fleet);
     }
 
     /// Sends heartbeats and tells the duties who is live.
@@ -185,6 +187,10 @@
             BackendAnswer::Load(report) => {
                 let sign = Sign::Reported { boot: report.boot };
                 self.conditions.sign(cx, &self.fleet, backend, sign);
+                self.router.reported(cx.now, backend, &report);
+                if self.fleet.backend(backend).boot != Some(report.boot) {
+                    self.router.affinity.forget(backend);
+                }
                 let freed = self.lingers.report(backend, &report);
                 self.fleet.set_boot(backend, report.boot);
                 freed
@@ -194,7 +200,14 @@
                     .sign(cx, &self.fleet, backend, Sign::Refused);
                 self.lingers.restarted(backend)
             }
-            BackendAnswer::CacheEvents(_) | BackendAnswer::Failed { refused: false } => Vec::new(),
+            BackendAnswer::Failed { refused: false } => {
+                self.conditions.sign(cx, &self.fleet, backend, Sign::Silent);
+                Vec::new()
+            }
+            BackendAnswer::CacheEvents(events) => {
+                self.router.cache_events(cx.now, backend, &events);
+                Vec::new()
+            }
         };
         for held in freed {
             self.capacity.release(held);
