--- a/src/admission/entry.rs
+++ b/src/admission/entry.rs
@@ -34,6 +34,8 @@
     pub lane: LaneKey,
     /// Order of arrival.
     pub sequence: u64,
+    /// Predicted time on an idle backend server, with a margin.
+    pub span: Millis,
     /// The last moment at which it may start and still finish in time.
     pub latest: Millis,
     /// When it is due to start: half-way from admission to `latest`.
@@ -63,6 +65,7 @@
         Entry {
             lane,
             sequence,
+            span,
             latest,
             due,
             tokens: (cost.prefill_tokens + OUTPUT_WEIGHT * output).max(LEAST_TOKENS),
--- a/src/admission/pool.rs
+++ b/src/admission/pool.rs
@@ -31,7 +31,7 @@
 
 /// Tokens, for each unit of weight, by which a workspace may be ahead of the one
 /// furthest behind and still take its turn by deadline.
-pub const FAIR_QUANTUM_TOKENS: u64 = 65_536;
+pub const FAIR_QUANTUM_TOKENS: u64 = 16_384;
 /// Jobs without room that are looked at in one pass.
 const MISSES: usize = 16;
 /// Jobs of one workspace without room that are looked at in one pass.
