--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,18 +5,25 @@
 //! talk to it over channels.
 
 pub mod admission;
+pub mod attempt;
 pub mod backend;
 pub mod capacity;
 pub mod clock;
 pub mod condition;
+pub mod config;
 pub mod control;
 pub mod declaration;
+#[cfg(test)]
+mod fixture;
 pub mod fleet;
 pub mod id;
 pub mod job;
 pub mod membership;
 pub mod metrics;
+pub mod once;
 pub mod peer;
+pub mod platform;
+pub mod relay;
 pub mod routing;
 pub mod selector;
 pub mod store;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -40,6 +40,7 @@
     PeerBytesReceived = "peer_bytes_received", "Bytes of frames taken over from other instances, before HTTP/2 framing";
     PeerFramesLost = "peer_frames_lost", "Frames to other instances that were lost: a full queue, a failed connection, no answer";
     PeerConnections = "peer_connections", "Connections opened to other instances";
+    ConditionChanges = "condition_changes", "Changes of a backend server's condition as this instance sees it";
     StaleFrames = "stale_frames", "Answer frames dropped as their attempt or offset did not match";
 }
 
@@ -47,6 +48,9 @@
     RequestsOpen = "requests_open", "Requests admitted and not yet answered";
     Revision = "declaration_revision", "Revision of the declarations in force";
     MembersLive = "members_live", "Other instances that are known and not suspected, leaving or gone";
+    BackendsWarm = "backends_warm", "Backend servers that this instance counts as warm";
+    BackendsCold = "backends_cold", "Backend servers that this instance counts as cold or warming up";
+    BackendsSilent = "backends_silent", "Backend servers that this instance counts as silent";
     Ready = "ready", "1 when the instance takes callers, else 0";
 }
 
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -26,12 +26,14 @@
 
 use crate::id::Boot;
 use crate::membership;
+use crate::once;
 
 /// Longest frame, in bytes: a declaration of a megabyte fits.
 pub const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
 
 /// All messages from one instance to another at one moment.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct PeerFrame {
     /// The sender's name.
     pub from: String,
@@ -44,8 +46,11 @@
 }
 
 /// One message between instances, by duty.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum PeerMessage {
+    /// Claims of idempotency keys.
+    Once(once::Message),
     /// Who is alive.
     Membership(membership::Heartbeat),
 }
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -13,7 +13,8 @@
 use crate::clock::Millis;
 
 /// Whether a request may have been executed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Verdict {
     /// No backend server executed any part of it.
     NotRun,
@@ -123,7 +124,8 @@
 }
 
 /// The final answer to a request that did not succeed.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Refusal {
     /// Why.
     pub reason: Reason,
