--- a/bench/src/list.rs
+++ b/bench/src/list.rs
@@ -32,7 +32,8 @@
 }
 
 /// A fault order.
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct ListFault {
     /// Marks an instance as leaving.
--- a/bench/src/store.rs
+++ b/bench/src/store.rs
@@ -69,7 +69,8 @@
 }
 
 /// A fault order.
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct StoreFault {
     /// Answers 503 for so long.
--- a/bench/src/store/state.rs
+++ b/bench/src/store/state.rs
@@ -7,7 +7,8 @@
 use skylarkhook::clock::Millis;
 
 /// A key's value (base64) and version.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Entry {
     /// The value.
     pub value: String,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! talk to it over channels.
 
 pub mod admission;
+pub mod affinity;
 pub mod attempt;
 pub mod backend;
 pub mod capacity;
@@ -23,6 +24,7 @@
 pub mod once;
 pub mod peer;
 pub mod platform;
+pub mod prediction;
 pub mod relay;
 pub mod routing;
 pub mod selector;
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -8,7 +8,8 @@
 use crate::id::Revision;
 
 /// How busy an instance is.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Load {
     /// Requests that wait on the instance.
     pub waiting: u32,
@@ -17,7 +18,8 @@
 }
 
 /// What an instance tells all others of itself.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OwnState {
     /// The highest epoch of homes that it knows for its own failure domain.
     pub epoch: Epoch,
@@ -28,7 +30,8 @@
 }
 
 /// What a delegate knows of another failure domain, passed on to its own.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct DomainView {
     /// The other failure domain.
     pub domain: String,
@@ -39,7 +42,8 @@
 }
 
 /// Tells another instance that the sender lives.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Heartbeat {
     /// The sender's failure domain.
     pub domain: String,
