--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -117,7 +117,7 @@
             };
             *self.sent.entry(from.to_owned()).or_default() += 1;
             let PeerMessage::Membership(beat) = message else {
-                panic!("not a heartbeat");
+                panic!("membership sends nothing else");
             };
             let boot = self.nodes[from].me.boot;
             let lost = self.down.contains(&to) || self.cut.contains(&link(from, &to));
