--- a/src/membership.rs
+++ b/src/membership.rs
@@ -20,6 +20,7 @@
 pub use member::Member;
 pub use member::MemberState;
 pub use member::SUSPECT_AFTER;
+pub use message::BeatId;
 pub use message::DomainView;
 pub use message::Heartbeat;
 pub use message::Load;
@@ -27,6 +28,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -54,6 +56,8 @@
 const RETRY_PERIODS: u64 = 5;
 /// Time between two handled inputs above which the process was paused.
 const PAUSE_BOUND: Millis = Millis(1_500);
+/// Heartbeats whose sending times are kept.
+const SENT_BEATS: usize = 32;
 /// Time after which a member that is gone and not listed is forgotten.
 const FORGET_AFTER: Millis = Millis::from_secs(60);
 
@@ -65,6 +69,9 @@
     members: BTreeMap<String, Member>,
     views: BTreeMap<String, View>,
     own: OwnState,
+    /// When the last heartbeats were sent, by number.
+    sent: VecDeque<(u64, Millis)>,
+    withheld: BTreeSet<String>,
     periods: u64,
     next_beat: Millis,
     handled: Millis,
@@ -87,6 +94,8 @@
             members: BTreeMap::new(),
             views: BTreeMap::new(),
             own: OwnState::default(),
+            sent: VecDeque::new(),
+            withheld: BTreeSet::new(),
             periods: 0,
             next_beat: Millis::ZERO,
             handled: Millis::ZERO,
@@ -122,6 +131,13 @@
         if member.hear(now, boot, &beat) {
             note(cx, from, "restarted");
         }
+        if beat.echo.tag == tag(self.me.boot) {
+            let sent = self
+                .sent
+                .iter()
+                .find(|(number, _)| *number == beat.echo.number);
+            member.contact = member.contact.max(sent.map(|&(_, at)| at));
+        }
         if beat.domain == self.me.domain {
             self.take_views(now, beat.views);
         } else {
@@ -138,8 +154,6 @@
         if cx.now < self.next_beat {
             return;
         }
-        self.next_beat = cx.now + HEARTBEAT_PERIOD;
-        self.periods += 1;
         self.send_beats(cx);
     }
 
@@ -200,6 +214,33 @@
         names
     }
 
+    /// Returns when this instance sent the newest heartbeat that has surely
+    /// reached the member `name`.
+    #[must_use]
+    pub fn contact(&self, name: &str) -> Option<Millis> {
+        self.members.get(name).and_then(|member| member.contact)
+    }
+
+    /// Returns when the last heartbeat of the member `name` came.
+    #[must_use]
+    pub fn heard_at(&self, name: &str) -> Option<Millis> {
+        let member = self.members.get(name);
+        member
+            .filter(|member| member.boot.is_some())
+            .map(|member| member.heard)
+    }
+
+    /// Sets the members to which no heartbeat is echoed, as this instance is
+    /// taking over their duties.
+    pub fn withhold_echo(&mut self, names: BTreeSet<String>) {
+        self.withheld = names;
+    }
+
+    /// Sends the next heartbeats at the next tick.
+    pub fn hurry(&mut self) {
+        self.next_beat = Millis::ZERO;
+    }
+
     /// Returns a member by name.
     #[must_use]
     pub fn member(&self, name: &str) -> Option<&Member> {
@@ -318,7 +359,13 @@
         }
     }
 
-    fn send_beats(&self, cx: &mut Cx<'_>) {
+    fn send_beats(&mut self, cx: &mut Cx<'_>) {
+        self.next_beat = cx.now + HEARTBEAT_PERIOD;
+        self.periods += 1;
+        self.sent.push_back((self.periods, cx.now));
+        if self.sent.len() > SENT_BEATS {
+            self.sent.pop_front();
+        }
         let delegate = self
             .delegates(&self.me.domain)
             .contains(&self.me.name.as_str());
@@ -344,6 +391,11 @@
                 addr: self.me.peer_addr.clone(),
                 leaving: self.leaving,
                 state: self.own,
+                id: BeatId {
+                    number: self.periods,
+                    tag: tag(self.me.boot),
+                },
+                echo: self.echo(name),
                 views: views.to_vec(),
             };
             cx.out.push(Output::Peer {
@@ -354,6 +406,14 @@
         }
     }
 
+    fn echo(&self, name: &str) -> BeatId {
+        if self.withheld.contains(name) {
+            return BeatId::default();
+        }
+        let member = self.members.get(name);
+        member.map_or(BeatId::default(), |member| member.last)
+    }
+
     fn views_at(&self, now: Millis) -> Vec<DomainView> {
         let views = self.views.iter();
         views
@@ -419,6 +479,11 @@
     xxh3_64(name.as_bytes())
 }
 
+fn tag(boot: Boot) -> u16 {
+    let [low, high, ..] = boot.0.to_le_bytes();
+    u16::from_le_bytes([low, high])
+}
+
 fn note(cx: &mut Cx<'_>, name: &str, what: &str) {
     let detail = format!("{name} {what}");
     cx.event(EventKind::Member, Subject::default(), detail);
