--- a/src/admission.rs
+++ b/src/admission.rs
@@ -212,7 +212,7 @@
         let predicted = router.predict_best(fleet, key, &job).unwrap_or_default();
         self.sequence += 1;
         let entry = Entry::new(job, key, self.sequence, predicted, limits);
-        if entry.latest < now {
+        if now + entry.span > entry.job.deadline {
             let text = format!(
                 "the answer takes {} and is due in {}",
                 predicted.whole,
--- a/src/membership/member.rs
+++ b/src/membership/member.rs
@@ -1,5 +1,6 @@
 //! What is known of one instance.
 
+use super::BeatId;
 use super::Heartbeat;
 use super::OwnState;
 use crate::clock::Millis;
@@ -60,6 +61,10 @@
     pub(super) said_leaving: bool,
     /// The last heartbeat, or when the member became known.
     pub(super) heard: Millis,
+    /// Its last heartbeat.
+    pub(super) last: BeatId,
+    /// When this instance sent the newest heartbeat that the member has echoed.
+    pub(super) contact: Option<Millis>,
 }
 
 impl Member {
@@ -75,6 +80,8 @@
             listed_leaving: false,
             said_leaving: false,
             heard: now,
+            last: BeatId::default(),
+            contact: None,
         }
     }
 
@@ -88,6 +95,12 @@
         self.own = beat.state;
         self.said_leaving = beat.leaving;
         self.heard = now;
+        if restarted {
+            self.contact = None;
+        }
+        if restarted || beat.id.number > self.last.number {
+            self.last = beat.id;
+        }
         restarted
     }
 
--- a/src/prediction.rs
+++ b/src/prediction.rs
@@ -128,8 +128,7 @@
         speeds.predict(job, ahead_tokens, cached_tokens)
     }
 
-    /// Learns from a first token that took `took` while `tokens` prompt tokens,
-    /// those ahead included, were processed.
+    /// Learns from a prompt of `tokens` tokens that was processed in `took`.
     pub fn observe_first_token(
         &mut self,
         fleet: &Fleet,
