Read every connection of a burst

tiny_http's pool counts a thread as free for several connections of a burst; those left over are not read until some other connection ends. A thread that ends its connection takes over one that waits, so each request is now followed by a connection of the listener to itself that ends at once.

A connection to itself that nobody ends also tells that the accept loop died, which tiny_http reports to nobody when it panics on too many open files.

A caller's relay is closed before the core hears that the caller left.

--- a/src/entry/reply.rs
+++ b/src/entry/reply.rs
@@ -67,6 +67,7 @@
 
 impl Drop for Caller {
     fn drop(&mut self) {
+        self.side.close();
         if !self.answered {
             let request = self.request();
             let _ = self.control.send(Input::CallerGone { request });
--- a/src/entry/tests/callers.rs
+++ b/src/entry/tests/callers.rs
@@ -273,3 +273,24 @@
     caller.event();
     assert_eq!(caller.event(), "data: [DONE]");
 }
+
+/// `tiny_http` lets connections of a burst wait for a thread that an open
+/// connection holds; none of these is answered, and yet all must be read.
+#[test]
+fn a_burst_of_connections_is_read_though_none_of_them_ends() {
+    let rig = Rig::start(EntrySettings {
+        read_timeout: LONG * 2,
+        ..EntrySettings::default()
+    });
+    let burst: Vec<TcpStream> = (0..100)
+        .map(|_| TcpStream::connect(rig.entry.addr()).unwrap())
+        .collect();
+    for mut stream in &burst {
+        let text = post(COMPLETION, "", STREAMED);
+        stream.write_all(text.as_bytes()).unwrap();
+    }
+    let mut requests: Vec<RequestId> = burst.iter().map(|_| rig.submission().request).collect();
+    requests.sort_unstable();
+    requests.dedup();
+    assert_eq!(requests.len(), burst.len());
+}
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -6,6 +6,14 @@
 //! would hold its thread for ever. So the socket is kept here, and whenever a
 //! loop has ended, a new server goes on with it; what the connections of the
 //! earlier one still ask is answered until they have fallen silent.
+//!
+//! Its pool of threads, too, has a fault: in a burst it counts a thread as free
+//! for several connections, and those left over wait until some other
+//! connection ends. A thread that ends its connection takes over one that
+//! waits; so each request that comes, and each period without one, is followed
+//! by a nudge: a connection to the listener itself that ends at once.
+
+mod nudge;
 
 use std::io;
 use std::net::SocketAddr;
@@ -27,6 +35,7 @@
 use tiny_http::Request;
 use tiny_http::Server;
 
+use self::nudge::Nudger;
 use crate::backend::Pool;
 
 /// Connections that wait to be accepted.
@@ -81,14 +90,15 @@
     pub fn start(cfg: ListenerSettings, handler: Arc<dyn Handler>) -> io::Result<Listener> {
         let socket = bind(&cfg)?;
         let addr = socket.local_addr()?;
+        let stop = Arc::default();
         let serving = Serving {
+            nudger: Nudger::start(cfg.name, addr, Arc::clone(&stop))?,
             pool: Pool::new(cfg.name, cfg.max_open),
             open: Arc::default(),
-            stop: Arc::default(),
+            stop: Arc::clone(&stop),
             handler,
             cfg,
         };
-        let stop = Arc::clone(&serving.stop);
         let open = Arc::clone(&serving.open);
         let server = server(&socket)?;
         let thread = thread::Builder::new()
@@ -156,16 +166,18 @@
     pool: Pool,
     open: Arc<AtomicUsize>,
     stop: Arc<AtomicBool>,
+    nudger: Nudger,
 }
 
 impl Serving {
     fn run(self, socket: &TcpListener, first: Server) {
         let mut current = first;
         while !self.stopped() {
-            let Err(error) = self.take(&current) else {
-                continue;
-            };
-            self.pause_after(&error);
+            match self.take(&current) {
+                Ok(_) if !self.nudger.is_stuck() => continue,
+                Ok(_) => warn!("{}: the accept loop is stuck", self.cfg.name),
+                Err(error) => self.pause_after(&error),
+            }
             let Some(next) = self.restart(socket) else {
                 return;
             };
@@ -183,6 +195,7 @@
         let Some(req) = server.recv_timeout(POLL)? else {
             return Ok(false);
         };
+        self.nudger.nudge();
         let open = Open::count(&self.open);
         if open.before >= self.cfg.max_open {
             self.handler.refuse(req);
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -333,6 +333,12 @@
         None
     }
 
+    /// Closes the relay: whatever comes for the request is dropped.
+    pub fn close(&self) {
+        let mut shard = self.relays.shard(self.request);
+        shard.relays.remove(&self.request);
+    }
+
     fn take(&self) -> Option<CallerEvent> {
         let mut shard = self.relays.shard(self.request);
         shard.relays.get_mut(&self.request)?.take()
@@ -341,8 +347,7 @@
 
 impl Drop for CallerSide {
     fn drop(&mut self) {
-        let mut shard = self.relays.shard(self.request);
-        shard.relays.remove(&self.request);
+        self.close();
     }
 }
 
