Let the latency measurement's engine report its load

Without load reports the engine counted as silent after 2 s, and the first burst of a round waited for one answer: first tokens at p99 came 211 ms late at 16 streams and 240 ms late at 64.

--- a/bench/examples/latency.rs
+++ b/bench/examples/latency.rs
@@ -228,8 +228,7 @@
     stream.set_nodelay(true)?;
     let (line, body) = read_request(&stream)?;
     if !line.starts_with("POST /v1/generate ") {
-        let answer = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
-        return Ok(stream.write_all(answer)?);
+        return order(&mut stream, &line);
     }
     let asked: Value = serde_json::from_slice(&body)?;
     let (request, attempt) = (&asked["request"], &asked["attempt"]);
@@ -245,6 +244,22 @@
     Ok(())
 }
 
+/// Answers an order: without load reports an engine would count as silent.
+fn order(stream: &mut TcpStream, line: &str) -> Result<()> {
+    let body = match line.split(['?', ' ']).nth(1) {
+        Some("/v1/load") => json!({
+            "boot": 1, "epoch": 0, "age_ms": 0, "memory_used": 0, "memory_total": 10_000_000,
+            "prefill_waiting": 0, "streams": [], "models": ["m1"],
+        }),
+        Some("/v1/cache-events") => json!({"events": []}),
+        _ => json!({"cancelled": false}),
+    }
+    .to_string();
+    let length = body.len();
+    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}");
+    Ok(stream.write_all(answer.as_bytes())?)
+}
+
 fn read_request(stream: &TcpStream) -> Result<(String, Vec<u8>)> {
     let mut reader = BufReader::new(stream);
     let mut first = String::new();
