Hold limits over many instances by homes and credits

Each instance counted a backend server's limit for itself, so that six of them together could send six times what it bears. Now each backend server has a home, named by one document a failure domain that is written only when an instance joins or leaves; the home gives out credits of three seconds, which users spend again without a message.

On a virtual network of six instances at full load, 16 tests kill and pause homes, take the store down for 60 s, lose 30% and 70% of its answers, cut a failure domain off from the platform, the others and both, isolate single instances, restore the store to an older state, turn engines cold, let an instance leave and leave streams without owner. With the waiting of a new home, the report it needs or the end of credits taken out of the code, tests fail as they should.

An engine that restarts at full load gets no admission above its cold limit later than 2 s after; a sign seen by one user binds all within 500 ms. Not wired into the control core yet: the default still shares with nobody.

--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -1,17 +1,83 @@
 //! Limits of backend servers that hold over all instances: homes and credits.
 //!
-//! Each backend server has a home instance in its failure domain. The home
-//! gives out credits; an instance uses a credit again after each request.
+//! Each backend server has a home instance in its failure domain, named by a
+//! document in the key-value service. The home gives out credits: so many
+//! streams and tokens, for a few seconds. An instance uses a credit again after
+//! each request, without a message. The sum of all credits, and of what may
+//! still run under credits that lapsed, never grows above the limit in force.
+//!
+//! No clocks are compared: a user counts the life of a credit from the sending
+//! of its ask, the home from the sending of its answer, which is later.
+
+mod amount;
+mod credit;
+mod document;
+mod fallback;
+mod home;
+mod ledger;
+mod message;
+mod poll;
+mod registry;
+#[cfg(test)]
+mod tests;
+
+pub use amount::Amount;
+pub use amount::UNLIMITED;
+pub use credit::ASK_PERIOD;
+pub use credit::Credits;
+pub use credit::IDLE_AFTER;
+pub use document::Holder;
+pub use document::HomesDocument;
+pub use document::PastHolders;
+pub use fallback::FALLBACK_AFTER;
+pub use fallback::Fallback;
+pub use home::CONTACT_LIFE;
+pub use home::Homes;
+pub use home::ORPHAN_GRACE;
+pub use home::Outbox;
+pub use home::REPORT_LIFE;
+pub use ledger::CREDIT_LIFE;
+pub use ledger::LIFE_GUARD;
+pub use message::Ask;
+pub use message::AskItem;
+pub use message::Grant;
+pub use message::Grants;
+pub use message::HandedAccount;
+pub use message::Handover;
+pub use message::Message;
+pub use message::Recall;
+pub use poll::LOAD_PERIOD;
+pub use registry::Change;
+pub use registry::LEASE_TTL;
+pub use registry::Registry;
+
+use std::collections::BTreeMap;
 
-use std::collections::HashMap;
+use rand::seq::IndexedRandom;
 
+use self::poll::Polls;
+use crate::backend::LoadReport;
 use crate::clock::Millis;
 use crate::condition::Conditions;
+use crate::control::Cx;
+use crate::control::Identity;
+use crate::control::Output;
+use crate::control::Ticket;
 use crate::declaration::Limits;
 use crate::fleet::BackendKey;
+use crate::fleet::DomainKey;
 use crate::fleet::Fleet;
+use crate::id::Boot;
 use crate::id::Epoch;
+use crate::id::RequestId;
 use crate::job::Cost;
+use crate::membership::Membership;
+use crate::metrics::Level;
+use crate::peer::PeerMessage;
+use crate::store::StoreResult;
+
+/// Time between two questions for the homes of another failure domain.
+const ASK_HOMES_PERIOD: Millis = Millis(500);
 
 /// Part of a credit that one attempt holds.
 #[derive(Debug, PartialEq, Eq)]
@@ -24,13 +90,79 @@
     pub epoch: Epoch,
 }
 
-/// Credits of this instance.
+/// What the duty reads and changes of others.
+#[derive(Debug)]
+pub struct Scope<'a> {
+    /// The fleet.
+    pub fleet: &'a Fleet,
+    /// Conditions of backend servers.
+    pub conditions: &'a mut Conditions,
+    /// The instances.
+    pub members: &'a mut Membership,
+}
+
+impl Scope<'_> {
+    /// Returns the backend servers that a document assigns to this instance.
+    fn assigned(&self, cx: &Cx<'_>, document: &HomesDocument) -> Vec<BackendKey> {
+        let domain = self.fleet.domain_key(&cx.me.domain);
+        self.fleet
+            .backends()
+            .filter(|(_, backend)| Some(backend.domain) == domain)
+            .filter(|(_, backend)| {
+                let home = document.home_of(&backend.name);
+                home.is_some_and(|home| home.name == cx.me.name && home.boot == cx.me.boot)
+            })
+            .map(|(key, _)| key)
+            .collect()
+    }
+}
+
+/// This instance's part in limits: as a user, and as a home.
+///
+/// The default shares its backend servers with nobody: limits follow from
+/// conditions alone.
 #[derive(Debug, Default)]
 pub struct Capacity {
-    used: HashMap<BackendKey, Limits>,
+    credits: Credits,
+    fallback: Fallback,
+    shared: Option<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    registry: Registry,
+    homes: Homes,
+    polls: Polls,
+    /// Homes of other failure domains.
+    foreign: BTreeMap<DomainKey, HomesDocument>,
+    next_ask_homes: BTreeMap<DomainKey, Millis>,
+    /// When the document in force was learned.
+    learned: Millis,
+    /// Homes of backend servers, as far as they were looked up.
+    known: BTreeMap<BackendKey, (String, Epoch)>,
+    /// Generation of the fleet for which homes were started.
+    generation: Option<u64>,
 }
 
 impl Capacity {
+    /// Returns the part of an instance that shares backend servers with others.
+    #[must_use]
+    pub fn new(me: &Identity) -> Capacity {
+        Capacity {
+            shared: Some(Shared {
+                registry: Registry::new(me),
+                homes: Homes::default(),
+                polls: Polls::default(),
+                foreign: BTreeMap::new(),
+                next_ask_homes: BTreeMap::new(),
+                learned: Millis::ZERO,
+                known: BTreeMap::new(),
+                generation: None,
+            }),
+            ..Capacity::default()
+        }
+    }
+
     /// Returns what is free under the credits this instance holds; a field
     /// whose limit is 0 in the declarations is `u64::MAX`.
     #[must_use]
@@ -41,14 +173,13 @@
         conditions: &Conditions,
         backend: BackendKey,
     ) -> Limits {
-        let _ = now;
-        let limits = conditions.limits(fleet, backend);
-        let used = self.used.get(&backend).copied().unwrap_or_default();
-        Limits {
-            streams: limits.streams.saturating_sub(used.streams),
-            memory_tokens: free(limits.memory_tokens, used.memory_tokens),
-            prefill_tokens: free(limits.prefill_tokens, used.prefill_tokens),
-        }
+        let limit = Amount::of_limits(conditions.limits(fleet, backend));
+        self.free(now, limit, backend).0.as_limits()
+    }
+
+    /// Notes that a job waits for room on a backend server.
+    pub fn want(&mut self, now: Millis, backend: BackendKey, cost: Cost, importance: u8) {
+        self.credits.want(now, backend, cost, importance);
     }
 
     /// Takes a stream and its tokens, if the credits allow it.
@@ -60,46 +191,418 @@
         backend: BackendKey,
         cost: Cost,
     ) -> Option<CreditUse> {
-        let available = self.available(now, fleet, conditions, backend);
-        let fits = available.streams > 0
-            && available.memory_tokens >= cost.memory_tokens
-            && available.prefill_tokens >= cost.prefill_tokens;
-        if !fits {
+        let limit = Amount::of_limits(conditions.limits(fleet, backend));
+        let (free, epoch) = self.free(now, limit, backend);
+        if !free.covers(Amount::of_cost(cost)) {
             return None;
         }
-        let used = self.used.entry(backend).or_default();
-        used.streams += 1;
-        used.memory_tokens += cost.memory_tokens;
-        used.prefill_tokens += cost.prefill_tokens;
+        self.credits.take(now, backend, cost);
         Some(CreditUse {
             backend,
             cost,
-            epoch: Epoch::default(),
+            epoch,
         })
     }
 
     /// Gives the prompt tokens back once the prompt is processed.
     pub fn prefill_done(&mut self, held: &mut CreditUse) {
-        let tokens = std::mem::take(&mut held.cost.prefill_tokens);
-        if let Some(used) = self.used.get_mut(&held.backend) {
-            used.prefill_tokens = used.prefill_tokens.saturating_sub(tokens);
-        }
+        let amount = Amount {
+            prefill: std::mem::take(&mut held.cost.prefill_tokens),
+            ..Amount::ZERO
+        };
+        self.credits.release(held.backend, amount);
     }
 
     /// Gives everything back once nothing of the attempt can still run.
     pub fn release(&mut self, held: CreditUse) {
-        if let Some(used) = self.used.get_mut(&held.backend) {
-            used.streams = used.streams.saturating_sub(1);
-            used.memory_tokens = used.memory_tokens.saturating_sub(held.cost.memory_tokens);
-            used.prefill_tokens = used.prefill_tokens.saturating_sub(held.cost.prefill_tokens);
+        self.credits
+            .release(held.backend, Amount::of_cost(held.cost));
+    }
+
+    /// Returns the highest epoch known of the own failure domain's homes.
+    #[must_use]
+    pub fn epoch(&self) -> Epoch {
+        let shared = self.shared.as_ref();
+        shared.map_or(Epoch::default(), |shared| shared.registry.epoch())
+    }
+
+    /// Returns the homes of the own failure domain.
+    #[must_use]
+    pub fn homes(&self) -> Option<&HomesDocument> {
+        self.shared.as_ref()?.registry.document()
+    }
+
+    /// Returns what all users hold of a backend server whose home this is.
+    #[must_use]
+    pub fn held(&self, backend: BackendKey) -> Option<Amount> {
+        let ledger = self.shared.as_ref()?.homes.ledger(backend)?;
+        Some(ledger.held())
+    }
+
+    /// Starts to hand over the homes of a leaving instance.
+    pub fn leave(&mut self) {
+        if let Some(shared) = &mut self.shared {
+            shared.registry.leave();
+        }
+    }
+
+    /// Returns whether a leaving instance is home of nothing any more.
+    #[must_use]
+    pub fn has_left(&self) -> bool {
+        let shared = self.shared.as_ref();
+        shared.is_none_or(|shared| shared.registry.has_left())
+    }
+
+    /// Renews lease, homes and credits; to be called every 100 ms or sooner.
+    pub fn tick(&mut self, cx: &mut Cx<'_>, scope: &mut Scope<'_>) {
+        let Some(shared) = &mut self.shared else {
+            return;
+        };
+        shared.registry.tick(cx, scope.members);
+        let mut out = Outbox::default();
+        shared.follow_fleet(cx, scope);
+        shared
+            .homes
+            .tick(cx, scope, &shared.registry, &mut shared.polls, &mut out);
+        shared.use_fallback(cx, scope, &self.credits, &mut self.fallback);
+        cx.metrics.set(Level::Homes, level(shared.homes.count()));
+        cx.metrics
+            .set(Level::StaticShares, level(self.fallback.count()));
+        self.send(cx, scope, out);
+        self.ask_homes(cx, scope);
+    }
+
+    /// Asks at once for what was wanted since; to be called after each dispatch.
+    pub fn ask(&mut self, cx: &mut Cx<'_>, scope: &mut Scope<'_>) {
+        if !self.credits.is_calm() {
+            self.ask_homes(cx, scope);
+        }
+    }
+
+    /// Sends the asks that are due.
+    fn ask_homes(&mut self, cx: &mut Cx<'_>, scope: &mut Scope<'_>) {
+        let Some(shared) = &mut self.shared else {
+            return;
+        };
+        shared.find_foreign(cx, scope, &self.credits);
+        let fleet = scope.fleet;
+        let me = fleet.domain_key(&cx.me.domain);
+        let asks = self
+            .credits
+            .due(cx.now, scope, |key| shared.home_of(fleet, me, key));
+        let mut out = Outbox::default();
+        for (home, ask) in asks {
+            out.messages.push((home, Message::Ask(ask)));
+        }
+        self.send(cx, scope, out);
+    }
+
+    /// Takes over a message of the instance `from`.
+    pub fn on_message(
+        &mut self,
+        cx: &mut Cx<'_>,
+        scope: &mut Scope<'_>,
+        from: &str,
+        boot: Boot,
+        message: Message,
+    ) {
+        let mut out = Outbox::default();
+        self.receive(cx, scope, from, boot, message, &mut out);
+        self.send(cx, scope, out);
+    }
+
+    /// Takes over the key-value service's answer.
+    pub fn on_store(
+        &mut self,
+        cx: &mut Cx<'_>,
+        scope: &mut Scope<'_>,
+        ticket: Ticket,
+        result: StoreResult,
+    ) {
+        let Some(shared) = &mut self.shared else {
+            return;
+        };
+        let mut out = Outbox::default();
+        if let Some(change) = shared.registry.on_store(cx, ticket.number, result) {
+            shared.on_change(cx, scope, &change, &mut out);
+        }
+        self.send(cx, scope, out);
+    }
+
+    /// Takes over a load report; `is_open` tells which of this instance's
+    /// requests are not answered yet.
+    pub fn on_report(
+        &mut self,
+        cx: &mut Cx<'_>,
+        scope: &mut Scope<'_>,
+        backend: BackendKey,
+        report: &LoadReport,
+        is_open: &dyn Fn(RequestId) -> bool,
+    ) {
+        let Some(shared) = &mut self.shared else {
+            return;
+        };
+        let Some(data) = shared.polls.answered(backend, report.age_ms) else {
+            return;
+        };
+        if shared.homes.ledger(backend).is_some() {
+            shared
+                .homes
+                .on_report(cx, scope, backend, data, report, is_open);
+        } else if report.epoch <= shared.registry.epoch() {
+            self.fallback.on_report(backend, data, report);
+        }
+    }
+
+    fn free(&self, now: Millis, limit: Amount, backend: BackendKey) -> (Amount, Epoch) {
+        let used = self.credits.used(backend);
+        let Some(shared) = &self.shared else {
+            return (limit.minus(used), Epoch::default());
+        };
+        if let Some((credit, _, epoch)) = self.credits.in_force(now, backend) {
+            return (credit.min(limit).minus(used), epoch);
+        }
+        let Some(document) = shared.registry.document() else {
+            return (Amount::ZERO, Epoch::default());
+        };
+        let parts = u64::try_from(document.holders.len()).unwrap_or(u64::MAX);
+        let free = self
+            .fallback
+            .available(now, backend, limit, parts, &self.credits);
+        (free, document.epoch)
+    }
+
+    /// Sends messages; what goes to this instance itself is handled at once.
+    fn send(&mut self, cx: &mut Cx<'_>, scope: &mut Scope<'_>, out: Outbox) {
+        let mut queue = out.messages;
+        while !queue.is_empty() {
+            let mut next = Outbox::default();
+            for (to, message) in queue {
+                if to == cx.me.name {
+                    let me = cx.me;
+                    self.receive(cx, scope, &me.name, me.boot, message, &mut next);
+                } else if let Some(addr) = self.addr(scope, &to) {
+                    cx.out.push(Output::Peer {
+                        to,
+                        addr,
+                        message: PeerMessage::Capacity(message),
+                    });
+                }
+            }
+            queue = next.messages;
+        }
+    }
+
+    fn addr(&self, scope: &Scope<'_>, name: &str) -> Option<String> {
+        if let Some(addr) = scope.members.addr(name) {
+            return Some(addr.to_owned());
+        }
+        let shared = self.shared.as_ref()?;
+        let own = shared.registry.document().into_iter();
+        let mut documents = own.chain(shared.foreign.values());
+        let holder = documents.find_map(|document| document.holder(name))?;
+        Some(holder.addr.clone())
+    }
+
+    fn receive(
+        &mut self,
+        cx: &mut Cx<'_>,
+        scope: &mut Scope<'_>,
+        from: &str,
+        boot: Boot,
+        message: Message,
+        out: &mut Outbox,
+    ) {
+        let Some(shared) = &mut self.shared else {
+            return;
+        };
+        match message {
+            Message::Ask(ask) => {
+                let user = (from.to_owned(), boot);
+                let registry = &shared.registry;
+                shared.homes.on_ask(cx, scope, registry, &user, &ask, out);
+            }
+            Message::Grants(grants) => self.credits.on_grants(cx, scope, &grants),
+            Message::Recall(recalls) => {
+                for recall in &recalls {
+                    self.credits.on_recall(scope, recall);
+                }
+            }
+            Message::Handover(handover) => {
+                let epoch = shared.registry.epoch();
+                shared.homes.on_handover(cx, scope, epoch, handover);
+            }
+            Message::AskHomes => {
+                if let Some(document) = shared.registry.document() {
+                    let message = home::homes_message(cx, document);
+                    out.messages.push((from.to_owned(), message));
+                }
+            }
+            Message::Homes { domain, document } => shared.hear(cx, scope, &domain, document, out),
         }
     }
 }
 
-/// Returns what is left of a limit; 0 stands for no limit.
-fn free(limit: u64, used: u64) -> u64 {
-    match limit {
-        0 => u64::MAX,
-        limit => limit.saturating_sub(used),
+impl Shared {
+    /// Starts homes of backend servers that are new in the fleet.
+    fn follow_fleet(&mut self, cx: &mut Cx<'_>, scope: &mut Scope<'_>) {
+        let generation = Some(scope.fleet.generation());
+        if !self.registry.holds() || self.generation == generation {
+            return;
+        }
+        if let Some(document) = self.registry.document() {
+            self.homes.find_new(cx, scope, document);
+            self.generation = generation;
+        }
+    }
+
+    /// Returns the home of a backend server and the epoch of its document.
+    fn home_of(
+        &mut self,
+        fleet: &Fleet,
+        me: Option<DomainKey>,
+        key: BackendKey,
+    ) -> Option<(String, Epoch)> {
+        if let Some(known) = self.known.get(&key) {
+            return Some(known.clone());
+        }
+        let found = self.look_up(fleet, me, key)?;
+        self.known.insert(key, found.clone());
+        Some(found)
+    }
+
+    fn look_up(
+        &self,
+        fleet: &Fleet,
+        me: Option<DomainKey>,
+        key: BackendKey,
+    ) -> Option<(String, Epoch)> {
+        let backend = fleet.backend(key);
+        let document = match Some(backend.domain) == me {
+            true => self.registry.document()?,
+            false => self.foreign.get(&backend.domain)?,
+        };
+        let home = document.home_of(&backend.name)?;
+        Some((home.name.clone(), document.epoch))
     }
+
+    fn on_change(
+        &mut self,
+        cx: &mut Cx<'_>,
+        scope: &mut Scope<'_>,
+        change: &Change,
+        out: &mut Outbox,
+    ) {
+        self.learned = cx.now;
+        self.generation = None;
+        self.known.clear();
+        scope.members.hurry();
+        self.homes.on_change(cx, scope, change, out);
+    }
+
+    fn hear(
+        &mut self,
+        cx: &mut Cx<'_>,
+        scope: &mut Scope<'_>,
+        domain: &str,
+        document: HomesDocument,
+        out: &mut Outbox,
+    ) {
+        if domain == cx.me.domain {
+            if let Some(change) = self.registry.hear(document) {
+                self.on_change(cx, scope, &change, out);
+            }
+            return;
+        }
+        let Some(domain) = scope.fleet.domain_key(domain) else {
+            return;
+        };
+        let known = self.foreign.entry(domain).or_default();
+        if document.epoch > known.epoch {
+            *known = document;
+            self.known.clear();
+        }
+    }
+
+    /// Asks for the homes of failure domains whose backend servers are wanted.
+    fn find_foreign(&mut self, cx: &mut Cx<'_>, scope: &Scope<'_>, credits: &Credits) {
+        let me = scope.fleet.domain_key(&cx.me.domain);
+        let mut wanted: Vec<DomainKey> = Vec::new();
+        for (key, _) in credits.books() {
+            let domain = scope.fleet.backend(key).domain;
+            let known = self.foreign.contains_key(&domain);
+            if Some(domain) != me && !known && !wanted.contains(&domain) {
+                wanted.push(domain);
+            }
+        }
+        for domain in wanted {
+            let next = self.next_ask_homes.entry(domain).or_default();
+            if *next > cx.now {
+                continue;
+            }
+            *next = cx.now + ASK_HOMES_PERIOD;
+            let live = scope.members.live_in(&scope.fleet.domain(domain).name);
+            let Some(name) = live.choose(cx.rng) else {
+                continue;
+            };
+            let Some(addr) = scope.members.addr(name) else {
+                continue;
+            };
+            cx.out.push(Output::Peer {
+                to: (*name).to_owned(),
+                addr: addr.to_owned(),
+                message: PeerMessage::Capacity(Message::AskHomes),
+            });
+        }
+    }
+
+    /// Decides of which backend servers the static share is used, and asks them
+    /// for load reports.
+    fn use_fallback(
+        &mut self,
+        cx: &mut Cx<'_>,
+        scope: &Scope<'_>,
+        credits: &Credits,
+        fallback: &mut Fallback,
+    ) {
+        let mut keys = Vec::new();
+        for (key, _) in credits.books() {
+            if self.falls_back(cx, scope, credits, key) {
+                keys.push(key);
+                self.polls.ask(cx, scope.fleet, key, LOAD_PERIOD);
+            }
+        }
+        fallback.set(&keys);
+    }
+
+    fn falls_back(
+        &self,
+        cx: &Cx<'_>,
+        scope: &Scope<'_>,
+        credits: &Credits,
+        key: BackendKey,
+    ) -> bool {
+        let backend = scope.fleet.backend(key);
+        let Some(document) = self.registry.document() else {
+            return false;
+        };
+        let own = scope.fleet.domain_key(&cx.me.domain) == Some(backend.domain);
+        let settled = cx.now.since(self.learned) >= FALLBACK_AFTER;
+        let newest = scope.members.highest_epoch() <= document.epoch;
+        if !own || !settled || !newest || !self.registry.holds() {
+            return false;
+        }
+        let Some(home) = document.home_of(&backend.name) else {
+            return false;
+        };
+        if home.name == cx.me.name || credits.in_force(cx.now, key).is_some() {
+            return false;
+        }
+        let heard = scope.members.heard_at(&home.name);
+        heard.is_none_or(|at| cx.now.since(at) >= FALLBACK_AFTER)
+    }
+}
+
+fn level(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
 }
--- /dev/null
+++ b/src/capacity/home/serve.rs
@@ -0,0 +1,261 @@
+//! How a home serves its users: asks, recalls, load reports, orphans.
+
+use super::Homes;
+use super::Outbox;
+use crate::backend::BackendOrder;
+use crate::backend::LoadReport;
+use crate::backend::RunningStream;
+use crate::capacity::Amount;
+use crate::capacity::Ask;
+use crate::capacity::CREDIT_LIFE;
+use crate::capacity::Grant;
+use crate::capacity::Grants;
+use crate::capacity::HomesDocument;
+use crate::capacity::Message;
+use crate::capacity::Recall;
+use crate::capacity::Registry;
+use crate::capacity::Scope;
+use crate::capacity::ledger::Contact;
+use crate::capacity::ledger::Ledger;
+use crate::capacity::ledger::User;
+use crate::capacity::poll::LOAD_PERIOD;
+use crate::capacity::poll::LOAD_PERIOD_BLIND;
+use crate::capacity::poll::Polls;
+use crate::clock::Millis;
+use crate::control::Cx;
+use crate::control::Output;
+use crate::fleet::BackendKey;
+use crate::id::Epoch;
+use crate::id::RequestId;
+use crate::membership::MemberState;
+use crate::membership::Membership;
+use crate::metrics::Count;
+
+/// Age at which contact with a holder no longer counts.
+pub const CONTACT_LIFE: Millis = Millis(3_500);
+/// Age at which a load report no longer vouches for the epoch.
+pub const REPORT_LIFE: Millis = Millis(3_000);
+/// Time after which streams that no live instance answers for are cancelled.
+pub const ORPHAN_GRACE: Millis = Millis(20_000);
+
+impl Homes {
+    /// Answers a user's ask.
+    pub fn on_ask(
+        &mut self,
+        cx: &mut Cx<'_>,
+        scope: &mut Scope<'_>,
+        registry: &Registry,
+        user: &User,
+        ask: &Ask,
+        out: &mut Outbox,
+    ) {
+        let Some(document) = registry.document() else {
+            return;
+        };
+        if ask.epoch < document.epoch {
+            out.messages
+                .push((user.0.clone(), homes_message(cx, document)));
+        }
+        let mut items = Vec::new();
+        let mut touched = Vec::new();
+        for item in &ask.items {
+            let Some(key) = scope.fleet.backend_key(&item.backend) else {
+                continue;
+            };
+            let Some(ledger) = self.ledgers.get_mut(&key) else {
+                continue;
+            };
+            let own = user.0 == cx.me.name;
+            if let Some(news) = item.news.filter(|_| !own) {
+                scope.conditions.hear(cx, scope.fleet, key, news);
+            }
+            let limit = limit_of(scope, key);
+            let shrank = ledger.set_limit(limit);
+            if !ledger.ask(cx.now, user, ask.number, item) {
+                continue;
+            }
+            if !may_grant(cx.now, scope.members, registry, ledger) {
+                continue;
+            }
+            ledger.set_contacts(cx.now, contacts(cx, scope.members, document, ledger));
+            let credit = ledger.grant(cx.now, user);
+            items.push(Grant {
+                backend: item.backend.clone(),
+                credit,
+                condition: scope.conditions.condition(scope.fleet, key),
+            });
+            touched.push((key, shrank));
+        }
+        if !items.is_empty() {
+            cx.count(Count::CreditAnswers);
+            let grants = grants(ask.number, document.epoch, items);
+            out.messages.push((user.0.clone(), grants));
+        }
+        for (key, shrank) in touched {
+            self.relieve(cx, scope, registry, key, shrank, out);
+        }
+    }
+
+    /// Follows limits, asks for load reports and answers what can be now.
+    pub fn tick(
+        &mut self,
+        cx: &mut Cx<'_>,
+        scope: &mut Scope<'_>,
+        registry: &Registry,
+        polls: &mut Polls,
+        out: &mut Outbox,
+    ) {
+        let keys: Vec<BackendKey> = self.ledgers.keys().copied().collect();
+        for key in keys {
+            let limit = limit_of(scope, key);
+            let Some(ledger) = self.ledgers.get_mut(&key) else {
+                continue;
+            };
+            ledger.drop_ghosts(cx.now);
+            let shrank = ledger.set_limit(limit);
+            let period = match ledger.is_open(cx.now) {
+                true => LOAD_PERIOD,
+                false => LOAD_PERIOD_BLIND,
+            };
+            polls.ask(cx, scope.fleet, key, period);
+            self.relieve(cx, scope, registry, key, shrank, out);
+        }
+    }
+
+    /// Takes a load report into account, whose figures are from `data`.
+    pub fn on_report(
+        &mut self,
+        cx: &mut Cx<'_>,
+        scope: &mut Scope<'_>,
+        key: BackendKey,
+        data: Millis,
+        report: &LoadReport,
+        is_open: &dyn Fn(RequestId) -> bool,
+    ) {
+        let Some(ledger) = self.ledgers.get_mut(&key) else {
+            return;
+        };
+        ledger.take_report(cx.now, data, report);
+        let me = &cx.me.name;
+        let members = &*scope.members;
+        let gone = |stream: &RunningStream| match stream.owner == *me {
+            true => !is_open(stream.request),
+            false => members
+                .member(&stream.owner)
+                .is_none_or(|owner| owner.state == MemberState::Gone),
+        };
+        let orphans = ledger.orphans(cx.now, report, ORPHAN_GRACE, gone);
+        let epoch = ledger.epoch;
+        let backend = scope.fleet.backend(key);
+        for request in orphans {
+            cx.count(Count::OrphansCancelled);
+            cx.out.push(Output::Order {
+                backend: backend.name.clone(),
+                addr: backend.addr.clone(),
+                order: BackendOrder::Cancel { request, epoch },
+            });
+        }
+    }
+
+    /// Answers asks that could not be met before, and recalls credits for those
+    /// that still can't.
+    fn relieve(
+        &mut self,
+        cx: &mut Cx<'_>,
+        scope: &mut Scope<'_>,
+        registry: &Registry,
+        key: BackendKey,
+        shrank: bool,
+        out: &mut Outbox,
+    ) {
+        let (Some(document), Some(ledger)) = (registry.document(), self.ledgers.get_mut(&key))
+        else {
+            return;
+        };
+        if !may_grant(cx.now, scope.members, registry, ledger) {
+            return;
+        }
+        let backend = &scope.fleet.backend(key).name;
+        let condition = scope.conditions.condition(scope.fleet, key);
+        ledger.set_contacts(cx.now, contacts(cx, scope.members, document, ledger));
+        for (user, number) in ledger.unmet(cx.now) {
+            let item = Grant {
+                backend: backend.clone(),
+                credit: ledger.grant(cx.now, &user),
+                condition,
+            };
+            cx.count(Count::CreditAnswers);
+            let grants = grants(number, document.epoch, vec![item]);
+            out.messages.push((user.0, grants));
+        }
+        for (user, keep) in ledger.recalls(cx.now, shrank) {
+            cx.count(Count::CreditRecalls);
+            let recall = Recall {
+                backend: backend.clone(),
+                keep,
+            };
+            out.messages.push((user.0, Message::Recall(vec![recall])));
+        }
+    }
+}
+
+/// Returns the message that names the homes of this failure domain.
+pub(in crate::capacity) fn homes_message(cx: &Cx<'_>, document: &HomesDocument) -> Message {
+    Message::Homes {
+        domain: cx.me.domain.clone(),
+        document: document.clone(),
+    }
+}
+
+fn grants(number: u64, epoch: Epoch, items: Vec<Grant>) -> Message {
+    Message::Grants(Grants {
+        number,
+        epoch,
+        life: CREDIT_LIFE,
+        items,
+    })
+}
+
+fn limit_of(scope: &Scope<'_>, key: BackendKey) -> Amount {
+    Amount::of_limits(scope.conditions.limits(scope.fleet, key))
+}
+
+/// Returns whether this instance still has the right to give credits: it knows
+/// of no newer epoch, and either the key-value service or a fresh load report
+/// of the backend server vouches for that.
+fn may_grant(now: Millis, members: &Membership, registry: &Registry, ledger: &Ledger) -> bool {
+    let epoch = registry.epoch();
+    if !registry.holds() || registry.steps_down() || members.highest_epoch() > epoch {
+        return false;
+    }
+    let report = ledger.report();
+    if report.is_some_and(|(_, seen)| seen > epoch) {
+        return false;
+    }
+    registry.is_current(now) || report.is_some_and(|(data, _)| now.since(data) < REPORT_LIFE)
+}
+
+/// Returns the other holders and whether they surely heard this home of late,
+/// since it became the home.
+fn contacts(
+    cx: &Cx<'_>,
+    members: &Membership,
+    document: &HomesDocument,
+    ledger: &Ledger,
+) -> Vec<Contact> {
+    let holders = document.holders.iter();
+    let others = holders.filter(|holder| holder.name != cx.me.name);
+    others
+        .map(|holder| {
+            let member = members.member(&holder.name);
+            let told = member.map_or(Epoch::default(), |member| member.own.epoch);
+            let contact = members.contact(&holder.name);
+            Contact {
+                name: holder.name.clone(),
+                fresh: contact
+                    .is_some_and(|at| at >= ledger.since && cx.now.since(at) < CONTACT_LIFE),
+                parts: document.smallest_with(&holder.name, told),
+            }
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/capacity/tests.rs
@@ -0,0 +1,8 @@
+//! Limits over many instances, on a virtual clock, under faults.
+
+mod amounts;
+mod documents;
+mod faults;
+mod mixed;
+mod store;
+mod world;
--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -210,6 +210,7 @@
                     let outcomes = self.once.on_message(cx, &frame.from, message);
                     self.claimed(cx, outcomes);
                 }
+                PeerMessage::Capacity(_) => {}
                 PeerMessage::Membership(beat) => {
                     self.members.on_message(cx, &frame.from, frame.boot, beat);
                 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -43,6 +43,10 @@
     PeerConnections = "peer_connections", "Connections opened to other instances";
     ConditionChanges = "condition_changes", "Changes of a backend server's condition as this instance sees it";
     Evicted = "requests_evicted", "Admitted requests refused in the queue, before any attempt or between two";
+    HomesStarted = "homes_started", "Times that this instance became home of a backend server";
+    CreditAnswers = "credit_answers", "Answers with credits given as a home";
+    CreditRecalls = "credit_recalls", "Credits recalled as a home";
+    OrphansCancelled = "orphans_cancelled", "Cancels of streams that no live instance answered for";
     StaleFrames = "stale_frames", "Answer frames dropped as their attempt or offset did not match";
 }
 
@@ -54,6 +58,8 @@
     BackendsWarm = "backends_warm", "Backend servers that this instance counts as warm";
     BackendsCold = "backends_cold", "Backend servers that this instance counts as cold or warming up";
     BackendsSilent = "backends_silent", "Backend servers that this instance counts as silent";
+    Homes = "homes", "Backend servers whose home this instance is";
+    StaticShares = "static_shares", "Backend servers of which this instance uses its static share as their home is silent";
     MembersLive = "members_live", "Other instances that are known and not suspected, leaving or gone";
     Ready = "ready", "1 when the instance takes callers, else 0";
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -24,6 +24,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::capacity;
 use crate::id::Boot;
 use crate::membership;
 use crate::once;
@@ -56,6 +57,8 @@
     Quarantine(quarantine::Message),
     /// Who is alive.
     Membership(membership::Heartbeat),
+    /// Homes and credits.
+    Capacity(capacity::Message),
 }
 
 /// The edge over which frames leave this process.
