--- a/src/control/request.rs
+++ b/src/control/request.rs
@@ -1,6 +1,8 @@
 //! The life of a request on its instance: from the caller's word to the final
 //! answer.
 
+use std::sync::Arc;
+
 use super::Cx;
 use super::Output;
 use super::Reply;
@@ -30,8 +32,9 @@
 const HELD: &str = "this request crashed backend servers and is held for a while";
 
 impl Duties {
-    pub(super) fn submit(&mut self, cx: &mut Cx<'_>, submission: Submission) {
+    pub(super) fn submit(&mut self, cx: &mut Cx<'_>, mut submission: Submission) {
         cx.count(Count::Submitted);
+        self.fill_in(&mut submission);
         let request = submission.request;
         let work = submission.work.clone();
         let job = match self.job(cx, &submission) {
@@ -125,6 +128,20 @@
         }
     }
 
+    /// Gives a prompt whose caller names no output length that of its kind.
+    fn fill_in(&self, submission: &mut Submission) {
+        let Ok(key) = self.kind_of(submission) else {
+            return;
+        };
+        let unset = matches!(&*submission.work, Work::Prompt(prompt) if prompt.max_tokens == 0);
+        if !unset {
+            return;
+        }
+        if let Work::Prompt(prompt) = Arc::make_mut(&mut submission.work) {
+            prompt.max_tokens = self.fleet.kind(key).max_tokens;
+        }
+    }
+
     fn job(&self, cx: &Cx<'_>, submission: &Submission) -> Result<Job, Refusal> {
         if self.leaving {
             let text = "this instance is leaving; send the request again";
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,15 +1,13 @@
 //! The daemon: all threads of one process around its control core.
 //!
-//! One thread owns the control core ([`core`](self)); others own sockets. They
-//! talk over `flume` channels: inputs come to the control thread on one channel,
-//! and it hands outputs to whoever carries them out. The bench runs several
+//! One thread owns the control core; others own sockets. They talk over `flume`
+//! channels: inputs come to the control thread on one channel, and it hands
+//! outputs to whoever carries them out. The bench runs several
 //! daemons in one process, so nothing here is global.
 
 mod carrier;
 mod control_thread;
 mod platform_threads;
-#[cfg(test)]
-mod tests;
 
 use std::io;
 use std::net::SocketAddr;
@@ -29,7 +27,8 @@
 use crate::admin;
 use crate::admin::AdminSettings;
 use crate::admin::Answers;
-use crate::backend::http::HttpBackend;
+use crate::backend::http::HttpEdge;
+use crate::backend::http::HttpSettings;
 use crate::backend::traffic::Traffic;
 use crate::backend::traffic::TrafficSettings;
 use crate::clock::Clock;
@@ -38,10 +37,12 @@
 use crate::control::Control;
 use crate::control::Identity;
 use crate::control::Input;
+use crate::declaration::Declaration;
 use crate::entry::Entry;
 use crate::entry::EntrySettings;
 use crate::entry::Ports;
 use crate::id::Boot;
+use crate::id::Revision;
 use crate::listener::Listener;
 use crate::metrics::Metrics;
 use crate::peer::PeerTransport;
@@ -95,7 +96,7 @@
         let answers = Answers::new(inputs.clone());
         let traffic = Traffic::new(
             TrafficSettings::default(),
-            Arc::new(HttpBackend::default()),
+            Arc::new(HttpEdge::new(http_settings(cfg))),
             relays.clone(),
             inputs.clone(),
         );
@@ -196,6 +197,12 @@
         self.stopped.recv_timeout(limit.as_duration()).is_ok()
     }
 
+    /// Brings a declaration into force on this instance alone; for tests.
+    pub fn declare(&self, declaration: Declaration, revision: Revision) {
+        let command = Command::Declare(Box::new(declaration), revision);
+        let _ = self.commands.send(command);
+    }
+
     /// Stops the control thread for a while, as a paused process would; for
     /// experiments.
     pub fn pause(&self, span: Millis) {
@@ -237,6 +244,15 @@
     Millis::from(since.unwrap_or(Duration::ZERO))
 }
 
+fn http_settings(cfg: &Settings) -> HttpSettings {
+    HttpSettings {
+        owner: cfg.name.clone(),
+        connect_timeout: cfg.connect_time_limit.as_duration(),
+        order_timeout_secs: cfg.order_time_limit.0.div_ceil(1000),
+        ..HttpSettings::default()
+    }
+}
+
 fn entry_settings(cfg: &Settings) -> EntrySettings {
     let number = |n: u64| usize::try_from(n).unwrap_or(usize::MAX);
     EntrySettings {
--- a/src/daemon/carrier.rs
+++ b/src/daemon/carrier.rs
@@ -83,7 +83,7 @@
                         let _ = inputs.send(Input::Store { ticket, result });
                     });
                 }
-                Output::Admin { ticket, answer } => self.answers.give(ticket, answer),
+                Output::Admin { ticket, answer } => self.answers.answer(ticket, answer),
                 Output::Stopped => {}
             }
         }
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -29,6 +29,16 @@
     pub load: Load,
 }
 
+/// Names one heartbeat of one process.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct BeatId {
+    /// Its number, from 1; 0 stands for none.
+    pub number: u64,
+    /// The low bits of the sending process's boot number.
+    pub tag: u16,
+}
+
 /// What a delegate knows of another failure domain, passed on to its own.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -53,6 +63,11 @@
     pub leaving: bool,
     /// The sender's state.
     pub state: OwnState,
+    /// This heartbeat.
+    pub id: BeatId,
+    /// The last heartbeat that came from the receiver: until the receiver is
+    /// gone for it, the sender takes no duty from it.
+    pub echo: BeatId,
     /// From a delegate to its own failure domain: what it knows of others.
     pub views: Vec<DomainView>,
 }
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -11,6 +11,7 @@
 
 use super::*;
 use crate::control::Input;
+use crate::membership::BeatId;
 use crate::membership::Heartbeat;
 use crate::membership::OwnState;
 use crate::metrics::Count;
@@ -60,6 +61,8 @@
             addr: "127.0.0.1:9".to_owned(),
             leaving: false,
             state: OwnState::default(),
+            id: BeatId::default(),
+            echo: BeatId::default(),
             views: Vec::new(),
         })],
     }
