--- a/src/daemon/control_thread.rs
+++ b/src/daemon/control_thread.rs
@@ -12,6 +12,8 @@
 use crate::control::Control;
 use crate::control::Input;
 use crate::control::Output;
+use crate::declaration::Declaration;
+use crate::id::Revision;
 
 /// Inputs handled between two looks at the timers.
 const INPUTS_A_TICK: usize = 256;
@@ -21,6 +23,8 @@
 pub(super) enum Command {
     /// Handle an input.
     Input(Input),
+    /// Bring a declaration into force.
+    Declare(Box<Declaration>, Revision),
     /// Do nothing for a while.
     Pause(Millis),
     /// End.
@@ -69,6 +73,10 @@
         while let Ok(command) = self.commands.try_recv() {
             match command {
                 Command::Input(input) => self.handle(input),
+                Command::Declare(declaration, revision) => {
+                    let now = self.clock.now();
+                    self.control.declare(now, &declaration, revision);
+                }
                 Command::Pause(span) => thread::sleep(span.as_duration()),
                 Command::Stop => return false,
             }
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -89,19 +89,19 @@
     let mut world = World::new();
     let mut taken = Vec::new();
     for request in 0..40 {
-        let job = job(&world.fleet, request, 1_000, 10);
+        let job = job(&world.fleet, request, 100, 10);
         taken.push(world.place(&job).unwrap());
     }
     assert!(taken[..32].iter().all(|name| name.starts_with('a')));
     assert!(taken[32..].iter().all(|name| name == "b1"));
-    let job = job(&world.fleet, 99, 1_000, 10);
+    let job = job(&world.fleet, 99, 100, 10);
     assert_eq!(world.place(&job), None);
 }
 
 #[test]
 fn long_prompts_keep_to_their_part_and_to_the_bound() {
     let mut world = World::new();
-    let short = job(&world.fleet, 0, 1_000, 10);
+    let short = job(&world.fleet, 0, 100, 10);
     let long = |request| job(&World::new().fleet, request, 120_000, 10);
     let now = world.fixture.now;
     world.router.split.observe(now, LengthClass::Short, 300_000);
@@ -149,7 +149,7 @@
     let job = job(&world.fleet, 1, 5_000, 10);
     let flight = Flight::new(Millis(1_000), key, &job);
     world.router.loads.start(RequestId(1), flight);
-    let ahead = |router: &Router, now| router.loads.prefill_ahead(Millis(now), key);
+    let ahead = |router: &Router, now| router.loads.prefill_ahead(Millis(now), key, 0.0);
     world.router.reported(Millis(1_200), key, &report);
     assert_eq!(
         ahead(&world.router, 1_200),
@@ -168,11 +168,11 @@
 #[test]
 fn a_suspect_runs_alone() {
     let mut world = World::new();
-    let mut suspect = job(&world.fleet, 1, 1_000, 10);
+    let mut suspect = job(&world.fleet, 1, 100, 10);
     suspect.alone = true;
     let taken = world.place(&suspect).unwrap();
     for request in 2..26 {
-        let job = job(&world.fleet, request, 1_000, 10);
+        let job = job(&world.fleet, request, 100, 10);
         assert_ne!(world.place(&job), Some(taken.clone()));
     }
     let second = Job {
@@ -217,7 +217,7 @@
     let mut declaration = world.fleet.declaration().clone();
     declaration.domains[1].out = true;
     world.fleet.declare(&declaration);
-    let mut job = job(&world.fleet, 1, 1_000, 10);
+    let mut job = job(&world.fleet, 1, 100, 10);
     job.excluded = vec![world.fleet.backend_key("a3").unwrap()];
     let mut router = std::mem::replace(
         &mut world.router,
