Serve prompts over one engine's memory by a gang of engines

Such a prompt was refused or waited for an engine that never came. Now engines of one failure domain with the same value of the label gang take equal parts of it. All members are reserved at once or none; each takes its part in orders of 8,192 tokens, so that every order is answered well within the order's time limit, and hands over by export and import; the last one generates as in any attempt. A member that fails, a step without an answer for 30 s, a caller who leaves: all credits are given up, and come back when the engine confirms the cancel. Where labels allow no gang the prompt is refused at once, NotRun; a gang that has begun is MayHaveRun.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -21,6 +21,7 @@
 use crate::admission::entry::Entry;
 use crate::admission::pool::Pool;
 use crate::admission::pool::Pools;
+use crate::admission::pool::Room;
 use crate::capacity::Capacity;
 use crate::capacity::CreditUse;
 use crate::clock::Millis;
@@ -29,10 +30,12 @@
 use crate::fleet::Fleet;
 use crate::fleet::KindKey;
 use crate::fleet::WorkspaceKey;
+use crate::gang::Reservation;
 use crate::id::RequestId;
 use crate::job::Job;
 use crate::metrics::Count;
 use crate::metrics::Level;
+use crate::routing::LaneKey;
 use crate::routing::Router;
 use crate::routing::View;
 use crate::verdict::Reason;
@@ -67,6 +70,8 @@
 pub enum Decision {
     /// The job goes to a backend server.
     Run(Dispatch),
+    /// The job's prompt goes to several engines.
+    Gang(Reservation),
     /// The job is refused after all. `NotRun` is said of the time in the queue;
     /// whoever knows of earlier attempts joins their verdict.
     Refuse(Job, Refusal),
@@ -169,10 +174,13 @@
                 self.forget(&entry);
                 decisions.push(Decision::Refuse(entry.job, refusal));
             }
-            for (entry, held) in pool.serve(view, router, capacity) {
+            for (entry, room) in pool.serve(view, router, capacity) {
                 self.forget(&entry);
                 let job = entry.job;
-                decisions.push(Decision::Run(Dispatch { job, held }));
+                decisions.push(match room {
+                    Room::One(held) => Decision::Run(Dispatch { job, held }),
+                    Room::Gang(members) => Decision::Gang(Reservation { job, members }),
+                });
             }
             for (entry, refusal) in pool.refuse_late(cx.now, router) {
                 self.forget(&entry);
@@ -203,15 +211,16 @@
             let refusal = Refusal::not_run(Reason::NoBackend, text);
             return Err(Box::new((job, refusal.retry_after(NO_BACKEND_RETRY))));
         };
-        if !lane.holds(&job) {
-            let text = "no permitted engine can hold the prompt and its answer";
-            let refusal = Refusal::not_run(Reason::PromptTooLong, text);
+        let gang = !lane.holds(&job);
+        if gang && !router.can_gang(fleet, key, &job) {
+            let refusal = too_long(fleet, router, key, &job);
             return Err(Box::new((job, refusal)));
         }
         let limits = lane.warm.first().copied().unwrap_or_default();
         let predicted = router.predict_best(fleet, key, &job).unwrap_or_default();
         self.sequence += 1;
-        let entry = Entry::new(job, key, self.sequence, predicted, limits);
+        let mut entry = Entry::new(job, key, self.sequence, predicted, limits);
+        entry.gang = gang;
         if now + entry.span > entry.job.deadline {
             let text = format!(
                 "the answer takes {} and is due in {}",
@@ -333,6 +342,19 @@
     }
 }
 
+/// Returns the refusal of a prompt over one engine's memory for which there is no
+/// gang, or none without the engines that failed.
+fn too_long(fleet: &Fleet, router: &Router, lane: LaneKey, job: &Job) -> Refusal {
+    let mut fresh = job.clone();
+    fresh.excluded.clear();
+    if !job.excluded.is_empty() && router.can_gang(fleet, lane, &fresh) {
+        let text = "an engine of the gang failed and no other can take its place";
+        return Refusal::not_run(Reason::NoBackend, text).retry_after(NO_BACKEND_RETRY);
+    }
+    let text = "no permitted engine, nor several together, can hold the prompt and its answer";
+    Refusal::not_run(Reason::PromptTooLong, text)
+}
+
 fn saturating(value: u64) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
 }
--- a/src/admission/entry.rs
+++ b/src/admission/entry.rs
@@ -32,6 +32,8 @@
     pub job: Job,
     /// Its lane.
     pub lane: LaneKey,
+    /// Whether it takes several engines.
+    pub gang: bool,
     /// Order of arrival.
     pub sequence: u64,
     /// Predicted time on an idle backend server, with a margin.
@@ -64,6 +66,7 @@
         let output = u64::from(job.max_tokens.saturating_sub(job.offset));
         Entry {
             lane,
+            gang: false,
             sequence,
             span,
             latest,
--- a/src/admission/pool.rs
+++ b/src/admission/pool.rs
@@ -20,6 +20,7 @@
 use crate::fleet::BackendKey;
 use crate::fleet::Fleet;
 use crate::fleet::WorkspaceKey;
+use crate::gang::Member;
 use crate::id::RequestId;
 use crate::routing::Ask;
 use crate::routing::Full;
@@ -69,6 +70,15 @@
     first_latest: Option<Millis>,
 }
 
+/// What a job found room on.
+#[derive(Debug)]
+pub enum Room {
+    /// One backend server.
+    One(CreditUse),
+    /// Several engines.
+    Gang(Vec<Member>),
+}
+
 /// The last job of each workspace that was looked at in a pass, and how many
 /// were.
 type Cursor = BTreeMap<WorkspaceKey, (OrderKey, usize)>;
@@ -140,7 +150,7 @@
         view: View<'_>,
         router: &mut Router,
         capacity: &mut Capacity,
-    ) -> Vec<(Entry, CreditUse)> {
+    ) -> Vec<(Entry, Room)> {
         let mut served = Vec::new();
         let mut cursor = Cursor::new();
         let mut kept = Vec::new();
@@ -161,20 +171,24 @@
             };
             let result = match full.contains(&entry.lane) {
                 true => Err(Full::Streams),
-                false => router.place(view, capacity, ask),
+                false if entry.gang => router.reserve_gang(view, capacity, ask).map(Room::Gang),
+                false => router.place(view, capacity, ask).map(Room::One),
             };
             match result {
-                Ok(held) => {
+                Ok(room) => {
                     if let Some(entry) = self.take(workspace, key) {
                         self.charge(&entry);
-                        served.push((entry, held));
+                        served.push((entry, room));
                     }
                 }
                 Err(why) => {
                     misses += 1;
                     let seen = cursor.get(&workspace).map_or(0, |(_, seen)| *seen);
                     cursor.insert(workspace, (key, seen + 1));
-                    if why == Full::Streams {
+                    if entry.gang {
+                        let needs = router.gang_needs(view, ask);
+                        kept.extend(needs.into_iter().filter(|_| ask.pressed));
+                    } else if why == Full::Streams {
                         full.push(entry.lane);
                     } else if ask.pressed {
                         let most = router.places(entry.lane).map_or(0, |lane| lane.len());
--- a/src/backend.rs
+++ b/src/backend.rs
@@ -40,6 +40,26 @@
     pub max_tokens: u32,
 }
 
+impl Prompt {
+    /// Returns the text of the tokens from `from` to before `to`, as if all
+    /// tokens had the same length; parts that follow each other leave nothing
+    /// out.
+    #[must_use]
+    pub fn part(&self, from: u64, to: u64) -> &str {
+        let at = |token: u64| {
+            let tokens = u128::from(self.tokens.max(1));
+            let bytes = self.text.len() as u128 * u128::from(token) / tokens;
+            let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
+            let mut bytes = bytes.min(self.text.len());
+            while !self.text.is_char_boundary(bytes) {
+                bytes -= 1;
+            }
+            bytes
+        };
+        &self.text[at(from)..at(to.max(from))]
+    }
+}
+
 /// What a caller wants from a plain service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServiceCall {
@@ -203,6 +223,47 @@
     Load,
     /// Asks for cache events after a sequence number.
     CacheEvents { after: u64 },
+    /// Processes part of a gang's prompt and keeps it for the request.
+    Prefill {
+        /// The request.
+        request: RequestId,
+        /// The epoch under which the capacity was granted.
+        epoch: Epoch,
+        /// The instance that asks.
+        owner: String,
+        /// Importance, 0 to 100.
+        priority: u8,
+        /// First token of the part.
+        from_token: u64,
+        /// The token after the part.
+        to_token: u64,
+        /// Memory reserved on this engine, in tokens.
+        memory_tokens: u64,
+        /// The work; only the part's text is sent.
+        work: Arc<Work>,
+    },
+    /// Makes what the engine holds of a request's prompt readable for another.
+    Export {
+        /// The request.
+        request: RequestId,
+        /// The epoch under which the capacity was granted.
+        epoch: Epoch,
+        /// First token.
+        from_token: u64,
+        /// The token after the last.
+        to_token: u64,
+    },
+    /// Takes over what another engine exported.
+    Import {
+        /// The request.
+        request: RequestId,
+        /// The epoch under which the capacity was granted.
+        epoch: Epoch,
+        /// The handle that the export gave.
+        segment: String,
+        /// The exporting engine's address, `ip:port`.
+        addr: String,
+    },
 }
 
 /// Answers to [`BackendOrder`]s.
@@ -214,6 +275,14 @@
     Load(LoadReport),
     /// Cache events, oldest first.
     CacheEvents(Vec<CacheEvent>),
+    /// Part of a gang's prompt is processed, up to a token.
+    Prefilled { request: RequestId, to_token: u64 },
+    /// The handle of an export.
+    Exported { request: RequestId, segment: String },
+    /// An import is complete.
+    Imported { request: RequestId },
+    /// An order of a gang was refused or had no answer.
+    GangFailed { request: RequestId, refused: bool },
     /// No answer.
     Failed { refused: bool },
 }
--- a/src/backend/http/order.rs
+++ b/src/backend/http/order.rs
@@ -4,12 +4,14 @@
 
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use serde_json::Value;
 use serde_json::json;
 
 use super::BackendAnswer;
 use super::BackendOrder;
 use super::HttpSettings;
 use crate::backend::CacheEvent;
+use crate::backend::Work;
 
 /// Longest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
@@ -19,6 +21,11 @@
     events: Vec<CacheEvent>,
 }
 
+#[derive(Deserialize)]
+struct Export {
+    segment: String,
+}
+
 /// Gives an order and waits for the answer.
 pub(super) fn run(cfg: &HttpSettings, addr: &str, order: &BackendOrder) -> BackendAnswer {
     let request = request(addr, order)
@@ -28,31 +35,108 @@
     let response = match request.send() {
         Ok(response) => response,
         Err(error) => {
-            let refused = is_refused(&error);
-            return BackendAnswer::Failed { refused };
+            return failed(order, is_refused(&error));
         }
     };
     if response.status_code != 200 {
-        return BackendAnswer::Failed { refused: false };
+        return failed(order, false);
+    }
+    answer(order, response.as_bytes()).unwrap_or_else(|| failed(order, false))
+}
+
+/// Returns the answer to an order that had none.
+fn failed(order: &BackendOrder, refused: bool) -> BackendAnswer {
+    match order {
+        BackendOrder::Prefill { request, .. }
+        | BackendOrder::Export { request, .. }
+        | BackendOrder::Import { request, .. } => BackendAnswer::GangFailed {
+            request: *request,
+            refused,
+        },
+        BackendOrder::Cancel { .. } | BackendOrder::Load | BackendOrder::CacheEvents { .. } => {
+            BackendAnswer::Failed { refused }
+        }
     }
-    answer(order, response.as_bytes()).unwrap_or(BackendAnswer::Failed { refused: false })
 }
 
 fn request(addr: &str, order: &BackendOrder) -> minreq::Request {
     match order {
         BackendOrder::Cancel { request, epoch } => {
             let body = json!({"request": request.to_string(), "epoch": epoch});
-            minreq::post(format!("http://{addr}/v1/cancel"))
-                .with_header("Content-Type", "application/json")
-                .with_body(body.to_string())
+            post(addr, "cancel", &body)
         }
         BackendOrder::Load => minreq::get(format!("http://{addr}/v1/load")),
         BackendOrder::CacheEvents { after } => {
             minreq::get(format!("http://{addr}/v1/cache-events?after={after}"))
         }
+        BackendOrder::Prefill { .. }
+        | BackendOrder::Export { .. }
+        | BackendOrder::Import { .. } => gang_request(addr, order),
     }
 }
 
+fn gang_request(addr: &str, order: &BackendOrder) -> minreq::Request {
+    match order {
+        BackendOrder::Prefill {
+            request,
+            epoch,
+            owner,
+            priority,
+            from_token,
+            to_token,
+            memory_tokens,
+            work,
+        } => {
+            let (model, text) = match &**work {
+                Work::Prompt(prompt) => {
+                    (prompt.model.as_str(), prompt.part(*from_token, *to_token))
+                }
+                Work::Service(_) => ("", ""),
+            };
+            let body = json!({
+                "request": request.to_string(), "epoch": epoch, "owner": owner,
+                "priority": priority, "model": model, "prompt": text,
+                "from_token": from_token, "to_token": to_token,
+                "memory_tokens": memory_tokens,
+            });
+            post(addr, "prefill", &body)
+        }
+        BackendOrder::Export {
+            request,
+            epoch,
+            from_token,
+            to_token,
+        } => {
+            let body = json!({
+                "request": request.to_string(), "epoch": epoch,
+                "from_token": from_token, "to_token": to_token,
+            });
+            post(addr, "kv-export", &body)
+        }
+        BackendOrder::Import {
+            request,
+            epoch,
+            segment,
+            addr: from,
+        } => {
+            let body = json!({
+                "request": request.to_string(), "epoch": epoch,
+                "segment": segment, "addr": from,
+            });
+            post(addr, "kv-import", &body)
+        }
+        BackendOrder::Cancel { .. } | BackendOrder::Load | BackendOrder::CacheEvents { .. } => {
+            request(addr, order)
+        }
+    }
+}
+
+fn post(addr: &str, call: &str, body: &Value) -> minreq::Request {
+    minreq::post(format!("http://{addr}/v1/{call}"))
+        .with_header("Content-Type", "application/json")
+        .with_body(body.to_string())
+}
+
 fn answer(order: &BackendOrder, body: &[u8]) -> Option<BackendAnswer> {
     match order {
         BackendOrder::Cancel { request, .. } => {
@@ -63,6 +147,19 @@
         BackendOrder::CacheEvents { .. } => {
             parse(body).map(|feed: CacheEvents| BackendAnswer::CacheEvents(feed.events))
         }
+        BackendOrder::Prefill {
+            request, to_token, ..
+        } => Some(BackendAnswer::Prefilled {
+            request: *request,
+            to_token: *to_token,
+        }),
+        BackendOrder::Export { request, .. } => {
+            parse(body).map(|export: Export| BackendAnswer::Exported {
+                request: *request,
+                segment: export.segment,
+            })
+        }
+        BackendOrder::Import { request, .. } => Some(BackendAnswer::Imported { request: *request }),
     }
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -9,6 +9,7 @@
 mod attempts;
 mod claim;
 mod duties;
+mod gangs;
 mod message;
 mod request;
 #[cfg(test)]
--- a/src/control/attempts.rs
+++ b/src/control/attempts.rs
@@ -73,6 +73,7 @@
         for decision in decisions {
             match decision {
                 Decision::Run(dispatch) => self.run(cx, dispatch),
+                Decision::Gang(reservation) => self.begin_gang(cx, reservation),
                 Decision::Refuse(job, refusal) => {
                     if let Some(flight) = self.flights.remove(&job.request) {
                         self.failed(cx, job.request, &flight, refusal);
@@ -82,7 +83,7 @@
         }
     }
 
-    fn run(&mut self, cx: &mut Cx<'_>, dispatch: Dispatch) {
+    pub(super) fn run(&mut self, cx: &mut Cx<'_>, dispatch: Dispatch) {
         let Dispatch { job, held } = dispatch;
         let Some(flight) = self.flights.get_mut(&job.request) else {
             return self.capacity.release(held);
@@ -133,6 +134,7 @@
         match next {
             Next::Whole => {
                 self.capacity.release(running.held);
+                self.end_gang(cx, request);
                 self.settle_claim(cx, request, &flight);
                 let fingerprint = job.fingerprint;
                 self.quarantine.completed(cx, &self.everyone, fingerprint);
@@ -248,6 +250,7 @@
         service: bool,
     ) {
         self.router.ended(cx.now, &self.fleet, request, None);
+        self.end_gang(cx, request);
         if !lingers {
             return self.capacity.release(running.held);
         }
--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -24,6 +24,7 @@
 use crate::declaration::Declaration;
 use crate::fleet::Fleet;
 use crate::fleet::Listing;
+use crate::gang::Gangs;
 use crate::id::Epoch;
 use crate::id::RequestId;
 use crate::id::Revision;
@@ -55,6 +56,7 @@
     pub(super) capacity: Capacity,
     pub(super) conditions: Conditions,
     pub(super) flights: HashMap<RequestId, Flight>,
+    pub(super) gangs: Gangs,
     pub(super) lingers: Lingers,
     pub(super) budgets: Budgets,
     pub(super) members: Membership,
@@ -78,6 +80,7 @@
             capacity: Capacity::default(),
             conditions: Conditions::default(),
             flights: HashMap::new(),
+            gangs: Gangs::default(),
             lingers: Lingers::default(),
             budgets: Budgets::default(),
             members: Membership::new(me),
@@ -136,6 +139,7 @@
         self.claimed(cx, outcomes);
         self.poll(cx);
         self.expire(cx);
+        self.gang_tick(cx);
         for held in self.lingers.tick(cx, &self.fleet) {
             self.capacity.release(held);
         }
@@ -216,8 +220,10 @@
                 let sign = Sign::Reported { boot: report.boot };
                 self.conditions.sign(cx, &self.fleet, backend, sign);
                 self.router.reported(cx.now, backend, &report);
-                if self.fleet.backend(backend).boot != Some(report.boot) {
+                let known = self.fleet.backend(backend).boot;
+                if known.is_some_and(|known| known != report.boot) {
                     self.router.affinity.forget(backend);
+                    self.gang_died(cx, backend);
                 }
                 let freed = self.lingers.report(backend, &report);
                 self.fleet.set_boot(backend, report.boot);
@@ -226,12 +232,20 @@
             BackendAnswer::Failed { refused: true } => {
                 self.conditions
                     .sign(cx, &self.fleet, backend, Sign::Refused);
+                self.gang_died(cx, backend);
                 self.lingers.restarted(backend)
             }
             BackendAnswer::Failed { refused: false } => {
                 self.conditions.sign(cx, &self.fleet, backend, Sign::Silent);
                 Vec::new()
             }
+            BackendAnswer::Prefilled { .. }
+            | BackendAnswer::Exported { .. }
+            | BackendAnswer::Imported { .. }
+            | BackendAnswer::GangFailed { .. } => {
+                self.gang_answer(cx, backend, &answer);
+                Vec::new()
+            }
             BackendAnswer::CacheEvents(events) => {
                 self.router.cache_events(cx.now, backend, &events);
                 Vec::new()
--- a/src/control/request.rs
+++ b/src/control/request.rs
@@ -229,6 +229,7 @@
             self.release_claim(cx, request, slot);
         }
         let Phase::Running(running) = flight.phase else {
+            self.end_gang(cx, request);
             return;
         };
         let attempt = running.attempt;
--- a/src/fixture.rs
+++ b/src/fixture.rs
@@ -40,13 +40,7 @@
         Fixture {
             now: Millis::ZERO,
             timeline: Timeline::new("test"),
-            me: Identity {
-                name: "test".to_owned(),
-                domain: "ikeja".to_owned(),
-                boot: Boot(1),
-                peer_addr: String::new(),
-                unix_zero: Millis::ZERO,
-            },
+            me: identity(),
             out: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(7),
             metrics: Metrics::new(),
@@ -75,7 +69,28 @@
 /// `key=value` with spaces between, and `model=m` where none is named.
 pub fn fleet(rules: &str, engines: &[(&str, &str, &str)]) -> Fleet {
     let declaration: Declaration = toml::from_str(rules).expect("rules are valid");
-    let listings = engines.iter().map(|&(name, domain, labels)| Listing {
+    let listings = engines.iter();
+    let listings = listings.map(|&(name, domain, labels)| listing(name, domain, labels));
+    let mut fleet = Fleet::default();
+    fleet.declare(&declaration);
+    fleet.list(listings.collect());
+    fleet
+}
+
+/// Returns who the tested instance is.
+pub fn identity() -> Identity {
+    Identity {
+        name: "test".to_owned(),
+        domain: "ikeja".to_owned(),
+        boot: Boot(1),
+        peer_addr: String::new(),
+        unix_zero: Millis::ZERO,
+    }
+}
+
+/// Returns the line of an engine in the instance list.
+pub fn listing(name: &str, domain: &str, labels: &str) -> Listing {
+    Listing {
         name: name.to_owned(),
         role: Role::Engine,
         domain: domain.to_owned(),
@@ -83,11 +98,7 @@
         peer_addr: String::new(),
         leaving: false,
         labels: self::labels(labels),
-    });
-    let mut fleet = Fleet::default();
-    fleet.declare(&declaration);
-    fleet.list(listings.collect());
-    fleet
+    }
 }
 
 fn labels(text: &str) -> Labels {
--- /dev/null
+++ b/src/gang/tests.rs
@@ -0,0 +1,344 @@
+//! Gangs in the control core, on a virtual clock.
+
+use std::sync::Arc;
+
+use super::*;
+use crate::backend::AttemptEnd;
+use crate::backend::AttemptEvent;
+use crate::backend::Call;
+use crate::backend::Prompt;
+use crate::control::AdminAnswer;
+use crate::control::AdminQuery;
+use crate::control::Control;
+use crate::control::Input;
+use crate::control::Reply;
+use crate::control::Submission;
+use crate::declaration::Declaration;
+use crate::fixture::identity;
+use crate::fixture::listing;
+use crate::id::Fingerprint;
+use crate::id::Revision;
+use crate::metrics::Metrics;
+use crate::verdict::Reason;
+use crate::verdict::Refusal;
+use crate::verdict::Verdict;
+
+const RULES: &str = "
+[[domain]]
+name = 'ikeja'
+[[limit]]
+warm = { streams = 4, memory_tokens = 100000, prefill_tokens = 100000 }
+cold = { streams = 4, memory_tokens = 100000, prefill_tokens = 100000 }
+[[kind]]
+name = 'dispute'
+deadline_ms = 600000
+importance = 90
+[[workspace]]
+name = 'compliance'
+token_sha256 = 'aa'
+[[route]]
+name = 'all'
+prefer = ['']
+";
+
+struct World {
+    control: Control,
+    now: Millis,
+}
+
+impl World {
+    /// Three engines, of which those named in `joined` may join gangs.
+    fn new(joined: &[&str]) -> World {
+        let mut control = Control::new(identity(), 7, Arc::new(Metrics::new()));
+        let declaration: Declaration = toml::from_str(RULES).unwrap();
+        control.declare(Millis(0), &declaration, Revision(1));
+        let listings = ["a", "b", "c"].map(|name| {
+            let label = if joined.contains(&name) { "gang=x" } else { "" };
+            listing(name, "ikeja", label)
+        });
+        let _ = control.handle(Millis(0), Input::Listings(listings.to_vec()));
+        World {
+            control,
+            now: Millis(1),
+        }
+    }
+
+    fn input(&mut self, input: Input) -> Vec<Output> {
+        self.now += Millis(1);
+        self.control.handle(self.now, input)
+    }
+
+    fn submit(&mut self, request: u64, tokens: u64) -> Vec<Output> {
+        self.input(Input::Submit(Submission {
+            request: RequestId(request),
+            token_sha256: "aa".to_owned(),
+            kind: None,
+            deadline: None,
+            importance: None,
+            fingerprint: Fingerprint(request),
+            work: Arc::new(Work::Prompt(Prompt {
+                model: "m".to_owned(),
+                text: "x".repeat(4_000),
+                tokens,
+                prefix: 0,
+                max_tokens: 20,
+            })),
+        }))
+    }
+
+    fn answer(&mut self, backend: &str, answer: BackendAnswer) -> Vec<Output> {
+        let backend = backend.to_owned();
+        self.input(Input::Backend { backend, answer })
+    }
+
+    /// Answers each cancel, and returns what followed.
+    fn confirm(&mut self, outputs: &[Output]) -> Vec<Output> {
+        let mut after = Vec::new();
+        for output in outputs {
+            let Output::Order { backend, order, .. } = output else {
+                continue;
+            };
+            if let BackendOrder::Cancel { request, .. } = order {
+                let request = *request;
+                after.extend(self.answer(backend, BackendAnswer::Cancelled { request }));
+            }
+        }
+        after
+    }
+
+    /// Says what is free on each engine and what is still to be confirmed.
+    fn status(&mut self) -> (Vec<u64>, u64) {
+        let query = AdminQuery::Status;
+        let out = self.input(Input::Admin { ticket: 1, query });
+        let Some(Output::Admin {
+            answer: AdminAnswer::Json(status),
+            ..
+        }) = out.last()
+        else {
+            panic!("no status in {out:?}");
+        };
+        let backends = status["backends"].as_array().unwrap();
+        let free = backends
+            .iter()
+            .map(|backend| backend["free_streams"].as_u64().unwrap());
+        (free.collect(), status["streams_given_up"].as_u64().unwrap())
+    }
+
+    fn assert_nothing_reserved(&mut self) {
+        assert_eq!(self.status(), (vec![4, 4, 4], 0));
+    }
+}
+
+fn order(out: &[Output]) -> Option<(String, BackendOrder)> {
+    out.iter().find_map(|output| match output {
+        Output::Order { backend, order, .. }
+            if !matches!(order, BackendOrder::Cancel { .. } | BackendOrder::Load) =>
+        {
+            Some((backend.clone(), order.clone()))
+        }
+        _ => None,
+    })
+}
+
+fn call(out: &[Output]) -> Option<&Call> {
+    out.iter().find_map(|output| match output {
+        Output::Send(call) => Some(call),
+        _ => None,
+    })
+}
+
+fn refusal(out: &[Output]) -> Option<&Refusal> {
+    out.iter().find_map(|output| match output {
+        Output::Reply {
+            reply: Reply::Refused(refusal),
+            ..
+        } => Some(refusal),
+        _ => None,
+    })
+}
+
+/// Returns an engine's answer to an order.
+fn done(order: &BackendOrder) -> BackendAnswer {
+    match order {
+        BackendOrder::Prefill {
+            request, to_token, ..
+        } => BackendAnswer::Prefilled {
+            request: *request,
+            to_token: *to_token,
+        },
+        BackendOrder::Export { request, .. } => BackendAnswer::Exported {
+            request: *request,
+            segment: "handle".to_owned(),
+        },
+        BackendOrder::Import { request, .. } => BackendAnswer::Imported { request: *request },
+        other => panic!("not a gang's order: {other:?}"),
+    }
+}
+
+/// Answers `steps` orders of a gang at most; returns the outputs after the last
+/// and how many were answered.
+fn advance(world: &mut World, mut out: Vec<Output>, steps: usize) -> (Vec<Output>, usize) {
+    for step in 0..steps {
+        let Some((backend, order)) = order(&out) else {
+            return (out, step);
+        };
+        out = world.answer(&backend, done(&order));
+    }
+    (out, steps)
+}
+
+fn whole(world: &mut World, out: &[Output]) -> Vec<Output> {
+    let attempt = call(out).expect("a call").attempt;
+    let event = AttemptEvent::Ended(AttemptEnd::Whole { tokens: 20 });
+    world.input(Input::Attempt { attempt, event })
+}
+
+#[test]
+fn a_gang_processes_all_parts_and_frees_all_members() {
+    let mut world = World::new(&["a", "b", "c"]);
+    let mut out = world.submit(1, 220_000);
+    let mut parts = Vec::new();
+    while let Some((backend, order)) = order(&out) {
+        if let BackendOrder::Prefill {
+            from_token,
+            to_token,
+            ..
+        } = &order
+        {
+            parts.push((backend.clone(), *from_token, *to_token));
+        }
+        out = world.answer(&backend, done(&order));
+    }
+    assert!(
+        parts.windows(2).all(|pair| pair[0].2 == pair[1].1),
+        "no gap"
+    );
+    assert_eq!((parts[0].1, parts[parts.len() - 1].2), (0, 220_000));
+    assert!(
+        parts
+            .iter()
+            .all(|(_, from, to)| to - from <= chain::SLICE_TOKENS)
+    );
+    let mut names: Vec<&str> = parts.iter().map(|(name, ..)| name.as_str()).collect();
+    names.dedup();
+    assert_eq!(names, ["a", "b", "c"]);
+    let out = whole(&mut world, &out);
+    world.confirm(&out);
+    world.assert_nothing_reserved();
+}
+
+#[test]
+fn without_labels_there_is_no_gang() {
+    for joined in [&[][..], &["a"], &["a", "b"]] {
+        let mut world = World::new(joined);
+        let out = world.submit(1, 220_000);
+        let refusal = refusal(&out).expect("a refusal");
+        assert_eq!(refusal.reason, Reason::PromptTooLong);
+        assert_eq!(refusal.verdict, Verdict::NotRun);
+        world.assert_nothing_reserved();
+    }
+}
+
+#[test]
+fn two_gangs_take_turns() {
+    let mut world = World::new(&["a", "b", "c"]);
+    let first = world.submit(1, 150_000);
+    let second = world.submit(2, 150_000);
+    assert!(order(&first).is_some());
+    assert!(order(&second).is_none(), "one engine is left");
+    assert_eq!(
+        world.status().0.iter().sum::<u64>(),
+        10,
+        "the second holds none"
+    );
+    let (out, _) = advance(&mut world, first, 1_000);
+    let mut out = whole(&mut world, &out);
+    out.extend(world.confirm(&out.clone()));
+    let (out, _) = advance(&mut world, out, 1_000);
+    let out = whole(&mut world, &out);
+    world.confirm(&out);
+    world.assert_nothing_reserved();
+}
+
+#[test]
+fn a_member_that_fails_at_any_step_leaves_nothing_reserved() {
+    let steps = {
+        let mut world = World::new(&["a", "b", "c"]);
+        let out = world.submit(1, 150_000);
+        advance(&mut world, out, 1_000).1
+    };
+    for step in 0..steps {
+        for refused in [true, false] {
+            let mut world = World::new(&["a", "b", "c"]);
+            let out = world.submit(1, 150_000);
+            let (out, _) = advance(&mut world, out, step);
+            let (failed, _) = order(&out).expect("a step");
+            let request = RequestId(1);
+            let answer = BackendAnswer::GangFailed { request, refused };
+            let mut out = world.answer(&failed, answer);
+            out.extend(world.confirm(&out.clone()));
+            let (backend, first) = order(&out).expect("another gang, without the one that failed");
+            assert_ne!(backend, failed);
+            assert!(matches!(first, BackendOrder::Prefill { from_token: 0, .. }));
+            let (out, _) = advance(&mut world, out, 1_000);
+            let out = whole(&mut world, &out);
+            world.confirm(&out);
+            world.assert_nothing_reserved();
+        }
+    }
+}
+
+#[test]
+fn a_caller_who_leaves_and_a_silent_member_free_everything() {
+    let mut world = World::new(&["a", "b", "c"]);
+    let out = world.submit(1, 220_000);
+    advance(&mut world, out, 5);
+    let request = RequestId(1);
+    let out = world.input(Input::CallerGone { request });
+    world.confirm(&out);
+    world.assert_nothing_reserved();
+    let out = world.submit(2, 220_000);
+    advance(&mut world, out, 15);
+    world.now += STEP_LIMIT;
+    let out = world.input(Input::Tick);
+    let refusal = refusal(&out).expect("no other gang is left");
+    assert_eq!(refusal.verdict, Verdict::MayHaveRun);
+    assert_eq!(refusal.reason, Reason::NoBackend);
+    world.confirm(&out);
+    world.assert_nothing_reserved();
+}
+
+#[test]
+fn crossed_answers_are_dropped() {
+    let mut world = World::new(&["a", "b", "c"]);
+    let out = world.submit(1, 150_000);
+    let (backend, first) = order(&out).expect("a step");
+    let request = RequestId(1);
+    let late = BackendAnswer::Prefilled {
+        request,
+        to_token: 1,
+    };
+    for (from, answer) in [
+        ("c", done(&first)),
+        (&*backend, late),
+        (&*backend, BackendAnswer::Imported { request }),
+    ] {
+        let out = world.answer(from, answer);
+        assert!(order(&out).is_none());
+    }
+    let out = world.answer(&backend, done(&first));
+    assert!(order(&out).is_some());
+}
+
+#[test]
+fn the_parts_of_a_text_leave_nothing_out() {
+    let prompt = Prompt {
+        model: String::new(),
+        text: "ŋgụ́ ".repeat(50),
+        tokens: 77,
+        prefix: 0,
+        max_tokens: 1,
+    };
+    let parts: String = (0..77).map(|token| prompt.part(token, token + 1)).collect();
+    assert_eq!(parts, prompt.text);
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 #[cfg(test)]
 mod fixture;
 pub mod fleet;
+pub mod gang;
 pub mod id;
 pub mod job;
 pub mod listener;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -43,6 +43,8 @@
     PeerConnections = "peer_connections", "Connections opened to other instances";
     BadRequests = "requests_bad", "Requests refused before they reached the control core";
     ConditionChanges = "condition_changes", "Changes of a backend server's condition as this instance sees it";
+    Gangs = "gangs_started", "Prompts over one engine's memory that began on several engines";
+    GangsBroken = "gangs_broken", "Gangs given up as a member failed";
     Evicted = "requests_evicted", "Admitted requests refused in the queue, before any attempt or between two";
     StaleFrames = "stale_frames", "Answer frames dropped as their attempt or offset did not match";
 }
@@ -50,6 +52,7 @@
 metrics! { GAUGES, Level:
     RequestsOpen = "requests_open", "Requests admitted and not yet answered";
     Revision = "declaration_revision", "Revision of the declarations in force";
+    Gangs = "gangs", "Gangs of engines reserved by this instance";
     Waiting = "requests_waiting", "Requests in the queue";
     WaitingTokens = "tokens_waiting", "Tokens of the requests in the queue, output tokens weighted by 8";
     BackendsWarm = "backends_warm", "Backend servers that this instance counts as warm";
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -7,6 +7,7 @@
 //! it.
 
 mod explain;
+mod gang;
 mod lane;
 mod load;
 mod split;
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -167,6 +167,28 @@
         Some(flight)
     }
 
+    /// Adds a gang's member with its part of the prompt.
+    pub fn reserve(&mut self, backend: BackendKey, tokens: u64) {
+        let load = self.loads.entry(backend).or_default();
+        load.streams += 1;
+        load.prefill_tokens += tokens;
+        load.long_prefill_tokens += tokens;
+    }
+
+    /// Notes that a gang's member has processed its part.
+    pub fn processed(&mut self, backend: BackendKey, tokens: u64) {
+        let load = self.loads.entry(backend).or_default();
+        load.prefill_tokens = load.prefill_tokens.saturating_sub(tokens);
+        load.long_prefill_tokens = load.long_prefill_tokens.saturating_sub(tokens);
+    }
+
+    /// Removes a gang's member with what it has not processed.
+    pub fn unreserve(&mut self, backend: BackendKey, tokens: u64) {
+        self.processed(backend, tokens);
+        let load = self.loads.entry(backend).or_default();
+        load.streams = load.streams.saturating_sub(1);
+    }
+
     /// Takes over a load report.
     pub fn reported(&mut self, now: Millis, backend: BackendKey, report: &LoadReport) {
         let taken = now.since(report.age_ms);
