Do not refuse by speeds that nothing has proven

The default speeds were those of a slow engine, 22 tokens/s. A speed learned while an engine was cold could shut it off in the same way. Now the defaults are fast and marked as guesses: the first sample takes their place, and neither lateness nor a cold start is concluded from them. A speed below its start goes back there with a half-life of 60 s while nothing new is shown.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -217,7 +217,9 @@
             return Err(Box::new((job, refusal)));
         }
         let limits = lane.warm.first().copied().unwrap_or_default();
-        let predicted = router.predict_best(fleet, key, &job).unwrap_or_default();
+        let predicted = router
+            .predict_best(now, fleet, key, &job)
+            .unwrap_or_default();
         self.sequence += 1;
         let mut entry = Entry::new(job, key, self.sequence, predicted, limits);
         entry.gang = gang;
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -6,6 +6,7 @@
 
 use super::*;
 use crate::declaration::Limits;
+use crate::fixture::SPEEDS;
 use crate::fixture::drive::Drive;
 use crate::fixture::drive::Fate;
 use crate::fixture::drive::Policy;
@@ -50,7 +51,7 @@
 fn engines(count: usize) -> Fleet {
     let engines: Vec<_> = NAMES[..count]
         .iter()
-        .map(|&name| (name, "ikeja", ""))
+        .map(|&name| (name, "ikeja", SPEEDS))
         .collect();
     fleet(RULES, &engines)
 }
--- a/src/affinity/tests.rs
+++ b/src/affinity/tests.rs
@@ -3,6 +3,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::*;
+use crate::fixture::SPEEDS;
 use crate::fixture::drive::Drive;
 use crate::fixture::drive::Policy;
 use crate::fixture::drive::percentile;
@@ -97,7 +98,7 @@
 fn measure(copies: Option<Copies>, exponent: f64) -> (f64, u64, u64) {
     let engines: Vec<_> = ["a", "b", "c", "d", "e", "f", "g", "h"]
         .into_iter()
-        .map(|name| (name, "ikeja", ""))
+        .map(|name| (name, "ikeja", SPEEDS))
         .collect();
     let fleet = fleet(RULES, &engines);
     let mut rng = ChaCha8Rng::seed_from_u64(31);
--- a/src/fixture.rs
+++ b/src/fixture.rs
@@ -22,6 +22,9 @@
 use crate::metrics::Metrics;
 use crate::timeline::Timeline;
 
+/// Labels of an engine with the speeds of those in [`drive`].
+pub const SPEEDS: &str = "prefill_tokens_per_s=8000 decode_tokens_per_s=22";
+
 /// Owns what a [`Cx`] borrows.
 pub struct Fixture {
     /// The virtual time.
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -235,7 +235,7 @@
         let (flight, processing) = self.loads.first_token(now, request)?;
         let took = now.since(flight.sent);
         if self.is_engine(fleet, flight.backend) {
-            self.learn_prefill(fleet, &flight, processing);
+            self.learn_prefill(now, fleet, &flight, processing);
         }
         let late = flight.predicted.is_late(took);
         late.then_some((flight.backend, Sign::Late))
@@ -263,7 +263,7 @@
         let took = now.since(start);
         let (backend, model) = (flight.backend, &flight.model);
         self.predictor
-            .observe_whole(fleet, backend, model, tokens, took);
+            .observe_whole(now, fleet, backend, model, tokens, took);
         let took = now.since(flight.sent);
         let pace = flight.predicted.whole.0 as f64 / took.0.max(1) as f64;
         self.pace += PACE_LEARNING * (pace.clamp(1.0 / PACE_BOUND, PACE_BOUND) - self.pace);
@@ -302,12 +302,18 @@
     /// Returns the best prediction for a job over its lane's first tier that is
     /// not empty, were nothing else to be done.
     #[must_use]
-    pub fn predict_best(&self, fleet: &Fleet, lane: LaneKey, job: &Job) -> Option<Prediction> {
+    pub fn predict_best(
+        &self,
+        now: Millis,
+        fleet: &Fleet,
+        lane: LaneKey,
+        job: &Job,
+    ) -> Option<Prediction> {
         let tiers = &self.lanes.get(lane)?.tiers;
         let tier = tiers.iter().find(|tier| !tier.is_empty())?;
         let speeds = tier
             .iter()
-            .map(|place| self.predictor.speeds(fleet, place.backend, &job.model))
+            .map(|place| self.predictor.speeds(now, fleet, place.backend, &job.model))
             .reduce(|a, b| a.faster(b))?;
         Some(speeds.predict(job, 0, 0))
     }
@@ -346,7 +352,7 @@
             }
             let flight = self.flight(view, key, ask.job);
             let in_time = view.now + flight.predicted.whole <= ask.job.deadline;
-            if !in_time || !(ask.pressed || self.is_ready(view.fleet, &flight)) {
+            if !in_time || !(ask.pressed || self.is_ready(view, &flight)) {
                 continue;
             }
             let silent = view.conditions.condition(view.fleet, key) == Condition::Silent;
@@ -413,9 +419,12 @@
 
     /// Returns whether an engine would begin with the prompt soon: until then
     /// the job is better kept in the queue, where the order can change.
-    fn is_ready(&self, fleet: &Fleet, flight: &Flight) -> bool {
-        let speeds = self.predictor.speeds(fleet, flight.backend, &flight.model);
-        let ahead_s = flight.ahead_tokens as f64 / speeds.prefill_tokens_per_s;
+    fn is_ready(&self, view: View<'_>, flight: &Flight) -> bool {
+        let (now, fleet) = (view.now, view.fleet);
+        let speeds = self
+            .predictor
+            .speeds(now, fleet, flight.backend, &flight.model);
+        let ahead_s = flight.ahead_tokens as f64 / speeds.prefill_tokens_per_s.value;
         ahead_s <= MOST_AHEAD.as_secs_f64()
     }
 
@@ -427,8 +436,10 @@
 
     /// Returns the attempt that a job would be on a backend server.
     fn flight(&self, view: View<'_>, backend: BackendKey, job: &Job) -> Flight {
-        let speeds = self.predictor.speeds(view.fleet, backend, &job.model);
-        let tokens_per_s = speeds.prefill_tokens_per_s;
+        let speeds = self
+            .predictor
+            .speeds(view.now, view.fleet, backend, &job.model);
+        let tokens_per_s = speeds.prefill_tokens_per_s.value;
         let ahead_tokens = self.loads.prefill_ahead(view.now, backend, tokens_per_s);
         let cached_tokens = self.affinity.cached_tokens(view.now, job.prefix, backend);
         let predicted = speeds.predict(job, ahead_tokens, cached_tokens);
@@ -446,15 +457,15 @@
 
     /// Learns from a prompt that was processed in `took`: the speed where no
     /// cached prefix is expected, else how much was cached.
-    fn learn_prefill(&mut self, fleet: &Fleet, flight: &Flight, took: Millis) {
+    fn learn_prefill(&mut self, now: Millis, fleet: &Fleet, flight: &Flight, took: Millis) {
         let tokens = flight.cost.prefill_tokens;
         let (backend, model) = (flight.backend, &flight.model);
         if flight.cached_tokens == 0 {
             let predictor = &mut self.predictor;
-            return predictor.observe_first_token(fleet, backend, model, tokens, took);
+            return predictor.observe_first_token(now, fleet, backend, model, tokens, took);
         }
-        let speeds = self.predictor.speeds(fleet, backend, model);
-        let processed = (took.as_secs_f64() * speeds.prefill_tokens_per_s) as u64;
+        let speeds = self.predictor.speeds(now, fleet, backend, model);
+        let processed = (took.as_secs_f64() * speeds.prefill_tokens_per_s.value) as u64;
         let cached = tokens.saturating_sub(processed);
         self.affinity.observe(flight.prefix, cached);
     }
--- a/src/routing/gang.rs
+++ b/src/routing/gang.rs
@@ -89,7 +89,7 @@
     /// Notes that the last member begins to generate the answer.
     pub fn lead_gang(&mut self, now: Millis, fleet: &Fleet, job: &Job, held: &CreditUse) {
         self.leave_gang(held);
-        let speeds = self.predictor.speeds(fleet, held.backend, &job.model);
+        let speeds = self.predictor.speeds(now, fleet, held.backend, &job.model);
         let flight = Flight {
             cost: held.cost,
             cached_tokens: job.prompt_tokens,
