Run a whole deployment in one process, and add the demonstration

Stand-ins and daemons could not be run together. A deployment starts the stand-ins of three failure domains and six instances through the daemon's own code; a stage plays seeded loads and timed steps on it, or on a baseline over the same backend servers; a check compares callers, services and engines against the promises.

Percentiles came out as 0, as a histogram that grows by itself saturates at its first, small bound; times are recorded so that it grows, with a test.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -5,10 +5,15 @@
 //! fault orders over HTTP (`POST /fault`); `GET /stats` gives their counters.
 
 pub mod answer;
+pub mod check;
+pub mod demo;
+pub mod deployment;
 pub mod engine;
 pub mod list;
 pub mod load;
+pub mod okonkwo;
 pub mod serve;
 pub mod service;
 pub mod site;
+pub mod stage;
 pub mod store;
--- a/bench/src/load.rs
+++ b/bench/src/load.rs
@@ -2,6 +2,7 @@
 //! ones (open loop), and checks each answer against what it has to be.
 
 pub mod client;
+pub mod command;
 pub mod outcome;
 pub mod plan;
 pub mod summary;
@@ -196,9 +197,9 @@
     }
 
     fn key(&self, arrival: &Arrival) -> String {
-        match self.cfg.classes[arrival.class].service.is_empty() {
-            true => String::new(),
-            false => format!("key-{}-{}", self.cfg.seed, arrival.number),
+        match self.cfg.classes[arrival.class].once {
+            true => format!("key-{}-{}", self.cfg.seed, arrival.number),
+            false => String::new(),
         }
     }
 
--- a/bench/src/load/client.rs
+++ b/bench/src/load/client.rs
@@ -137,7 +137,7 @@
         service: String,
         /// Operation.
         operation: String,
-        /// Idempotency key.
+        /// Idempotency key; empty: none.
         key: String,
     },
 }
@@ -253,7 +253,7 @@
         } => (
             format!("/v1/services/{service}/{operation}"),
             json!({"callback": key}),
-            Some(key),
+            Some(key).filter(|key| !key.is_empty()),
         ),
     };
     let mut request = attohttpc::post(format!("http://{addr}{path}"))
@@ -290,7 +290,10 @@
             key,
         } => {
             let url = format!("http://{addr}/v1/call/{service}/{operation}");
-            let request = attohttpc::post(url).header("Idempotency-Key", key);
+            let mut request = attohttpc::post(url);
+            if !key.is_empty() {
+                request = request.header("Idempotency-Key", key);
+            }
             bounded(request, ask).text("{}").send()
         }
     }
--- a/bench/src/load/outcome.rs
+++ b/bench/src/load/outcome.rs
@@ -61,7 +61,7 @@
     pub prompt_tokens: u64,
     /// When it was sent, after the start.
     pub at: Millis,
-    /// Idempotency key; empty for a prompt.
+    /// Idempotency key; empty: none.
     pub key: String,
     /// What the caller got.
     pub ending: Ending,
--- a/bench/src/load/plan.rs
+++ b/bench/src/load/plan.rs
@@ -38,6 +38,8 @@
     pub service: String,
     /// The plain service's operation.
     pub operation: String,
+    /// Whether a call must not run more than once: it gets an idempotency key.
+    pub once: bool,
     /// Copies of one call sent at the same time to different instances.
     pub copies: u32,
     /// Times that a caller sends a failed request again.
@@ -60,6 +62,7 @@
             max_tokens: 32,
             service: String::new(),
             operation: String::new(),
+            once: false,
             copies: 1,
             resends: 0,
             marker: String::new(),
--- a/bench/src/load/summary.rs
+++ b/bench/src/load/summary.rs
@@ -25,7 +25,8 @@
         // Digits between 0 and 5 are always accepted.
         let mut histogram = Histogram::new(DIGITS).unwrap_or_else(|_| unreachable!());
         for time in times {
-            histogram.saturating_record(u64::try_from(time.as_micros()).unwrap_or(u64::MAX));
+            // The histogram grows with its values.
+            let _ = histogram.record(u64::try_from(time.as_micros()).unwrap_or(u64::MAX));
         }
         Times(histogram)
     }
--- a/bench/src/load/tests.rs
+++ b/bench/src/load/tests.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use super::Load;
 use super::LoadClass;
 use super::LoadConfig;
@@ -5,6 +7,7 @@
 use super::Policy;
 use super::Summary;
 use super::Target;
+use super::summary::Times;
 use crate::engine::EngineConfig;
 use crate::engine::EngineFault;
 use crate::engine::EngineHandle;
@@ -54,6 +57,14 @@
     assert_eq!(summary.whole, summary.calls);
 }
 
+#[test]
+fn percentiles_of_times_are_in_milliseconds() {
+    let times = Times::of((1..=100).map(Duration::from_millis));
+    assert_eq!(times.count(), 100);
+    assert!((times.percentile(50.0) - 50.0).abs() < 0.1);
+    assert!((times.percentile(99.0) - 99.0).abs() < 0.1);
+}
+
 #[test]
 fn an_answer_with_a_foreign_frame_is_found_to_be_wrong() {
     let engine = EngineHandle::start(EngineConfig::default()).unwrap();
--- a/bench/src/serve.rs
+++ b/bench/src/serve.rs
@@ -8,7 +8,8 @@
 #[cfg(test)]
 mod tests;
 
-pub use ini::SetError;
+pub use self::ini::SetError;
+pub use self::ini::typed;
 
 use std::io;
 use std::path::Path;
--- a/bench/src/serve/ini.rs
+++ b/bench/src/serve/ini.rs
@@ -13,7 +13,7 @@
 use crate::store::StoreConfig;
 
 /// Keys whose values are lists.
-const LISTS: [&str; 2] = ["models", "services"];
+const LISTS: [&str; 3] = ["models", "services", "entries"];
 
 /// What is wrong with an INI file.
 #[derive(Debug)]
@@ -57,7 +57,12 @@
     Ok(cfg)
 }
 
-fn typed<T: DeserializeOwned>(
+/// Reads a section's properties into a settings type.
+///
+/// # Errors
+///
+/// Returns an error that names the section and what is wrong with it.
+pub fn typed<T: DeserializeOwned>(
     section: &str,
     name: &str,
     properties: &Properties,
