Add seeded experiments with baselines, verdicts and reports

The promises had no runs that cause each fault over real sockets. Reports are SVG charts or a page that holds them with all figures.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -10,6 +10,7 @@
 use eyre::WrapErr;
 
 use skylarkhook_bench::demo;
+use skylarkhook_bench::experiment;
 use skylarkhook_bench::load::command;
 use skylarkhook_bench::serve::Set;
 use skylarkhook_bench::serve::SetConfig;
@@ -27,6 +28,7 @@
     Serve(Serve),
     Load(LoadArgs),
     Demo(Demo),
+    Experiment(Experiment),
 }
 
 /// Runs a set of stand-ins until it is ended.
@@ -59,6 +61,24 @@
 #[argh(subcommand, name = "demo")]
 struct Demo {}
 
+/// Runs an experiment, baselines beside; exit code 1 if a bound was broken.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "experiment")]
+struct Experiment {
+    /// name; `list` shows all
+    #[argh(positional)]
+    name: String,
+    /// seed of load and faults
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// print the figures comma separated
+    #[argh(switch)]
+    csv: bool,
+    /// file to write a report to, .html or .svg
+    #[argh(option)]
+    report: Option<PathBuf>,
+}
+
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     match run(args.command) {
@@ -76,6 +96,9 @@
         Command::Serve(args) => serve(&args),
         Command::Load(args) => command::run(&args.file, args.seed, args.csv.as_deref()),
         Command::Demo(Demo {}) => demo::run(),
+        Command::Experiment(args) => {
+            experiment::run(&args.name, args.seed, args.csv, args.report.as_deref())
+        }
     }
 }
 
