--- a/src/capacity/tests/world.rs
+++ b/src/capacity/tests/world.rs
@@ -440,7 +440,10 @@
             BackendOrder::Cancel { request, .. } => {
                 engine.running.remove(request);
             }
-            BackendOrder::CacheEvents { .. } => {}
+            BackendOrder::CacheEvents { .. }
+            | BackendOrder::Prefill { .. }
+            | BackendOrder::Export { .. }
+            | BackendOrder::Import { .. } => {}
             BackendOrder::Load => {
                 let report = engine.report();
                 let cut = self.is_cut(&node, &name);
--- a/tests/proof/caller.rs
+++ b/tests/proof/caller.rs
@@ -5,6 +5,7 @@
 
 use sha2::Digest;
 use sha2::Sha256;
+
 use skylarkhook::backend::Prompt;
 use skylarkhook::backend::ServiceCall;
 use skylarkhook::backend::Work;
--- a/tests/proof/world.rs
+++ b/tests/proof/world.rs
@@ -36,7 +36,6 @@
 use skylarkhook::store::StoreFailure;
 use skylarkhook::store::StoreOp;
 use skylarkhook::verdict::Verdict;
-
 use super::backend::Engine;
 use super::backend::Reader;
 use super::backend::SERVICE_TIME;
