Close a caller's relay before the core hears that it left

Cause: the core was told first, so a frame could still enter the relay of a caller that had gone; optimised tests showed it (push gave Gap, not Gone).

Conclusion: order fixed at its cause.

--- a/src/entry/reply.rs
+++ b/src/entry/reply.rs
@@ -69,6 +69,8 @@
     fn drop(&mut self) {
         if !self.answered {
             let request = self.request();
+            // First, so that no frame passes once the core knows.
+            self.side.close();
             let _ = self.control.send(Input::CallerGone { request });
         }
     }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -318,6 +318,12 @@
         self.request
     }
 
+    /// Closes the relay: it takes no more frames.
+    pub fn close(&self) {
+        let mut shard = self.relays.shard(self.request);
+        shard.relays.remove(&self.request);
+    }
+
     /// Waits for what comes next; none if nothing came within `wait`.
     #[must_use]
     pub fn next(&self, wait: Duration) -> Option<CallerEvent> {
@@ -341,8 +347,7 @@
 
 impl Drop for CallerSide {
     fn drop(&mut self) {
-        let mut shard = self.relays.shard(self.request);
-        shard.relays.remove(&self.request);
+        self.close();
     }
 }
 
