--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -26,6 +26,7 @@
 use crate::fleet::BackendKey;
 use crate::fleet::Fleet;
 use crate::fleet::Listing;
+use crate::gang::Gangs;
 use crate::id::RequestId;
 use crate::id::Revision;
 use crate::membership::Load;
@@ -57,6 +58,7 @@
     pub(super) capacity: Capacity,
     pub(super) conditions: Conditions,
     pub(super) flights: HashMap<RequestId, Flight>,
+    pub(super) gangs: Gangs,
     pub(super) lingers: Lingers,
     pub(super) budgets: Budgets,
     pub(super) members: Membership,
@@ -81,6 +83,7 @@
             capacity: Capacity::new(me),
             conditions: Conditions::default(),
             flights: HashMap::new(),
+            gangs: Gangs::default(),
             lingers: Lingers::default(),
             budgets: Budgets::default(),
             members: Membership::new(me),
@@ -159,6 +162,7 @@
         let (capacity, mut scope) = self.limits();
         capacity.tick(cx, &mut scope);
         self.expire(cx);
+        self.gang_tick(cx);
         for held in self.lingers.tick(cx, &self.fleet) {
             self.capacity.release(held);
         }
@@ -219,8 +223,10 @@
                 let sign = Sign::Reported { boot: report.boot };
                 self.conditions.sign(cx, &self.fleet, backend, sign);
                 self.router.reported(cx.now, backend, &report);
-                if self.fleet.backend(backend).boot != Some(report.boot) {
+                let known = self.fleet.backend(backend).boot;
+                if known.is_some_and(|known| known != report.boot) {
                     self.router.affinity.forget(backend);
+                    self.gang_died(cx, backend);
                 }
                 let freed = self.lingers.report(backend, &report);
                 self.fleet.set_boot(backend, report.boot);
@@ -230,12 +236,20 @@
             BackendAnswer::Failed { refused: true } => {
                 self.conditions
                     .sign(cx, &self.fleet, backend, Sign::Refused);
+                self.gang_died(cx, backend);
                 self.lingers.restarted(backend)
             }
             BackendAnswer::Failed { refused: false } => {
                 self.conditions.sign(cx, &self.fleet, backend, Sign::Silent);
                 Vec::new()
             }
+            BackendAnswer::Prefilled { .. }
+            | BackendAnswer::Exported { .. }
+            | BackendAnswer::Imported { .. }
+            | BackendAnswer::GangFailed { .. } => {
+                self.gang_answer(cx, backend, &answer);
+                Vec::new()
+            }
             BackendAnswer::CacheEvents(events) => {
                 self.router.cache_events(cx.now, backend, &events);
                 Vec::new()
