--- a/src/gang/tests.rs
+++ b/src/gang/tests.rs
@@ -49,7 +49,7 @@
 impl World {
     /// Three engines, of which those named in `joined` may join gangs.
     fn new(joined: &[&str]) -> World {
-        let mut control = Control::new(identity(), 7, Arc::new(Metrics::new()));
+        let mut control = Control::alone(identity(), 7, Arc::new(Metrics::new()));
         let declaration: Declaration = toml::from_str(RULES).unwrap();
         control.declare(Millis(0), &declaration, Revision(1));
         let listings = ["a", "b", "c"].map(|name| {
