--- a/src/entry/reply.rs
+++ b/src/entry/reply.rs
@@ -67,11 +67,10 @@
 
 impl Drop for Caller {
     fn drop(&mut self) {
+        // First, so that no frame passes once the core knows.
         self.side.close();
         if !self.answered {
             let request = self.request();
-            // First, so that no frame passes once the core knows.
-            self.side.close();
             let _ = self.control.send(Input::CallerGone { request });
         }
     }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -318,12 +318,6 @@
         self.request
     }
 
-    /// Closes the relay: it takes no more frames.
-    pub fn close(&self) {
-        let mut shard = self.relays.shard(self.request);
-        shard.relays.remove(&self.request);
-    }
-
     /// Waits for what comes next; none if nothing came within `wait`.
     #[must_use]
     pub fn next(&self, wait: Duration) -> Option<CallerEvent> {
