--- a/src/admission/pool.rs
+++ b/src/admission/pool.rs
@@ -20,12 +20,14 @@
 use crate::fleet::BackendKey;
 use crate::fleet::Fleet;
 use crate::fleet::WorkspaceKey;
+use crate::gang::Member;
 use crate::id::RequestId;
 use crate::routing::Ask;
 use crate::routing::Full;
 use crate::routing::LaneKey;
 use crate::routing::Router;
 use crate::routing::View;
+use crate::routing::Want;
 use crate::verdict::Reason;
 use crate::verdict::Refusal;
 
@@ -69,6 +71,15 @@
     first_latest: Option<Millis>,
 }
 
+/// What a job found room on.
+#[derive(Debug)]
+pub enum Room {
+    /// One backend server.
+    One(CreditUse),
+    /// Several engines.
+    Gang(Vec<Member>),
+}
+
 /// The last job of each workspace that was looked at in a pass, and how many
 /// were.
 type Cursor = BTreeMap<WorkspaceKey, (OrderKey, usize)>;
@@ -140,12 +151,13 @@
         view: View<'_>,
         router: &mut Router,
         capacity: &mut Capacity,
-    ) -> Vec<(Entry, CreditUse)> {
+    ) -> Vec<(Entry, Room)> {
         let mut served = Vec::new();
         let mut cursor = Cursor::new();
         let mut kept = Vec::new();
         let mut full: Vec<LaneKey> = Vec::new();
         let mut misses = 0;
+        let mut wants = Wants::default();
         while misses < MISSES {
             let Some((workspace, key)) = self.next(&cursor) else {
                 break;
@@ -161,20 +173,25 @@
             };
             let result = match full.contains(&entry.lane) {
                 true => Err(Full::Streams),
-                false => router.place(view, capacity, ask),
+                false if entry.gang => router.reserve_gang(view, capacity, ask).map(Room::Gang),
+                false => router.place(view, capacity, ask).map(Room::One),
             };
             match result {
-                Ok(held) => {
+                Ok(room) => {
                     if let Some(entry) = self.take(workspace, key) {
                         self.charge(&entry);
-                        served.push((entry, held));
+                        served.push((entry, room));
                     }
                 }
                 Err(why) => {
                     misses += 1;
+                    wants.add(view.now, entry);
                     let seen = cursor.get(&workspace).map_or(0, |(_, seen)| *seen);
                     cursor.insert(workspace, (key, seen + 1));
-                    if why == Full::Streams {
+                    if entry.gang {
+                        let needs = router.gang_needs(view, ask);
+                        kept.extend(needs.into_iter().filter(|_| ask.pressed));
+                    } else if why == Full::Streams {
                         full.push(entry.lane);
                     } else if ask.pressed {
                         let most = router.places(entry.lane).map_or(0, |lane| lane.len());
@@ -184,6 +201,9 @@
                 }
             }
         }
+        for want in wants.0 {
+            router.want(view, capacity, want);
+        }
         self.measure(view.now, router);
         served
     }
@@ -416,3 +436,24 @@
         index
     }
 }
+
+/// What the jobs that found no room want, by lane.
+#[derive(Debug, Default)]
+struct Wants(Vec<Want>);
+
+impl Wants {
+    fn add(&mut self, now: Millis, entry: &Entry) {
+        let cost = entry.job.cost(0);
+        let waited = now.since(entry.job.admitted);
+        let weight = u64::from(entry.job.importance) + 1;
+        let want = match self.0.iter_mut().find(|want| want.lane == entry.lane) {
+            Some(want) => want,
+            None => {
+                self.0.push(Want::new(entry.lane));
+                let last = self.0.len() - 1;
+                &mut self.0[last]
+            }
+        };
+        want.add(cost, weight, waited);
+    }
+}
