--- a/src/listener.rs
+++ b/src/listener.rs
@@ -96,6 +96,7 @@
             pool: Pool::new(cfg.name, cfg.max_open),
             open: Arc::default(),
             stop: Arc::clone(&stop),
+            failing: Arc::default(),
             handler,
             cfg,
         };
@@ -166,6 +167,8 @@
     pool: Pool,
     open: Arc<AtomicUsize>,
     stop: Arc<AtomicBool>,
+    /// Accepting has failed, and no request has come since.
+    failing: Arc<AtomicBool>,
     nudger: Nudger,
 }
 
@@ -196,6 +199,9 @@
             return Ok(false);
         };
         self.nudger.nudge();
+        if self.failing.swap(false, Ordering::AcqRel) {
+            warn!("{}: requests come again", self.cfg.name);
+        }
         let open = Open::count(&self.open);
         if open.before >= self.cfg.max_open {
             self.handler.refuse(req);
@@ -214,10 +220,13 @@
             error.kind(),
             io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut | io::ErrorKind::ConnectionAborted
         );
-        if !harmless {
-            warn!("{}: accepting failed: {error}", self.cfg.name);
-            thread::sleep(ACCEPT_PAUSE);
+        if harmless {
+            return;
+        }
+        if !self.failing.swap(true, Ordering::AcqRel) {
+            warn!("{}: accepting fails: {error}", self.cfg.name);
         }
+        thread::sleep(ACCEPT_PAUSE);
     }
 
     fn restart(&self, socket: &TcpListener) -> Option<Server> {
