Read every connection of a burst in the stand-ins too

Of 100 connections opened at once to a stand-in, 9 were not read while the others stayed open: tiny_http counted one free thread for several of them. To the daemon such an engine looked silent.

--- a/bench/src/site.rs
+++ b/bench/src/site.rs
@@ -8,6 +8,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -99,8 +100,10 @@
         for _ in 0..WORKERS {
             let server = Arc::clone(&server);
             let handler = Arc::clone(&self.handler);
+            let addr = self.addr;
             thread::spawn(move || {
                 while let Ok(request) = server.recv() {
+                    nudge(addr);
                     handler(request);
                 }
             });
@@ -116,6 +119,14 @@
     }
 }
 
+/// Connects to a site for a moment. `tiny_http` lets some connections of a burst
+/// wait until another one ends; the thread that ends this one takes over one of
+/// them.
+fn nudge(addr: SocketAddr) {
+    // A site that was closed meanwhile has no connection that waits.
+    let _ = TcpStream::connect(addr);
+}
+
 /// Accepted sockets inherit `TCP_NODELAY`, so that single tokens leave at once.
 fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
