--- a/tests/proof/world.rs
+++ b/tests/proof/world.rs
@@ -165,7 +165,9 @@
             unix_zero: Millis::ZERO,
         };
         let metrics = Arc::new(Metrics::new());
-        let seed = self.seed.wrapping_add(boot * 1_000 + self.nodes.len() as u64);
+        let seed = self
+            .seed
+            .wrapping_add(boot * 1_000 + self.nodes.len() as u64);
         let node = Node {
             control: Control::new(me.clone(), seed, Arc::clone(&metrics)),
             me,
@@ -232,6 +234,11 @@
         self.give(&node, Input::CallerGone { request });
     }
 
+    /// Tells an instance to leave.
+    pub fn order_shutdown(&mut self, name: &str) {
+        self.give(name, Input::Shutdown);
+    }
+
     /// Asks an instance as an operator would.
     pub fn ask(&mut self, node: &str, ticket: u64, query: skylarkhook::control::AdminQuery) {
         self.give(node, Input::Admin { ticket, query });
@@ -477,13 +484,7 @@
         listings
     }
 
-    fn serve(
-        &mut self,
-        from: &str,
-        boot: Boot,
-        ticket: skylarkhook::control::Ticket,
-        op: StoreOp,
-    ) {
+    fn serve(&mut self, from: &str, boot: Boot, ticket: skylarkhook::control::Ticket, op: StoreOp) {
         if self.is_cut(&self.domain_of(from), PLATFORM) {
             let result = Err(match op {
                 StoreOp::Get { .. } | StoreOp::Watch { .. } => {
@@ -523,7 +524,12 @@
                 _ if cut => Err(StoreFailure::NotRun { retry_after: None }),
                 Some(answer) => Ok(answer),
                 None if self.now >= watch.until => {
-                    match self.store.serve(self.now, &StoreOp::Get { key: watch.key.clone() }) {
+                    match self.store.serve(
+                        self.now,
+                        &StoreOp::Get {
+                            key: watch.key.clone(),
+                        },
+                    ) {
                         Served::Now(result) => result,
                         Served::Later => Ok(StoreAnswer::Entry(None)),
                     }
