--- a/tests/proof/backend.rs
+++ b/tests/proof/backend.rs
@@ -195,5 +195,20 @@
     pub down: bool,
 }
 
+impl Service {
+    pub fn report(&self) -> LoadReport {
+        LoadReport {
+            boot: Boot(1),
+            epoch: Epoch::default(),
+            age_ms: REPORT_AGE,
+            memory_used: 0,
+            memory_total: 0,
+            prefill_waiting: 0,
+            streams: Vec::new(),
+            models: Vec::new(),
+        }
+    }
+}
+
 /// Time that a plain service takes for a call.
 pub const SERVICE_TIME: Millis = Millis(30);
