Read, check, compare and merge declaration documents

Operators keep labels, limits and routes in text files and several of them change them at once, so a mistake must be found with its place, a change must be seen before it is applied, and two changes must merge or conflict.

parse: TOML to Declaration; every problem has file:line:column, a severity and mostly a hint (near misses by strsim). check: names, limits, kinds, selectors, rules that can never match. diff: objects with fields, and where a sample of requests would go. merge: three ways, by object; the order of limits and routes counts as one object. The merged text keeps the layout and comments of blocks that did not change.

The selector parser now says what it expected at the innermost place: "gpu in" gave an empty message before, "a list such as `(a, b)`" after.

--- a/src/declaration.rs
+++ b/src/declaration.rs
@@ -4,6 +4,32 @@
 //! checked it becomes a [`Declaration`], which every duty reads. Names are
 //! `String`s here; the [`crate::fleet`] turns them into keys.
 
+mod check;
+mod diff;
+mod layout;
+mod merge;
+mod parse;
+mod tables;
+
+pub use diff::Diff;
+pub use diff::Edit;
+pub use diff::FieldEdit;
+pub use diff::ObjectEdit;
+pub use diff::RoutingEdit;
+pub use diff::diff;
+pub use diff::object_edits;
+pub use layout::rewrite;
+pub use merge::Conflict;
+pub use merge::MergeError;
+pub use merge::merge;
+pub use merge::merge_declarations;
+pub use parse::Document;
+pub use parse::MAX_DOCUMENT_BYTES;
+pub use parse::Problem;
+pub use parse::Severity;
+pub use parse::parse;
+pub use parse::text;
+
 use std::collections::BTreeMap;
 
 use serde::Deserialize;
@@ -48,13 +74,13 @@
     /// Its name, as in the instance list.
     pub name: String,
     /// The region it lies in.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub region: String,
     /// Taken out of service: gets no new work.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub out: bool,
     /// Its labels; seen by selectors as `domain.<key>`.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub labels: Labels,
 }
 
@@ -66,10 +92,10 @@
     /// The backend server's name, as in the instance list.
     pub name: String,
     /// Taken out of service: gets no new work.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub out: bool,
     /// Labels that replace or add to those of the instance list.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub labels: Labels,
 }
 
@@ -81,10 +107,10 @@
     /// Requests in flight.
     pub streams: u32,
     /// Memory tokens (prompt and allowed output) in flight; 0: not limited.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub memory_tokens: u64,
     /// Prompt tokens not yet processed, in flight; 0: not limited.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub prefill_tokens: u64,
 }
 
@@ -136,13 +162,13 @@
     /// Its name; callers of engines choose it by the header `X-Request-Kind`.
     pub name: String,
     /// What serves it.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub target: Target,
     /// For a plain service: its name in the path.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub service: String,
     /// For a plain service: the operations of this kind; empty: all others.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub operations: Vec<String>,
     /// Time from admission to the whole answer.
     pub deadline_ms: Millis,
@@ -158,7 +184,7 @@
     #[serde(default = "default_claim_retention")]
     pub claim_retention_ms: Millis,
     /// Its labels, seen by routes.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub labels: Labels,
 }
 
@@ -204,10 +230,17 @@
     #[serde(default = "default_weight")]
     pub weight: u32,
     /// Its labels, seen by routes.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_default")]
     pub labels: Labels,
 }
 
 const fn default_weight() -> u32 {
     1
 }
+
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/selector.rs
+++ b/src/selector.rs
@@ -10,6 +10,7 @@
 use winnow::Parser;
 use winnow::ascii::multispace0;
 use winnow::combinator::alt;
+use winnow::combinator::cut_err;
 use winnow::combinator::delimited;
 use winnow::combinator::empty;
 use winnow::combinator::eof;
@@ -17,7 +18,9 @@
 use winnow::combinator::preceded;
 use winnow::combinator::separated;
 use winnow::combinator::terminated;
+use winnow::error::ContextError;
 use winnow::error::StrContext;
+use winnow::error::StrContextValue;
 use winnow::token::take_while;
 
 /// A conjunction of requirements; an empty one matches everything.
@@ -77,6 +80,36 @@
     pub fn keys(&self) -> impl Iterator<Item = &str> {
         self.requirements.iter().map(Requirement::key)
     }
+
+    /// Returns each key that is compared, with the values named for it.
+    pub fn compared(&self) -> impl Iterator<Item = (&str, &[String])> {
+        self.requirements
+            .iter()
+            .filter_map(|requirement| match requirement {
+                Requirement::In { key, values } | Requirement::NotIn { key, values } => {
+                    Some((key.as_str(), values.as_slice()))
+                }
+                Requirement::Exists { .. } | Requirement::Absent { .. } => None,
+            })
+    }
+
+    /// Returns whether `self` holds wherever `other` does, as each of its
+    /// requirements is among the other's.
+    #[must_use]
+    pub fn covers(&self, other: &Selector) -> bool {
+        self.requirements
+            .iter()
+            .all(|requirement| other.requirements.contains(requirement))
+    }
+
+    /// Returns whether the selector may hold where `key` has this value.
+    #[must_use]
+    pub fn may_match(&self, key: &str, value: &str) -> bool {
+        self.requirements
+            .iter()
+            .filter(|requirement| requirement.key() == key)
+            .all(|requirement| requirement.holds(&|_: &str| Some(value)))
+    }
 }
 
 impl Requirement {
@@ -165,21 +198,33 @@
             Ok(requirements) => Ok(Selector { requirements }),
             Err(error) => Err(SelectorError {
                 offset: error.offset(),
-                expected: error.inner().to_string(),
+                expected: innermost(error.inner()),
             }),
         }
     }
 }
 
+fn expected(what: &'static str) -> StrContext {
+    StrContext::Expected(StrContextValue::Description(what))
+}
+
+/// Returns what the innermost parser expected.
+fn innermost(error: &ContextError) -> String {
+    let expected = error.context().find_map(|context| match context {
+        StrContext::Expected(what) => Some(what.to_string()),
+        _ => None,
+    });
+    expected.unwrap_or_else(|| "a selector".to_owned())
+}
+
 fn selector(input: &mut &str) -> ModalResult<Vec<Requirement>> {
-    terminated(separated(1.., requirement, ','), (multispace0, eof)).parse_next(input)
+    let end = (multispace0, eof).context(expected("an operator, a comma or the end"));
+    terminated(separated(1.., requirement, ','), end).parse_next(input)
 }
 
 fn requirement(input: &mut &str) -> ModalResult<Requirement> {
     alt((absent, comparison))
-        .context(StrContext::Expected(
-            "a requirement such as `key = value`".into(),
-        ))
+        .context(expected("a requirement such as `key = value`"))
         .parse_next(input)
 }
 
@@ -191,28 +236,28 @@
 fn comparison(input: &mut &str) -> ModalResult<Requirement> {
     let key = token(input)?;
     alt((
-        preceded("!=", token).map({
+        preceded("!=", cut_err(token)).map({
             let key = key.clone();
             move |value| Requirement::NotIn {
                 key: key.clone(),
                 values: vec![value],
             }
         }),
-        preceded(("=", opt('=')), token).map({
+        preceded(("=", opt('=')), cut_err(token)).map({
             let key = key.clone();
             move |value| Requirement::In {
                 key: key.clone(),
                 values: vec![value],
             }
         }),
-        preceded("notin", values).map({
+        preceded("notin", cut_err(values)).map({
             let key = key.clone();
             move |values| Requirement::NotIn {
                 key: key.clone(),
                 values,
             }
         }),
-        preceded("in", values).map({
+        preceded("in", cut_err(values)).map({
             let key = key.clone();
             move |values| Requirement::In {
                 key: key.clone(),
@@ -227,7 +272,7 @@
 fn values(input: &mut &str) -> ModalResult<Vec<String>> {
     let list = separated(1.., token, ',');
     delimited((multispace0, '('), list, (')', multispace0))
-        .context(StrContext::Expected("a list such as `(a, b)`".into()))
+        .context(expected("a list such as `(a, b)`"))
         .parse_next(input)
 }
 
@@ -236,7 +281,7 @@
         c.is_ascii_alphanumeric() || "._-/".contains(c)
     });
     delimited(multispace0, word, multispace0)
-        .context(StrContext::Expected("a label key or value".into()))
+        .context(expected("a label key or value"))
         .map(str::to_owned)
         .parse_next(input)
 }
--- a/src/selector/tests.rs
+++ b/src/selector/tests.rs
@@ -31,6 +31,22 @@
     }
 }
 
+#[test]
+fn an_error_says_what_was_expected() {
+    let cases = [
+        ("gpu in", "at character 6: expected a list such as `(a, b)`"),
+        (
+            "gpu h100",
+            "at character 4: expected an operator, a comma or the end",
+        ),
+        ("gpu = ", "at character 6: expected a label key or value"),
+    ];
+    for (text, expected) in cases {
+        let error = text.parse::<Selector>().unwrap_err();
+        assert_eq!(error.to_string(), expected, "{text}");
+    }
+}
+
 #[test]
 fn an_error_names_the_place() {
     let error = "tier = hot, gpu in h100".parse::<Selector>().unwrap_err();
