--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -31,6 +31,7 @@
     CallersGone = "callers_gone", "Callers that left before their answer was whole";
     Attempts = "attempts", "Calls sent to backend servers";
     Retries = "retries", "Calls sent to backend servers after a first try";
+    Quarantined = "requests_quarantined", "Fingerprints that were held as they crashed backend servers";
     StoreCalls = "store_calls", "Calls sent to the platform's key-value service";
     StoreFailures = "store_failures", "Calls to the key-value service without an answer";
     PeerFramesSent = "peer_frames_sent", "Frames sent to other instances";
@@ -41,12 +42,15 @@
     PeerFramesLost = "peer_frames_lost", "Frames to other instances that were lost: a full queue, a failed connection, no answer";
     PeerConnections = "peer_connections", "Connections opened to other instances";
     ConditionChanges = "condition_changes", "Changes of a backend server's condition as this instance sees it";
+    Evicted = "requests_evicted", "Admitted requests refused in the queue, before any attempt or between two";
     StaleFrames = "stale_frames", "Answer frames dropped as their attempt or offset did not match";
 }
 
 metrics! { GAUGES, Level:
     RequestsOpen = "requests_open", "Requests admitted and not yet answered";
     Revision = "declaration_revision", "Revision of the declarations in force";
+    Waiting = "requests_waiting", "Requests in the queue";
+    WaitingTokens = "tokens_waiting", "Tokens of the requests in the queue, output tokens weighted by 8";
     BackendsWarm = "backends_warm", "Backend servers that this instance counts as warm";
     BackendsCold = "backends_cold", "Backend servers that this instance counts as cold or warming up";
     BackendsSilent = "backends_silent", "Backend servers that this instance counts as silent";
