--- a/src/declaration.rs
+++ b/src/declaration.rs
@@ -23,11 +23,13 @@
 pub use merge::MergeError;
 pub use merge::merge;
 pub use merge::merge_declarations;
+pub use merge::merge_preferring;
 pub use parse::Document;
 pub use parse::MAX_DOCUMENT_BYTES;
 pub use parse::Problem;
 pub use parse::Severity;
 pub use parse::parse;
+pub use parse::read;
 pub use parse::text;
 
 use std::collections::BTreeMap;
--- a/src/declaration/merge.rs
+++ b/src/declaration/merge.rs
@@ -88,6 +88,20 @@
     ours: &Declaration,
     theirs: &Declaration,
 ) -> Result<Declaration, Vec<Conflict>> {
+    match merge_preferring(base, ours, theirs) {
+        (merged, conflicts) if conflicts.is_empty() => Ok(merged),
+        (_, conflicts) => Err(conflicts),
+    }
+}
+
+/// Merges declarations, object by object; of an object that both changed,
+/// `ours` is kept and named.
+#[must_use]
+pub fn merge_preferring(
+    base: &Declaration,
+    ours: &Declaration,
+    theirs: &Declaration,
+) -> (Declaration, Vec<Conflict>) {
     let mut conflicts = Vec::new();
     let mut merged = Declaration::default();
     macro_rules! merge_table {
@@ -101,10 +115,7 @@
         };
     }
     for_each_table!(merge_table);
-    if conflicts.is_empty() {
-        return Ok(merged);
-    }
-    Err(conflicts)
+    (merged, conflicts)
 }
 
 struct Table<T> {
--- a/src/declaration/parse.rs
+++ b/src/declaration/parse.rs
@@ -100,6 +100,16 @@
     })
 }
 
+/// Reads a text that some instance has accepted: only its shape counts, so that
+/// an instance with other checks takes it as well.
+///
+/// # Errors
+///
+/// Returns what is wrong with the shape.
+pub fn read(text: &str) -> Result<Declaration, String> {
+    toml::from_str(text).map_err(|error| error.message().to_owned())
+}
+
 /// Returns a declaration as the text of a document.
 #[must_use]
 pub fn text(declaration: &Declaration) -> String {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod relay;
 pub mod routing;
 pub mod selector;
+pub mod spread;
 pub mod store;
 pub mod timeline;
 pub mod verdict;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -43,6 +43,12 @@
     PeerConnections = "peer_connections", "Connections opened to other instances";
     ConditionChanges = "condition_changes", "Changes of a backend server's condition as this instance sees it";
     Evicted = "requests_evicted", "Admitted requests refused in the queue, before any attempt or between two";
+    DeclarationsAdopted = "declarations_adopted", "Revisions of the declarations that came into force on this instance";
+    DeclarationsUnreadable = "declarations_unreadable", "Revisions of the declarations that this instance could not read";
+    DeclarationPulls = "declaration_pulls", "Times that a newer revision of the declarations was asked of a peer";
+    DeclarationChanges = "declaration_changes", "Revisions of the declarations that this instance put in force in the key-value service";
+    DeclarationConflicts = "declaration_conflicts", "Changes of operators refused as others had changed the same objects";
+    DeclarationRestores = "declaration_restores", "Times that the key-value service held an older or another head and was written anew";
     StaleFrames = "stale_frames", "Answer frames dropped as their attempt or offset did not match";
 }
 
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -28,6 +28,7 @@
 use crate::membership;
 use crate::once;
 use crate::quarantine;
+use crate::spread;
 
 /// Longest frame, in bytes: a declaration of a megabyte fits.
 pub const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
@@ -56,6 +57,8 @@
     Quarantine(quarantine::Message),
     /// Who is alive.
     Membership(membership::Heartbeat),
+    /// Revisions of the declarations.
+    Spread(spread::Message),
 }
 
 /// The edge over which frames leave this process.
--- /dev/null
+++ b/src/spread/plan.rs
@@ -0,0 +1,217 @@
+//! What a change would put in force: checked, and merged with what others
+//! changed since.
+
+use std::sync::Arc;
+
+use super::ApplyRequest;
+use super::Current;
+use super::head::Head;
+use super::head::Past;
+use super::head::history;
+use super::splice::Splice;
+use super::splice::TextHash;
+use crate::clock::Millis;
+use crate::declaration::Declaration;
+use crate::declaration::MergeError;
+use crate::declaration::Problem;
+use crate::declaration::Severity;
+use crate::declaration::merge;
+use crate::declaration::merge_preferring;
+use crate::declaration::parse;
+use crate::declaration::read;
+use crate::declaration::rewrite;
+use crate::id::Revision;
+use crate::store::KeyVersion;
+use crate::verdict::Reason;
+use crate::verdict::Refusal;
+
+/// Longest change id or author, in bytes.
+const MAX_WORD_BYTES: usize = 64;
+/// Problems that one refusal names.
+const MAX_PROBLEMS: usize = 20;
+/// Author of revisions that the system makes itself.
+const SYSTEM: &str = "skylarkhook";
+
+/// A revision about to be put in force.
+#[derive(Debug, Clone)]
+pub(super) struct Plan {
+    /// The new head.
+    pub head: Head,
+    /// Its text.
+    pub text: Arc<str>,
+    /// The revision in force here that it was made from.
+    pub parent: Option<Past>,
+    /// Version of the head that it replaces; none: there is no head.
+    pub replaces: Option<KeyVersion>,
+    /// Revisions that the head no longer names.
+    pub dropped: Vec<Past>,
+    /// Whether it was merged with changes made since its base.
+    pub merged: bool,
+}
+
+/// Checks what can be checked before anything else is known.
+pub(super) fn check_request(request: &ApplyRequest) -> Result<(), Refusal> {
+    for (what, word) in [("change id", &request.change), ("author", &request.author)] {
+        let fits = |c: char| c.is_ascii_alphanumeric() || "._-@/+".contains(c);
+        if word.is_empty() || word.len() > MAX_WORD_BYTES || !word.chars().all(fits) {
+            let text = format!(
+                "the {what} must be 1 to {MAX_WORD_BYTES} letters, digits or any of ._-@/+"
+            );
+            return Err(Refusal::not_run(Reason::BadRequest, text));
+        }
+    }
+    match parse(&request.change, &request.text) {
+        Ok(_) => Ok(()),
+        Err(problems) => Err(Refusal::not_run(Reason::BadRequest, list(&problems))),
+    }
+}
+
+fn list(problems: &[Problem]) -> String {
+    let lines: Vec<String> = problems
+        .iter()
+        .filter(|problem| problem.severity == Severity::Error)
+        .take(MAX_PROBLEMS)
+        .map(ToString::to_string)
+        .collect();
+    lines.join("\n")
+}
+
+/// Plans an operator's change over the revision in force; `base` is the text
+/// that it was made from. Nothing is returned if there is nothing to change.
+pub(super) fn apply(
+    current: Option<&Current>,
+    base: &str,
+    request: &ApplyRequest,
+    at: Millis,
+) -> Result<Option<Plan>, Refusal> {
+    let Some(current) = current else {
+        let newest = past(Revision(1), &request.change, &request.author, at);
+        return Ok(Some(plan(None, &[], newest, &request.text, false)));
+    };
+    let newest = &current.head.newest;
+    let merged = request.base != newest.revision;
+    let text = match merged {
+        true => merged_text(current, base, request)?,
+        false => request.text.clone(),
+    };
+    if text == *current.text {
+        return Ok(None);
+    }
+    let revision = Revision(newest.revision.0 + 1);
+    let newest = past(revision, &request.change, &request.author, at);
+    let heads = [&current.head];
+    Ok(Some(plan(Some(current), &heads, newest, &text, merged)))
+}
+
+fn merged_text(current: &Current, base: &str, request: &ApplyRequest) -> Result<String, Refusal> {
+    let unreadable = |message| Refusal::not_run(Reason::BadRequest, message);
+    let base = read(base).map_err(unreadable)?;
+    let theirs = read(&request.text).map_err(unreadable)?;
+    if theirs == *current.declaration {
+        return Ok(current.text.to_string());
+    }
+    let ours = (&*current.text, &*current.declaration);
+    match merge(&base, ours, &theirs) {
+        Ok((text, _)) => Ok(text),
+        Err(error) => Err(conflict(current, request, &error)),
+    }
+}
+
+/// Returns the refusal that names both sides of a conflict.
+fn conflict(current: &Current, request: &ApplyRequest, error: &MergeError) -> Refusal {
+    let since: Vec<String> = current
+        .head
+        .all()
+        .filter(|past| past.revision > request.base)
+        .map(|past| {
+            format!(
+                "`{}` by {} (revision {})",
+                past.change, past.author, past.revision.0
+            )
+        })
+        .collect();
+    let text = format!(
+        "change `{}` is based on revision {}, since which there was {}: {error}",
+        request.change,
+        request.base.0,
+        since.join(", ")
+    );
+    Refusal::not_run(Reason::Conflict, text)
+}
+
+/// Plans to write back the revision in force over an older head.
+pub(super) fn restore(current: &Current) -> Plan {
+    Plan {
+        head: current.head.clone(),
+        text: Arc::clone(&current.text),
+        parent: Some(current.head.newest.clone()),
+        replaces: None,
+        dropped: Vec::new(),
+        merged: false,
+    }
+}
+
+/// Plans one revision above two that were accepted apart from each other; of
+/// an object that both changed, the store's is kept.
+pub(super) fn reunite(
+    current: &Current,
+    base: Option<&str>,
+    store: (&Head, &str),
+    above: Revision,
+    at: Millis,
+) -> Result<Plan, String> {
+    let (store, store_text) = store;
+    let base = base.map_or(Ok(Declaration::default()), read)?;
+    let theirs = read(store_text)?;
+    let (merged, _) = merge_preferring(&base, &theirs, &current.declaration);
+    let text = rewrite(store_text, &theirs, &merged);
+    let text = match parse("merged", &text) {
+        Ok(_) => text,
+        // Both together are not right: what was accepted last stands.
+        Err(_) => store_text.to_owned(),
+    };
+    let highest = above
+        .max(current.head.newest.revision)
+        .max(store.newest.revision);
+    let change = format!(
+        "reunite-{}-{}",
+        current.head.newest.revision.0, store.newest.revision.0
+    );
+    let newest = past(Revision(highest.0 + 1), &change, SYSTEM, at);
+    let heads = [&current.head, store];
+    Ok(plan(Some(current), &heads, newest, &text, true))
+}
+
+fn past(revision: Revision, change: &str, author: &str, at: Millis) -> Past {
+    Past {
+        revision,
+        change: change.to_owned(),
+        author: author.to_owned(),
+        at,
+        ..Past::default()
+    }
+}
+
+fn plan(
+    current: Option<&Current>,
+    heads: &[&Head],
+    mut newest: Past,
+    text: &str,
+    merged: bool,
+) -> Plan {
+    newest.hash = TextHash::of(text);
+    let (older, dropped) = history(heads);
+    let splice = current.and_then(|current| Splice::between(&current.text, text));
+    Plan {
+        head: Head {
+            newest,
+            splice,
+            older,
+        },
+        text: Arc::from(text),
+        parent: current.map(|current| current.head.newest.clone()),
+        replaces: None,
+        dropped,
+        merged,
+    }
+}
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -111,6 +111,8 @@
     BackendFailed = "backend_failed", 502;
     /// The backend server refused the call as invalid.
     BackendRejected = "backend_rejected", 422;
+    /// Another change touched the same objects of the declarations.
+    Conflict = "declaration_conflict", 409;
     /// This instance is leaving or not ready.
     Unavailable = "unavailable", 503;
     /// The caller left before the answer was whole.
