Keep declarations current on every instance

An accepted change has to be in force everywhere within seconds and never revert, through lost answers, racing operators, store outages, a store that was restored to an older state and domains that were cut off.

A change is one new text and one compare-and-swap of the head; its id settles lost answers. Two delegates a domain watch, others see the revision in heartbeats and pull a splice from a peer. Older stores are written anew; branches accepted apart are reunited above both.

The property test found two faults, both mended and kept as tests: a change waiting for the head was answered as accepted when a reunion went through; a higher revision of another branch pulled from a peer dropped an accepted change.

--- a/src/control.rs
+++ b/src/control.rs
@@ -8,6 +8,7 @@
 mod admin;
 mod attempts;
 mod claim;
+mod declare;
 mod duties;
 mod message;
 mod request;
--- /dev/null
+++ b/src/control/declare.rs
@@ -0,0 +1,66 @@
+//! The declarations' way into force on this instance.
+
+use super::Cx;
+use super::Ticket;
+use super::duties::Duties;
+use crate::declaration::Declaration;
+use crate::id::Revision;
+use crate::metrics::Level;
+use crate::spread::Message;
+use crate::spread::Peer;
+use crate::store::StoreResult;
+
+impl Duties {
+    /// Brings a declaration into force.
+    pub(super) fn declare(
+        &mut self,
+        cx: &mut Cx<'_>,
+        declaration: &Declaration,
+        revision: Revision,
+    ) {
+        self.fleet.declare(declaration);
+        self.revision = revision;
+        let value = i64::try_from(revision.0).unwrap_or(i64::MAX);
+        cx.metrics.set(Level::Revision, value);
+    }
+
+    /// Lets the declarations' spread go on.
+    pub(super) fn spread_tick(&mut self, cx: &mut Cx<'_>) {
+        let peers = self.spread_peers(cx);
+        let watchers = self.members.delegates(&cx.me.domain);
+        let watcher = !self.leaving && watchers.contains(&cx.me.name.as_str());
+        self.spread.tick(cx, &peers, watcher);
+        self.take_declaration(cx);
+    }
+
+    pub(super) fn spread_message(&mut self, cx: &mut Cx<'_>, from: &str, message: Message) {
+        let addr = self.members.addr(from).unwrap_or_default().to_owned();
+        self.spread.on_message(cx, from, &addr, message);
+        self.take_declaration(cx);
+    }
+
+    pub(super) fn spread_store(&mut self, cx: &mut Cx<'_>, ticket: Ticket, result: StoreResult) {
+        self.spread.on_store(cx, ticket, result);
+        self.take_declaration(cx);
+    }
+
+    /// Returns the instances from which heartbeats come, with their revisions.
+    pub(super) fn spread_peers(&self, cx: &Cx<'_>) -> Vec<Peer> {
+        let members = self.members.members();
+        members
+            .filter(|(_, member)| member.heard_lately(cx.now))
+            .map(|(name, member)| Peer {
+                name: name.to_owned(),
+                addr: member.addr.clone(),
+                domain: member.domain.clone(),
+                revision: member.own.revision,
+            })
+            .collect()
+    }
+
+    pub(super) fn take_declaration(&mut self, cx: &mut Cx<'_>) {
+        if let Some((declaration, revision)) = self.spread.take_news() {
+            self.declare(cx, &declaration, revision);
+        }
+    }
+}
--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -19,7 +19,6 @@
 use crate::capacity::Capacity;
 use crate::condition::Conditions;
 use crate::condition::Sign;
-use crate::declaration::Declaration;
 use crate::fleet::Fleet;
 use crate::fleet::Listing;
 use crate::id::Epoch;
@@ -36,6 +35,8 @@
 use crate::peer::PeerMessage;
 use crate::quarantine::Quarantine;
 use crate::routing::Router;
+use crate::spread::Periods;
+use crate::spread::Spread;
 use crate::store::StoreResult;
 use crate::timeline::EventKind;
 use crate::timeline::Subject;
@@ -56,6 +57,7 @@
     pub(super) everyone: Vec<Member>,
     pub(super) once: Once,
     pub(super) quarantine: Quarantine,
+    pub(super) spread: Spread,
     pub(super) revision: Revision,
     pub(super) leaving: bool,
     pub(super) stopped: bool,
@@ -77,6 +79,7 @@
             members: Membership::new(me),
             everyone: Vec::new(),
             quarantine: Quarantine::default(),
+            spread: Spread::new(Periods::default()),
             once: Once::new(me.unix_zero),
             revision: Revision::default(),
             leaving: false,
@@ -84,21 +87,6 @@
         }
     }
 
-    /// Brings a declaration into force.
-    pub(super) fn declare(
-        &mut self,
-        cx: &mut Cx<'_>,
-        declaration: &Declaration,
-        revision: Revision,
-    ) {
-        self.fleet.declare(declaration);
-        self.revision = revision;
-        let value = i64::try_from(revision.0).unwrap_or(i64::MAX);
-        cx.metrics.set(Level::Revision, value);
-        let detail = format!("revision {} is in force", revision.0);
-        cx.event(EventKind::Revision, Subject::default(), detail);
-    }
-
     pub(super) fn handle(&mut self, cx: &mut Cx<'_>, input: Input) {
         match input {
             Input::Tick => self.tick(cx),
@@ -124,6 +112,7 @@
 
     fn tick(&mut self, cx: &mut Cx<'_>) {
         self.gather(cx);
+        self.spread_tick(cx);
         let outcomes = self.once.tick(cx);
         self.claimed(cx, outcomes);
         self.expire(cx);
@@ -205,6 +194,7 @@
         cx.timeline.observe(frame.stamp);
         for message in frame.messages {
             match message {
+                PeerMessage::Spread(message) => self.spread_message(cx, &frame.from, message),
                 PeerMessage::Quarantine(message) => self.quarantine.on_message(cx.now, message),
                 PeerMessage::Once(message) => {
                     let outcomes = self.once.on_message(cx, &frame.from, message);
@@ -226,7 +216,8 @@
                 let outcomes = self.once.on_store(cx, ticket, result);
                 self.claimed(cx, outcomes);
             }
-            Duty::Capacity | Duty::Spread => {}
+            Duty::Spread => self.spread_store(cx, ticket, result),
+            Duty::Capacity => {}
         }
     }
 
@@ -236,6 +227,18 @@
             AdminQuery::Timeline { filter, limit } => {
                 AdminAnswer::Events(cx.timeline.select(&filter, limit))
             }
+            AdminQuery::History => AdminAnswer::json(&self.spread.history()),
+            AdminQuery::Held => {
+                let peers = self.spread_peers(cx);
+                AdminAnswer::json(&self.spread.held(&cx.me.name, &peers))
+            }
+            AdminQuery::GetDeclaration { revision } => {
+                return self.spread.show(cx, ticket, revision);
+            }
+            AdminQuery::ApplyDeclaration(request) => {
+                self.spread.apply(cx, ticket, request);
+                return self.take_declaration(cx);
+            }
         };
         cx.out.push(Output::Admin { ticket, answer });
     }
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -16,8 +16,10 @@
 use crate::id::Boot;
 use crate::id::Fingerprint;
 use crate::id::RequestId;
+use crate::id::Revision;
 use crate::peer::PeerFrame;
 use crate::peer::PeerMessage;
+use crate::spread::ApplyRequest;
 use crate::store::StoreOp;
 use crate::store::StoreResult;
 use crate::timeline::Event;
@@ -160,6 +162,14 @@
     Status,
     /// Events of this process.
     Timeline { filter: Subject, limit: usize },
+    /// The declarations' text; none: the newest.
+    GetDeclaration { revision: Option<Revision> },
+    /// Changes the declarations.
+    ApplyDeclaration(ApplyRequest),
+    /// The revisions of the declarations that are kept.
+    History,
+    /// Which instances hold which revision of the declarations.
+    Held,
 }
 
 /// Answers to [`AdminQuery`]s.
@@ -174,3 +184,11 @@
     /// The order was refused.
     Refused(Refusal),
 }
+
+impl AdminAnswer {
+    /// Returns a value as a JSON document.
+    #[must_use]
+    pub fn json(value: &impl Serialize) -> AdminAnswer {
+        AdminAnswer::Json(serde_json::to_value(value).unwrap_or_default())
+    }
+}
--- a/src/membership/member.rs
+++ b/src/membership/member.rs
@@ -111,7 +111,8 @@
     }
 
     /// Returns whether a heartbeat came within the time that keeps it live.
-    pub(super) fn heard_lately(&self, now: Millis) -> bool {
+    #[must_use]
+    pub fn heard_lately(&self, now: Millis) -> bool {
         self.boot.is_some() && now.since(self.heard) < GONE_AFTER
     }
 }
--- a/src/spread.rs
+++ b/src/spread.rs
@@ -40,6 +40,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use self::head::Relation;
 use self::proposal::Proposal;
 use crate::clock::Millis;
 use crate::control::AdminAnswer;
@@ -300,14 +301,22 @@
         }
     }
 
-    /// Takes a revision over if it is above the one in force; returns whether
-    /// it is in force now.
+    /// Takes a revision over if it follows the one in force; returns whether it
+    /// is in force now. One that was accepted apart is not taken over, however
+    /// high it is, but reunited through the store.
     fn adopt(&mut self, cx: &mut Cx<'_>, head: Head, text: &str) -> bool {
-        if head.newest.revision <= self.revision() {
-            return self
-                .current
-                .as_ref()
-                .is_some_and(|current| current.head.newest.is(&head.newest));
+        let relation = match &self.current {
+            None => Relation::Behind,
+            Some(current) => current.head.relation(&head),
+        };
+        match relation {
+            Relation::Behind => {}
+            Relation::Same => return true,
+            Relation::Ahead => return false,
+            Relation::Diverged => {
+                self.restore_soon(cx);
+                return false;
+            }
         }
         let declaration = match read(text) {
             Ok(declaration) if TextHash::of(text) == head.newest.hash => declaration,
@@ -384,7 +393,7 @@
 }
 
 fn answer(cx: &mut Cx<'_>, ticket: u64, value: &impl serde::Serialize) {
-    let answer = AdminAnswer::Json(serde_json::to_value(value).unwrap_or_default());
+    let answer = AdminAnswer::json(value);
     cx.out.push(Output::Admin { ticket, answer });
 }
 
--- a/src/spread/catch_up.rs
+++ b/src/spread/catch_up.rs
@@ -192,7 +192,7 @@
         splice.apply(&old)
     }
 
-    fn restore_soon(&mut self, cx: &mut Cx<'_>) {
+    pub(super) fn restore_soon(&mut self, cx: &mut Cx<'_>) {
         if self.restore_at.is_none() {
             let wait = cx.rng.random_range(0..=RESTORE_SPREAD.0);
             self.restore_at = Some(cx.now + Millis(wait));
--- a/src/spread/proposal.rs
+++ b/src/spread/proposal.rs
@@ -7,9 +7,19 @@
 //! nothing names. If the swap's answer is lost, the head is read back: the
 //! change's id in it tells.
 
+mod step;
+
+use self::step::Base;
+use self::step::Next;
+use self::step::Seen;
+use self::step::Step;
+use self::step::come_back;
+use self::step::planned;
+use self::step::text_written;
 use super::Applied;
 use super::ApplyRequest;
 use super::Call;
+use super::Current;
 use super::Spread;
 use super::TextHash;
 use super::answer;
@@ -24,7 +34,6 @@
 use crate::clock::Millis;
 use crate::control::Cx;
 use crate::metrics::Count;
-use crate::store::KeyVersion;
 use crate::store::StoreAnswer;
 use crate::store::StoreEntry;
 use crate::store::StoreFailure;
@@ -60,35 +69,6 @@
     Restore,
 }
 
-#[derive(Debug)]
-enum Step {
-    /// Reads the head.
-    Head,
-    /// Reads the text of the store's head.
-    Theirs(Seen, Box<Head>),
-    /// Reads the text that a change or both heads were made from.
-    Base(Seen, Past, Option<(Box<Head>, String)>),
-    /// Writes the new text.
-    Text(Box<Plan>),
-    /// Swaps the head.
-    Swap(Box<Plan>),
-}
-
-/// Version of the head as last read; none: there is no head.
-type Seen = Option<KeyVersion>;
-
-/// How a step ends.
-enum Next {
-    /// Goes on with this step at once.
-    Step(Step),
-    /// Tries the step again later, or gives up.
-    Failed(StoreFailure),
-    /// The change is in force.
-    Done(Applied),
-    /// It is refused.
-    Refused(Refusal),
-}
-
 impl Spread {
     /// Starts the next operator's change, if no proposal runs.
     pub(super) fn start_waiting(&mut self, cx: &mut Cx<'_>) {
@@ -321,9 +301,14 @@
                 Goal::Apply(..) => self.build(cx, proposal, seen),
             };
         }
-        let Some(current) = &self.current else {
+        let diverged = |current: &&Current| current.head.relation(&head) == Relation::Diverged;
+        let Some(current) = self.current.as_ref().filter(diverged) else {
             return Next::Refused(come_back("the newest text is not readable"));
         };
+        if let Goal::Apply(..) = proposal.goal {
+            // A peer brought another revision meanwhile.
+            return Next::Step(Step::Head);
+        }
         let Some(base) = current.head.common(&head).cloned() else {
             return self.reunite(cx, seen, None, &head, &text);
         };
@@ -462,6 +447,10 @@
             }
             Ok(StoreAnswer::Conflict(entry)) => {
                 proposal.lost = false;
+                let head = entry.as_ref().and_then(|entry| Head::decode(&entry.value));
+                if self.settled(&proposal.goal, head.as_ref()).is_none() {
+                    self.discard(cx, &proposal.goal, &plan);
+                }
                 self.head_seen(cx, proposal, entry)
             }
             Ok(_) | Err(StoreFailure::MayHaveRun) => {
@@ -472,15 +461,26 @@
         }
     }
 
+    /// Deletes the text of an operator's change that no head can name any more.
+    fn discard(&mut self, cx: &mut Cx<'_>, goal: &Goal, plan: &Plan) {
+        if let Goal::Apply(..) = goal {
+            self.prune(cx, &plan.head.newest);
+        }
+    }
+
+    fn prune(&mut self, cx: &mut Cx<'_>, past: &Past) {
+        let op = StoreOp::Delete {
+            key: past.text_key(),
+            version: past.version,
+        };
+        self.call(cx, Call::Prune, op);
+    }
+
     /// Takes over a revision that this instance has put in force.
     fn in_force(&mut self, cx: &mut Cx<'_>, plan: Plan) -> Applied {
         let revision = plan.head.newest.revision;
-        for past in plan.dropped {
-            let op = StoreOp::Delete {
-                key: past.text_key(),
-                version: past.version,
-            };
-            self.call(cx, Call::Prune, op);
+        for past in &plan.dropped {
+            self.prune(cx, past);
         }
         cx.count(Count::DeclarationChanges);
         self.adopt(cx, plan.head, &plan.text);
@@ -491,82 +491,3 @@
         }
     }
 }
-
-/// Where the text is that a change was made from.
-enum Base {
-    Text(String),
-    Stored(Past),
-    Unknown,
-}
-
-impl Step {
-    fn op(&self) -> StoreOp {
-        match self {
-            Step::Head => StoreOp::Get {
-                key: HEAD_KEY.to_owned(),
-            },
-            Step::Theirs(_, head) => StoreOp::Get {
-                key: head.newest.text_key(),
-            },
-            Step::Base(_, past, _) => StoreOp::Get {
-                key: past.text_key(),
-            },
-            Step::Text(plan) => StoreOp::Create {
-                key: plan.head.newest.text_key(),
-                value: plan.text.as_bytes().to_vec(),
-                lease: None,
-            },
-            Step::Swap(plan) => plan.swap(),
-        }
-    }
-}
-
-impl Plan {
-    fn swap(&self) -> StoreOp {
-        let key = HEAD_KEY.to_owned();
-        let value = self.head.encode();
-        match self.replaces {
-            None => StoreOp::Create {
-                key,
-                value,
-                lease: None,
-            },
-            Some(version) => StoreOp::Swap {
-                key,
-                value,
-                version,
-                lease: None,
-            },
-        }
-    }
-}
-
-fn planned(mut plan: Plan, seen: Seen) -> Next {
-    plan.replaces = seen;
-    Next::Step(Step::Text(Box::new(plan)))
-}
-
-fn text_written(proposal: &mut Proposal, mut plan: Box<Plan>, result: StoreResult) -> Next {
-    let version = match result {
-        Ok(StoreAnswer::Written(version)) => version,
-        Ok(StoreAnswer::Conflict(Some(entry))) => {
-            if entry.value != plan.text.as_bytes() {
-                let text = "the change id was used with another text";
-                return Next::Refused(Refusal::not_run(Reason::Conflict, text));
-            }
-            entry.version
-        }
-        Ok(_) => return Next::Failed(StoreFailure::NotRun { retry_after: None }),
-        Err(failure) => {
-            // Writing the same text once more is harmless.
-            proposal.step = Step::Text(plan);
-            return Next::Failed(failure);
-        }
-    };
-    plan.head.newest.version = version;
-    Next::Step(Step::Swap(plan))
-}
-
-fn come_back(message: &str) -> Refusal {
-    Refusal::not_run(Reason::Unavailable, message).retry_after(COME_BACK)
-}
--- /dev/null
+++ b/src/spread/tests/net.rs
@@ -0,0 +1,390 @@
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::clock::Millis;
+use crate::control::AdminAnswer;
+use crate::control::Cx;
+use crate::control::Identity;
+use crate::control::Output;
+use crate::control::Ticket;
+use crate::id::Boot;
+use crate::id::Revision;
+use crate::metrics::Count;
+use crate::metrics::Metrics;
+use crate::peer::PeerMessage;
+use crate::spread::Applied;
+use crate::spread::ApplyRequest;
+use crate::spread::Message;
+use crate::spread::Peer;
+use crate::spread::Periods;
+use crate::spread::Spread;
+use crate::store::KeyVersion;
+use crate::store::StoreAnswer;
+use crate::store::StoreEntry;
+use crate::store::StoreFailure;
+use crate::store::StoreOp;
+use crate::store::StoreResult;
+use crate::timeline::Timeline;
+use crate::verdict::Refusal;
+
+/// Length of a step of the virtual clock.
+pub const STEP: Millis = Millis(100);
+
+/// What the next writes meet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// The write takes effect, its answer is lost.
+    LostAnswer,
+    /// The write does not take effect, nor is it answered.
+    LostWrite,
+    /// The write takes effect after its caller has given up on it.
+    LateWrite,
+}
+
+/// A key-value service in memory.
+#[derive(Debug, Clone, Default)]
+pub struct Store {
+    pub keys: BTreeMap<String, StoreEntry>,
+    pub down: bool,
+    pub faults: VecDeque<Fault>,
+    pub calls: u64,
+    version: u64,
+    late: Vec<StoreOp>,
+}
+
+impl Store {
+    fn call(&mut self, op: &StoreOp) -> StoreResult {
+        self.calls += 1;
+        if self.down {
+            return Err(StoreFailure::NotRun {
+                retry_after: Some(Millis(700)),
+            });
+        }
+        let write = matches!(op, StoreOp::Create { .. } | StoreOp::Swap { .. });
+        let fault = match write {
+            true => self.faults.pop_front(),
+            false => None,
+        };
+        match fault {
+            None => return Ok(self.run(op)),
+            Some(Fault::LostAnswer) => drop(self.run(op)),
+            Some(Fault::LostWrite) => {}
+            Some(Fault::LateWrite) => self.late.push(op.clone()),
+        }
+        Err(StoreFailure::MayHaveRun)
+    }
+
+    /// Lets the late writes take effect.
+    pub fn settle(&mut self) {
+        for op in std::mem::take(&mut self.late) {
+            let _ = self.run(&op);
+        }
+    }
+
+    fn run(&mut self, op: &StoreOp) -> StoreAnswer {
+        match op {
+            StoreOp::Get { key } | StoreOp::Watch { key, .. } => {
+                StoreAnswer::Entry(self.keys.get(key).cloned())
+            }
+            StoreOp::Create { key, value, .. } => self.write(key, value, None),
+            StoreOp::Swap {
+                key,
+                value,
+                version,
+                ..
+            } => self.write(key, value, Some(*version)),
+            StoreOp::Delete { key, version } => {
+                if self.keys.get(key).map(|entry| entry.version) == Some(*version) {
+                    self.keys.remove(key);
+                }
+                StoreAnswer::Written(*version)
+            }
+            other => panic!("not used by this duty: {other:?}"),
+        }
+    }
+
+    fn write(&mut self, key: &str, value: &[u8], expected: Option<KeyVersion>) -> StoreAnswer {
+        let there = self.keys.get(key);
+        if there.map(|entry| entry.version) != expected {
+            return StoreAnswer::Conflict(there.cloned());
+        }
+        self.version += 1;
+        let version = KeyVersion(self.version);
+        let value = value.to_vec();
+        self.keys
+            .insert(key.to_owned(), StoreEntry { value, version });
+        StoreAnswer::Written(version)
+    }
+}
+
+/// One instance.
+pub struct Node {
+    pub me: Identity,
+    pub spread: Spread,
+    pub up: bool,
+    pub cut: bool,
+    pub answers: BTreeMap<u64, AdminAnswer>,
+    pub metrics: Metrics,
+    rng: ChaCha8Rng,
+    timeline: Timeline,
+}
+
+/// Instances around one store.
+pub struct Net {
+    pub now: Millis,
+    pub store: Store,
+    pub nodes: Vec<Node>,
+    /// Domains that others do not reach.
+    pub islands: Vec<String>,
+    watches: Vec<(usize, Ticket, StoreOp, Millis)>,
+    inbox: Vec<(usize, Ticket, StoreResult)>,
+    mail: Vec<(usize, usize, Message)>,
+    tickets: u64,
+}
+
+impl Net {
+    /// Returns `per_domain` instances in each of three domains.
+    pub fn new(per_domain: usize) -> Net {
+        let mut net = Net {
+            now: Millis::ZERO,
+            store: Store::default(),
+            nodes: Vec::new(),
+            islands: Vec::new(),
+            watches: Vec::new(),
+            inbox: Vec::new(),
+            mail: Vec::new(),
+            tickets: 0,
+        };
+        for domain in ["a", "b", "c"] {
+            for _ in 0..per_domain {
+                net.add(domain);
+            }
+        }
+        net
+    }
+
+    /// Adds an instance and returns its index.
+    pub fn add(&mut self, domain: &str) -> usize {
+        let index = self.nodes.len();
+        let name = format!("{domain}-{index}");
+        self.nodes.push(Node {
+            spread: Spread::new(Periods::default()),
+            up: true,
+            cut: false,
+            answers: BTreeMap::new(),
+            metrics: Metrics::new(),
+            rng: ChaCha8Rng::seed_from_u64(index as u64),
+            timeline: Timeline::new(&name),
+            me: Identity {
+                peer_addr: name.clone(),
+                name,
+                domain: domain.to_owned(),
+                boot: Boot(index as u64),
+                unix_zero: Millis::ZERO,
+            },
+        });
+        index
+    }
+
+    /// Replaces an instance by a new one that knows nothing.
+    pub fn restart(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        node.spread = Spread::new(Periods::default());
+        self.watches.retain(|watch| watch.0 != index);
+        self.inbox.retain(|answer| answer.0 != index);
+    }
+
+    /// Lets `span` pass.
+    pub fn run(&mut self, span: Millis) {
+        for _ in 0..span.0 / STEP.0 {
+            self.step();
+        }
+    }
+
+    /// Lets one step pass: answers, messages and timers of each instance.
+    pub fn step(&mut self) {
+        self.now += STEP;
+        self.end_watches();
+        for (index, ticket, result) in std::mem::take(&mut self.inbox) {
+            self.with(index, |spread, cx| spread.on_store(cx, ticket, result));
+        }
+        for (from, to, message) in std::mem::take(&mut self.mail) {
+            if self.reaches(from, to) {
+                let name = self.nodes[from].me.name.clone();
+                self.with(to, |spread, cx| {
+                    spread.on_message(cx, &name, &name, message);
+                });
+            }
+        }
+        for index in 0..self.nodes.len() {
+            let peers = self.peers(index);
+            let watcher = self.is_watcher(index);
+            self.with(index, |spread, cx| spread.tick(cx, &peers, watcher));
+        }
+    }
+
+    /// Hands an operator's change to an instance and returns the ticket.
+    pub fn apply(&mut self, index: usize, base: u64, change: &str, text: &str) -> u64 {
+        self.tickets += 1;
+        let ticket = self.tickets;
+        let request = ApplyRequest {
+            base: Revision(base),
+            text: text.to_owned(),
+            change: change.to_owned(),
+            author: format!("{change}-author"),
+        };
+        self.with(index, |spread, cx| spread.apply(cx, ticket, request));
+        ticket
+    }
+
+    /// Returns what became of a change.
+    pub fn outcome(&self, ticket: u64) -> Option<Result<Applied, Refusal>> {
+        let answer = self
+            .nodes
+            .iter()
+            .find_map(|node| node.answers.get(&ticket))?;
+        match answer {
+            AdminAnswer::Json(value) => Some(Ok(serde_json::from_value(value.clone()).unwrap())),
+            AdminAnswer::Refused(refusal) => Some(Err(refusal.clone())),
+            AdminAnswer::Events(_) => None,
+        }
+    }
+
+    /// Applies a change that has to succeed and returns its revision.
+    pub fn applied(&mut self, index: usize, base: u64, change: &str, text: &str) -> u64 {
+        let ticket = self.apply(index, base, change, text);
+        self.run(Millis(1000));
+        let outcome = self.outcome(ticket).expect("answered");
+        outcome.expect("accepted").revision.0
+    }
+
+    /// Returns the revisions in force, by instance.
+    pub fn revisions(&self) -> Vec<u64> {
+        let nodes = self.nodes.iter();
+        nodes.map(|node| node.spread.revision().0).collect()
+    }
+
+    pub fn count(&self, count: Count) -> u64 {
+        self.nodes
+            .iter()
+            .map(|node| node.metrics.count(count))
+            .sum()
+    }
+
+    pub fn with(&mut self, index: usize, act: impl FnOnce(&mut Spread, &mut Cx<'_>)) {
+        let mut out = Vec::new();
+        let node = &mut self.nodes[index];
+        if !node.up {
+            return;
+        }
+        let mut cx = Cx {
+            now: self.now,
+            me: &node.me,
+            out: &mut out,
+            rng: &mut node.rng,
+            timeline: &mut node.timeline,
+            metrics: &node.metrics,
+        };
+        act(&mut node.spread, &mut cx);
+        for output in out {
+            self.take(index, output);
+        }
+    }
+
+    fn take(&mut self, index: usize, output: Output) {
+        match output {
+            Output::Store { ticket, op } => self.store_call(index, ticket, op),
+            Output::Admin { ticket, answer } => {
+                self.nodes[index].answers.insert(ticket, answer);
+            }
+            Output::Peer {
+                to,
+                message: PeerMessage::Spread(message),
+                ..
+            } => {
+                let to = self.nodes.iter().position(|node| node.me.name == to);
+                self.mail.push((index, to.unwrap(), message));
+            }
+            other => panic!("not an output of this duty: {other:?}"),
+        }
+    }
+
+    fn store_call(&mut self, index: usize, ticket: Ticket, op: StoreOp) {
+        if self.nodes[index].cut {
+            let failure = StoreFailure::NotRun { retry_after: None };
+            self.inbox.push((index, ticket, Err(failure)));
+            return;
+        }
+        if let StoreOp::Watch { wait, .. } = op {
+            self.store.calls += 1;
+            self.watches.push((index, ticket, op, self.now + wait));
+            return;
+        }
+        let result = self.store.call(&op);
+        self.inbox.push((index, ticket, result));
+    }
+
+    fn end_watches(&mut self) {
+        let mut left = Vec::new();
+        for (index, ticket, op, until) in std::mem::take(&mut self.watches) {
+            let StoreOp::Watch { key, version, .. } = &op else {
+                continue;
+            };
+            let there = self.store.keys.get(key).cloned();
+            let now = there.as_ref().map_or(KeyVersion(0), |entry| entry.version);
+            if self.store.down || self.nodes[index].cut {
+                let failure = StoreFailure::NotRun { retry_after: None };
+                self.inbox.push((index, ticket, Err(failure)));
+            } else if now != *version || self.now >= until {
+                self.inbox
+                    .push((index, ticket, Ok(StoreAnswer::Entry(there))));
+            } else {
+                left.push((index, ticket, op, until));
+            }
+        }
+        self.watches = left;
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        let (from, to) = (&self.nodes[from], &self.nodes[to]);
+        let apart = self.islands.contains(&from.me.domain) || self.islands.contains(&to.me.domain);
+        from.up && to.up && (from.me.domain == to.me.domain || !apart)
+    }
+
+    fn peers(&self, index: usize) -> Vec<Peer> {
+        let others = (0..self.nodes.len()).filter(|&other| other != index);
+        others
+            .filter(|&other| self.reaches(other, index))
+            .map(|other| {
+                let node = &self.nodes[other];
+                Peer {
+                    name: node.me.name.clone(),
+                    addr: node.me.peer_addr.clone(),
+                    domain: node.me.domain.clone(),
+                    revision: node.spread.revision(),
+                }
+            })
+            .collect()
+    }
+
+    /// Returns whether the instance is one of the first two of its domain.
+    fn is_watcher(&self, index: usize) -> bool {
+        let domain = &self.nodes[index].me.domain;
+        let before = self.nodes[..index].iter();
+        before
+            .filter(|node| node.up && node.me.domain == *domain)
+            .count()
+            < 2
+    }
+}
+
+/// Returns a document with one domain for each pair of name and region.
+pub fn document(domains: &[(&str, &str)]) -> String {
+    domains
+        .iter()
+        .map(|(name, region)| format!("[[domain]]\nname = \"{name}\"\nregion = \"{region}\"\n\n"))
+        .collect()
+}
