--- a/src/admission/entry.rs
+++ b/src/admission/entry.rs
@@ -32,8 +32,12 @@
     pub job: Job,
     /// Its lane.
     pub lane: LaneKey,
+    /// Whether it takes several engines.
+    pub gang: bool,
     /// Order of arrival.
     pub sequence: u64,
+    /// Predicted time on an idle backend server, with a margin.
+    pub span: Millis,
     /// The last moment at which it may start and still finish in time.
     pub latest: Millis,
     /// When it is due to start: half-way from admission to `latest`.
@@ -62,7 +66,9 @@
         let output = u64::from(job.max_tokens.saturating_sub(job.offset));
         Entry {
             lane,
+            gang: false,
             sequence,
+            span,
             latest,
             due,
             tokens: (cost.prefill_tokens + OUTPUT_WEIGHT * output).max(LEAST_TOKENS),
--- a/src/control.rs
+++ b/src/control.rs
@@ -10,6 +10,7 @@
 mod claim;
 mod declare;
 mod duties;
+mod gangs;
 mod message;
 mod request;
 #[cfg(test)]
--- a/src/control/attempts.rs
+++ b/src/control/attempts.rs
@@ -19,10 +19,12 @@
 use crate::backend::Work;
 use crate::clock::Millis;
 use crate::condition::Sign;
+use crate::declaration::Target;
 use crate::id::AttemptId;
 use crate::id::RequestId;
 use crate::job::Job;
 use crate::metrics::Count;
+use crate::metrics::Timing;
 use crate::quarantine::HOLD;
 use crate::quarantine::Standing;
 use crate::timeline::EventKind;
@@ -30,7 +32,8 @@
 use crate::verdict::Reason;
 use crate::verdict::Refusal;
 
-/// Longest time without progress before a connection counts as silent.
+/// Longest time without progress before a connection to an engine counts as
+/// silent.
 pub const SILENCE_LIMIT: Millis = Millis(2_000);
 
 impl Duties {
@@ -47,8 +50,16 @@
         match event {
             AttemptEvent::Accepted => {}
             AttemptEvent::FirstToken => {
+                if let (None, Some(job)) = (running.first_token, &flight.job) {
+                    observe_first_token(cx, job);
+                }
                 running.first_token.get_or_insert(cx.now);
                 self.capacity.prefill_done(&mut running.held);
+                let request = attempt.request;
+                let late = self.router.first_token(cx.now, &self.fleet, request);
+                if let Some((backend, sign)) = late {
+                    self.conditions.sign(cx, &self.fleet, backend, sign);
+                }
             }
             AttemptEvent::Progress { offset } => running.offset = running.offset.max(offset),
             AttemptEvent::Answer { status, body } => flight.answer = Some((status, body)),
@@ -68,6 +79,7 @@
         for decision in decisions {
             match decision {
                 Decision::Run(dispatch) => self.run(cx, dispatch),
+                Decision::Gang(reservation) => self.begin_gang(cx, reservation),
                 Decision::Refuse(job, refusal) => {
                     if let Some(flight) = self.flights.remove(&job.request) {
                         self.failed(cx, job.request, &flight, refusal);
@@ -77,7 +89,7 @@
         }
     }
 
-    fn run(&mut self, cx: &mut Cx<'_>, dispatch: Dispatch) {
+    pub(super) fn run(&mut self, cx: &mut Cx<'_>, dispatch: Dispatch) {
         let Dispatch { job, held } = dispatch;
         let Some(flight) = self.flights.get_mut(&job.request) else {
             return self.capacity.release(held);
@@ -128,10 +140,14 @@
         match next {
             Next::Whole => {
                 self.capacity.release(running.held);
+                self.end_gang(cx, request);
                 self.settle_claim(cx, request, &flight);
                 let fingerprint = job.fingerprint;
                 self.quarantine.completed(cx, &self.everyone, fingerprint);
                 if !flight.detached {
+                    let kind = &self.fleet.kind(job.kind).name;
+                    cx.metrics
+                        .observe(Timing::Whole, kind, cx.now.since(job.admitted));
                     self.whole(cx, request);
                 }
             }
@@ -163,11 +179,16 @@
         matches!(standing, Standing::Held { .. })
     }
 
-    /// Tells conditions and the time line how an attempt ended.
+    /// Tells router, conditions and the time line how an attempt ended.
     fn note(&mut self, cx: &mut Cx<'_>, running: &Running, outcome: &Outcome, end: &AttemptEnd) {
         let backend = running.held.backend;
+        let request = running.attempt.request;
         let sign = match end {
-            AttemptEnd::Whole { .. } => Some(Sign::Completed { in_time: true }),
+            AttemptEnd::Whole { tokens } => {
+                let tokens = Some(*tokens);
+                let in_time = self.router.ended(cx.now, &self.fleet, request, tokens);
+                Some(Sign::Completed { in_time })
+            }
             _ => outcome.sign,
         };
         if let Some(sign) = sign {
@@ -237,6 +258,8 @@
         lingers: bool,
         service: bool,
     ) {
+        self.router.ended(cx.now, &self.fleet, request, None);
+        self.end_gang(cx, request);
         if !lingers {
             return self.capacity.release(running.held);
         }
@@ -259,7 +282,7 @@
             epoch: running.held.epoch,
             priority: job.importance,
             deadline: flight.deadline,
-            silence: SILENCE_LIMIT,
+            silence: silence_limit(cx.now, flight),
             start: running.start,
             work: flight.work.clone(),
         };
@@ -273,3 +296,27 @@
         cx.out.push(Output::Send(call));
     }
 }
+
+/// Returns the longest time without progress for a call.
+///
+/// A plain service sends nothing before its answer, so that only the deadline
+/// tells a slow one from a silent connection; an idempotent call keeps half of
+/// its time for another try.
+fn silence_limit(now: Millis, flight: &Flight) -> Millis {
+    let left = flight.deadline.since(now);
+    match (&*flight.work, flight.idempotent) {
+        (Work::Prompt(_), _) => SILENCE_LIMIT,
+        (Work::Service(_), true) => Millis(left.0 / 2).max(SILENCE_LIMIT),
+        (Work::Service(_), false) => left.max(SILENCE_LIMIT),
+    }
+}
+
+/// Takes the time to the first token of an answer that begins.
+fn observe_first_token(cx: &Cx<'_>, job: &Job) {
+    if job.target != Target::Engine || job.offset > 0 {
+        return;
+    }
+    let length = job.length().as_str();
+    let span = cx.now.since(job.admitted);
+    cx.metrics.observe(Timing::FirstToken, length, span);
+}
--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -16,11 +16,14 @@
 use crate::attempt::Flight;
 use crate::attempt::Lingers;
 use crate::backend::BackendAnswer;
+use crate::backend::BackendOrder;
 use crate::capacity::Capacity;
+use crate::clock::Millis;
 use crate::condition::Conditions;
 use crate::condition::Sign;
 use crate::fleet::Fleet;
 use crate::fleet::Listing;
+use crate::gang::Gangs;
 use crate::id::Epoch;
 use crate::id::RequestId;
 use crate::id::Revision;
@@ -42,6 +45,9 @@
 use crate::timeline::Subject;
 use crate::verdict::Refusal;
 
+/// Period at which load reports are asked for.
+const LOAD_PERIOD: Millis = Millis(1_000);
+
 /// The state of all duties.
 #[derive(Debug)]
 pub(super) struct Duties {
@@ -51,6 +57,7 @@
     pub(super) capacity: Capacity,
     pub(super) conditions: Conditions,
     pub(super) flights: HashMap<RequestId, Flight>,
+    pub(super) gangs: Gangs,
     pub(super) lingers: Lingers,
     pub(super) budgets: Budgets,
     pub(super) members: Membership,
@@ -59,6 +66,7 @@
     pub(super) quarantine: Quarantine,
     pub(super) spread: Spread,
     pub(super) revision: Revision,
+    pub(super) next_poll: Millis,
     pub(super) leaving: bool,
     pub(super) stopped: bool,
 }
@@ -74,6 +82,7 @@
             capacity: Capacity::default(),
             conditions: Conditions::default(),
             flights: HashMap::new(),
+            gangs: Gangs::default(),
             lingers: Lingers::default(),
             budgets: Budgets::default(),
             members: Membership::new(me),
@@ -82,6 +91,7 @@
             spread: Spread::new(Periods::default()),
             once: Once::new(me.unix_zero),
             revision: Revision::default(),
+            next_poll: Millis::ZERO,
             leaving: false,
             stopped: false,
         }
@@ -115,7 +125,9 @@
         self.spread_tick(cx);
         let outcomes = self.once.tick(cx);
         self.claimed(cx, outcomes);
+        self.poll(cx);
         self.expire(cx);
+        self.gang_tick(cx);
         for held in self.lingers.tick(cx, &self.fleet) {
             self.capacity.release(held);
         }
@@ -127,9 +139,30 @@
         }
     }
 
+    /// Asks the backend servers of the own failure domain for load reports and
+    /// engines for cache events.
+    fn poll(&mut self, cx: &mut Cx<'_>) {
+        if cx.now < self.next_poll {
+            return;
+        }
+        self.next_poll = cx.now + LOAD_PERIOD;
+        let local = self.fleet.domain_key(&cx.me.domain);
+        for (_, backend) in self.fleet.backends() {
+            if Some(backend.domain) != local || backend.leaving {
+                continue;
+            }
+            cx.out.push(Output::Order {
+                backend: backend.name.clone(),
+                addr: backend.addr.clone(),
+                order: BackendOrder::Load,
+            });
+        }
+    }
+
     fn listings(&mut self, cx: &mut Cx<'_>, listings: Vec<Listing>) {
         self.members.on_list(cx, &listings);
         self.fleet.list(listings);
+        self.conditions.fleet_changed(cx, &self.fleet);
     }
 
     /// Sends heartbeats and tells the duties who is live.
@@ -174,6 +207,12 @@
             BackendAnswer::Load(report) => {
                 let sign = Sign::Reported { boot: report.boot };
                 self.conditions.sign(cx, &self.fleet, backend, sign);
+                self.router.reported(cx.now, backend, &report);
+                let known = self.fleet.backend(backend).boot;
+                if known.is_some_and(|known| known != report.boot) {
+                    self.router.affinity.forget(backend);
+                    self.gang_died(cx, backend);
+                }
                 let freed = self.lingers.report(backend, &report);
                 self.fleet.set_boot(backend, report.boot);
                 freed
@@ -181,9 +220,24 @@
             BackendAnswer::Failed { refused: true } => {
                 self.conditions
                     .sign(cx, &self.fleet, backend, Sign::Refused);
+                self.gang_died(cx, backend);
                 self.lingers.restarted(backend)
             }
-            BackendAnswer::CacheEvents(_) | BackendAnswer::Failed { refused: false } => Vec::new(),
+            BackendAnswer::Failed { refused: false } => {
+                self.conditions.sign(cx, &self.fleet, backend, Sign::Silent);
+                Vec::new()
+            }
+            BackendAnswer::Prefilled { .. }
+            | BackendAnswer::Exported { .. }
+            | BackendAnswer::Imported { .. }
+            | BackendAnswer::GangFailed { .. } => {
+                self.gang_answer(cx, backend, &answer);
+                Vec::new()
+            }
+            BackendAnswer::CacheEvents(events) => {
+                self.router.cache_events(cx.now, backend, &events);
+                Vec::new()
+            }
         };
         for held in freed {
             self.capacity.release(held);
@@ -200,6 +254,7 @@
                     let outcomes = self.once.on_message(cx, &frame.from, message);
                     self.claimed(cx, outcomes);
                 }
+                PeerMessage::Capacity(_) => {}
                 PeerMessage::Membership(beat) => {
                     self.members.on_message(cx, &frame.from, frame.boot, beat);
                 }
@@ -239,6 +294,7 @@
                 self.spread.apply(cx, ticket, request);
                 return self.take_declaration(cx);
             }
+            AdminQuery::Models { token_sha256 } => self.models(&token_sha256),
         };
         cx.out.push(Output::Admin { ticket, answer });
     }
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -170,6 +170,8 @@
     History,
     /// Which instances hold which revision of the declarations.
     Held,
+    /// The models that a caller with this token's SHA-256 can ask for.
+    Models { token_sha256: String },
 }
 
 /// Answers to [`AdminQuery`]s.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! input and a time and returns outputs. Traffic threads own all sockets and
 //! talk to it over channels.
 
+pub mod admin;
 pub mod admission;
 pub mod affinity;
 pub mod attempt;
@@ -13,12 +14,16 @@
 pub mod condition;
 pub mod config;
 pub mod control;
+pub mod daemon;
 pub mod declaration;
+pub mod entry;
 #[cfg(test)]
 mod fixture;
 pub mod fleet;
+pub mod gang;
 pub mod id;
 pub mod job;
+pub mod listener;
 pub mod membership;
 pub mod metrics;
 pub mod once;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -4,12 +4,20 @@
 //! needs. Duties count through [`Metrics::add`]; the admin listener encodes the
 //! registry in the OpenMetrics text format.
 
+#[cfg(test)]
+mod tests;
+
 use std::fmt;
 
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use prometheus_client::registry::Unit;
+
+use crate::clock::Millis;
 
 macro_rules! metrics {
     ($all:ident, $type:ident: $($name:ident = $text:literal, $help:literal;)*) => {
@@ -41,7 +49,10 @@
     PeerBytesReceived = "peer_bytes_received", "Bytes of frames taken over from other instances, before HTTP/2 framing";
     PeerFramesLost = "peer_frames_lost", "Frames to other instances that were lost: a full queue, a failed connection, no answer";
     PeerConnections = "peer_connections", "Connections opened to other instances";
+    BadRequests = "requests_bad", "Requests refused before they reached the control core";
     ConditionChanges = "condition_changes", "Changes of a backend server's condition as this instance sees it";
+    Gangs = "gangs_started", "Prompts over one engine's memory that began on several engines";
+    GangsBroken = "gangs_broken", "Gangs given up as a member failed";
     Evicted = "requests_evicted", "Admitted requests refused in the queue, before any attempt or between two";
     DeclarationsAdopted = "declarations_adopted", "Revisions of the declarations that came into force on this instance";
     DeclarationsUnreadable = "declarations_unreadable", "Revisions of the declarations that this instance could not read";
@@ -49,26 +60,71 @@
     DeclarationChanges = "declaration_changes", "Revisions of the declarations that this instance put in force in the key-value service";
     DeclarationConflicts = "declaration_conflicts", "Changes of operators refused as others had changed the same objects";
     DeclarationRestores = "declaration_restores", "Times that the key-value service held an older or another head and was written anew";
+    HomesStarted = "homes_started", "Times that this instance became home of a backend server";
+    CreditAnswers = "credit_answers", "Answers with credits given as a home";
+    CreditRecalls = "credit_recalls", "Credits recalled as a home";
+    OrphansCancelled = "orphans_cancelled", "Cancels of streams that no live instance answered for";
     StaleFrames = "stale_frames", "Answer frames dropped as their attempt or offset did not match";
 }
 
 metrics! { GAUGES, Level:
     RequestsOpen = "requests_open", "Requests admitted and not yet answered";
     Revision = "declaration_revision", "Revision of the declarations in force";
+    Gangs = "gangs", "Gangs of engines reserved by this instance";
     Waiting = "requests_waiting", "Requests in the queue";
     WaitingTokens = "tokens_waiting", "Tokens of the requests in the queue, output tokens weighted by 8";
     BackendsWarm = "backends_warm", "Backend servers that this instance counts as warm";
     BackendsCold = "backends_cold", "Backend servers that this instance counts as cold or warming up";
     BackendsSilent = "backends_silent", "Backend servers that this instance counts as silent";
+    Homes = "homes", "Backend servers whose home this instance is";
+    StaticShares = "static_shares", "Backend servers of which this instance uses its static share as their home is silent";
     MembersLive = "members_live", "Other instances that are known and not suspected, leaving or gone";
     Ready = "ready", "1 when the instance takes callers, else 0";
 }
 
+macro_rules! timings {
+    ($($name:ident = $text:literal, $label:literal, $help:literal, $buckets:expr;)*) => {
+        /// A histogram of times of this process, in seconds, by one label; the
+        /// table gives name, label, help and upper bounds.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+        pub enum Timing {
+            $(#[doc = $help] $name,)*
+        }
+
+        const TIMINGS: &[TimingLine] = &[$(TimingLine {
+            name: $text,
+            label: $label,
+            help: $help,
+            new: || Histogram::new($buckets),
+        },)*];
+    };
+}
+
+timings! {
+    FirstToken = "first_token", "length", "Time from admission to the first token, by length class of the prompt",
+        [0.05, 0.1, 0.2, 0.4, 0.87, 1.5, 3.0, 6.0, 12.0, 30.0, 60.0, 120.0, 300.0];
+    Whole = "whole_answer", "kind", "Time from admission to the whole answer, by request kind",
+        [0.01, 0.05, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 120.0, 300.0, 900.0];
+}
+
+/// One line of the table of timings.
+struct TimingLine {
+    name: &'static str,
+    label: &'static str,
+    help: &'static str,
+    new: fn() -> Histogram,
+}
+
+/// One label and its value.
+type Label = [(&'static str, String); 1];
+type Timings = Family<Label, Histogram, fn() -> Histogram>;
+
 /// All metrics of one process.
 pub struct Metrics {
     registry: Registry,
     counters: Vec<Counter>,
     gauges: Vec<Gauge>,
+    timings: Vec<Timings>,
 }
 
 impl Metrics {
@@ -92,10 +148,20 @@
                 gauge
             })
             .collect();
+        let timings = TIMINGS
+            .iter()
+            .map(|line| {
+                let timings = Timings::new_with_constructor(line.new);
+                let (name, help) = (line.name, line.help);
+                registry.register_with_unit(name, help, Unit::Seconds, timings.clone());
+                timings
+            })
+            .collect();
         Metrics {
             registry,
             counters,
             gauges,
+            timings,
         }
     }
 
@@ -121,6 +187,15 @@
         self.gauges[level as usize].get()
     }
 
+    /// Takes one time into a histogram, under its label's value. The values come
+    /// from a closed or declared set, never from a caller.
+    pub fn observe(&self, timing: Timing, value: &str, span: Millis) {
+        let label = [(TIMINGS[timing as usize].label, value.to_owned())];
+        self.timings[timing as usize]
+            .get_or_create(&label)
+            .observe(span.as_secs_f64());
+    }
+
     /// Returns all metrics in the OpenMetrics text format.
     ///
     /// # Errors
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -24,6 +24,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::capacity;
 use crate::id::Boot;
 use crate::membership;
 use crate::once;
@@ -59,6 +60,8 @@
     Membership(membership::Heartbeat),
     /// Revisions of the declarations.
     Spread(spread::Message),
+    /// Homes and credits.
+    Capacity(capacity::Message),
 }
 
 /// The edge over which frames leave this process.
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -7,6 +7,7 @@
 //! it.
 
 mod explain;
+mod gang;
 mod lane;
 mod load;
 mod split;
@@ -21,8 +22,6 @@
 pub use load::Load;
 pub use split::Split;
 
-use std::cmp::Reverse;
-
 use crate::affinity::Affinity;
 use crate::affinity::score;
 use crate::backend::CacheEvent;
@@ -51,6 +50,11 @@
 /// Prompt tokens of long prompts in flight on one engine from this instance; a
 /// longer prompt goes where there is none.
 pub const LONG_PREFILL_TOKENS: u64 = 131_072;
+/// Work of prompts that may wait in an engine before the one that is sent.
+pub const MOST_AHEAD: Millis = Millis(500);
+/// An engine that a prefix prefers is passed over when its predicted first token
+/// is later than the earliest one of its tier times this.
+const AFFINITY_BOUND: f64 = 1.5;
 /// An engine that a prefix prefers is passed over when its load, in parts of
 /// its tier's mean, is above this (bounded loads after Mirrokni, Thorup and
 /// Zadimoghaddam 2018, "Consistent Hashing with Bounded Loads").
@@ -228,10 +232,10 @@
         fleet: &Fleet,
         request: RequestId,
     ) -> Option<(BackendKey, Sign)> {
-        let flight = self.loads.first_token(now, request)?;
+        let (flight, processing) = self.loads.first_token(now, request)?;
         let took = now.since(flight.sent);
         if self.is_engine(fleet, flight.backend) {
-            self.learn_prefill(fleet, &flight, took);
+            self.learn_prefill(now, fleet, &flight, processing);
         }
         let late = flight.predicted.is_late(took);
         late.then_some((flight.backend, Sign::Late))
@@ -259,7 +263,7 @@
         let took = now.since(start);
         let (backend, model) = (flight.backend, &flight.model);
         self.predictor
-            .observe_whole(fleet, backend, model, tokens, took);
+            .observe_whole(now, fleet, backend, model, tokens, took);
         let took = now.since(flight.sent);
         let pace = flight.predicted.whole.0 as f64 / took.0.max(1) as f64;
         self.pace += PACE_LEARNING * (pace.clamp(1.0 / PACE_BOUND, PACE_BOUND) - self.pace);
@@ -298,12 +302,18 @@
     /// Returns the best prediction for a job over its lane's first tier that is
     /// not empty, were nothing else to be done.
     #[must_use]
-    pub fn predict_best(&self, fleet: &Fleet, lane: LaneKey, job: &Job) -> Option<Prediction> {
+    pub fn predict_best(
+        &self,
+        now: Millis,
+        fleet: &Fleet,
+        lane: LaneKey,
+        job: &Job,
+    ) -> Option<Prediction> {
         let tiers = &self.lanes.get(lane)?.tiers;
         let tier = tiers.iter().find(|tier| !tier.is_empty())?;
         let speeds = tier
             .iter()
-            .map(|place| self.predictor.speeds(fleet, place.backend, &job.model))
+            .map(|place| self.predictor.speeds(now, fleet, place.backend, &job.model))
             .reduce(|a, b| a.faster(b))?;
         Some(speeds.predict(job, 0, 0))
     }
@@ -341,18 +351,28 @@
                 continue;
             }
             let flight = self.flight(view, key, ask.job);
+            let in_time = view.now + flight.predicted.whole <= ask.job.deadline;
+            if !in_time || !(ask.pressed || self.is_ready(view, &flight)) {
+                continue;
+            }
             let silent = view.conditions.condition(view.fleet, key) == Condition::Silent;
             let rank = (
                 silent,
-                Reverse(preferred.contains(&index)),
                 flight.predicted.first_token,
                 self.loads.streams(view.now, key),
                 place.hash ^ ask.job.request.0,
             );
-            ranked.push((rank, key, flight));
+            ranked.push((rank, preferred.contains(&index), key, flight));
         }
         ranked.sort_by_key(|(rank, ..)| *rank);
-        let ranked = ranked.into_iter().map(|(_, key, flight)| (key, flight));
+        let best = ranked
+            .first()
+            .map_or(Millis::ZERO, |((_, first, ..), ..)| *first);
+        let bound = Millis((best.0 as f64 * AFFINITY_BOUND) as u64);
+        ranked.sort_by_key(|((silent, first, ..), preferred, ..)| {
+            *silent || !*preferred || *first > bound
+        });
+        let ranked = ranked.into_iter().map(|(.., key, flight)| (key, flight));
         (ranked.collect(), full)
     }
 
@@ -397,6 +417,17 @@
         takes_long && (long_tokens == 0 || long_tokens + tokens <= LONG_PREFILL_TOKENS)
     }
 
+    /// Returns whether an engine would begin with the prompt soon: until then
+    /// the job is better kept in the queue, where the order can change.
+    fn is_ready(&self, view: View<'_>, flight: &Flight) -> bool {
+        let (now, fleet) = (view.now, view.fleet);
+        let speeds = self
+            .predictor
+            .speeds(now, fleet, flight.backend, &flight.model);
+        let ahead_s = flight.ahead_tokens as f64 / speeds.prefill_tokens_per_s.value;
+        ahead_s <= MOST_AHEAD.as_secs_f64()
+    }
+
     /// Returns whether nobody has to run alone, or does.
     fn bears_alone(&self, now: Millis, backend: BackendKey, job: &Job) -> bool {
         let load = self.loads.get(backend);
@@ -405,10 +436,13 @@
 
     /// Returns the attempt that a job would be on a backend server.
     fn flight(&self, view: View<'_>, backend: BackendKey, job: &Job) -> Flight {
-        let ahead_tokens = self.loads.prefill_ahead(view.now, backend);
+        let speeds = self
+            .predictor
+            .speeds(view.now, view.fleet, backend, &job.model);
+        let tokens_per_s = speeds.prefill_tokens_per_s.value;
+        let ahead_tokens = self.loads.prefill_ahead(view.now, backend, tokens_per_s);
         let cached_tokens = self.affinity.cached_tokens(view.now, job.prefix, backend);
-        let predictor = &self.predictor;
-        let predicted = predictor.predict(view.fleet, backend, job, ahead_tokens, cached_tokens);
+        let predicted = speeds.predict(job, ahead_tokens, cached_tokens);
         let warm = view.fleet.backend(backend).limit.as_ref();
         let warm = warm.map(|rule| rule.warm).unwrap_or_default();
         let work_ms = predicted.work_ms(warm, job.cost(cached_tokens));
@@ -421,20 +455,18 @@
         }
     }
 
-    /// Learns from a first token: the speed where no cached prefix is expected,
-    /// else how much was cached.
-    fn learn_prefill(&mut self, fleet: &Fleet, flight: &Flight, took: Millis) {
-        let tokens = flight.cost.prefill_tokens + flight.ahead_tokens;
+    /// Learns from a prompt that was processed in `took`: the speed where no
+    /// cached prefix is expected, else how much was cached.
+    fn learn_prefill(&mut self, now: Millis, fleet: &Fleet, flight: &Flight, took: Millis) {
+        let tokens = flight.cost.prefill_tokens;
+        let (backend, model) = (flight.backend, &flight.model);
         if flight.cached_tokens == 0 {
-            let (backend, model) = (flight.backend, &flight.model);
-            self.predictor
-                .observe_first_token(fleet, backend, model, tokens, took);
-            return;
+            let predictor = &mut self.predictor;
+            return predictor.observe_first_token(now, fleet, backend, model, tokens, took);
         }
-        let speeds = self.predictor.speeds(fleet, flight.backend, &flight.model);
-        let processed = (took.as_secs_f64() * speeds.prefill_tokens_per_s) as u64;
+        let speeds = self.predictor.speeds(now, fleet, backend, model);
+        let processed = (took.as_secs_f64() * speeds.prefill_tokens_per_s.value) as u64;
         let cached = tokens.saturating_sub(processed);
-        let cached = cached.min(flight.cost.prefill_tokens);
         self.affinity.observe(flight.prefix, cached);
     }
 
