--- a/src/spread/proposal.rs
+++ b/src/spread/proposal.rs
@@ -42,8 +42,9 @@
 use crate::verdict::Reason;
 use crate::verdict::Refusal;
 
-/// Time after which a proposal is given up.
-const GIVE_UP: Millis = Millis::from_secs(20);
+/// Time after which a proposal is given up; the operators' listener waits five
+/// seconds for an answer.
+const GIVE_UP: Millis = Millis::from_secs(3);
 /// Mean time until a step without an answer is tried again.
 const RETRY: Millis = Millis(500);
 /// When a refused operator may come back, unless the service says.
