Add the command line for operators and callers

Operators drive the system by declarations only and need to see why a request went where it went; callers need a simple client.

New admin queries: Explain, Listings.

--- a/src/control.rs
+++ b/src/control.rs
@@ -20,6 +20,7 @@
 pub use message::AdminAnswer;
 pub use message::AdminQuery;
 pub use message::Duty;
+pub use message::ExplainRequest;
 pub use message::Identity;
 pub use message::Input;
 pub use message::Output;
--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -7,10 +7,15 @@
 
 use super::AdminAnswer;
 use super::Cx;
+use super::ExplainRequest;
 use super::duties::Duties;
 use crate::declaration::Target;
 use crate::fleet::BackendKey;
+use crate::id::Fingerprint;
+use crate::id::RequestId;
+use crate::job::Job;
 use crate::metrics::Level;
+use crate::routing::View;
 use crate::verdict::Reason;
 use crate::verdict::Refusal;
 
@@ -65,6 +70,44 @@
         AdminAnswer::Json(json!({"object": "list", "data": data}))
     }
 
+    /// Returns why each backend server would or would not be taken.
+    pub(super) fn explain(&mut self, cx: &Cx<'_>, request: &ExplainRequest) -> AdminAnswer {
+        let unknown = |what: &str, name: &str| {
+            let text = format!("there is no {what} `{name}`");
+            AdminAnswer::Refused(Refusal::not_run(Reason::NotFound, text))
+        };
+        let Some(kind) = self.fleet.kind_key(&request.kind) else {
+            return unknown("kind", &request.kind);
+        };
+        let Some(workspace) = self.fleet.workspace_key(&request.workspace) else {
+            return unknown("workspace", &request.workspace);
+        };
+        let declared = self.fleet.kind(kind);
+        let job = Job {
+            request: RequestId(0),
+            workspace,
+            kind,
+            target: declared.target,
+            model: request.model.clone(),
+            prompt_tokens: request.prompt_tokens,
+            max_tokens: request.max_tokens.unwrap_or(declared.max_tokens),
+            prefix: 0,
+            fingerprint: Fingerprint(0),
+            importance: declared.importance,
+            admitted: cx.now,
+            deadline: cx.now + declared.deadline_ms,
+            offset: 0,
+            excluded: Vec::new(),
+            alone: false,
+        };
+        let view = View {
+            now: cx.now,
+            fleet: &self.fleet,
+            conditions: &self.conditions,
+        };
+        AdminAnswer::json(&self.router.explain(view, &self.capacity, &job))
+    }
+
     fn backend_status(&self, cx: &Cx<'_>, key: BackendKey) -> Value {
         let backend = self.fleet.backend(key);
         let limits = self.conditions.limits(&self.fleet, key);
--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -287,6 +287,8 @@
                 let peers = self.spread_peers(cx);
                 AdminAnswer::json(&self.spread.held(&cx.me.name, &peers))
             }
+            AdminQuery::Listings => AdminAnswer::json(&self.fleet.listings()),
+            AdminQuery::Explain(request) => self.explain(cx, &request),
             AdminQuery::GetDeclaration { revision } => {
                 return self.spread.show(cx, ticket, revision);
             }
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -170,10 +170,31 @@
     History,
     /// Which instances hold which revision of the declarations.
     Held,
+    /// The platform's instance list, as this instance last read it.
+    Listings,
+    /// Why each backend server would or would not be taken for a request.
+    Explain(ExplainRequest),
     /// The models that a caller with this token's SHA-256 can ask for.
     Models { token_sha256: String },
 }
 
+/// A request that operators ask about.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ExplainRequest {
+    /// The workspace's name.
+    pub workspace: String,
+    /// The request kind's name.
+    pub kind: String,
+    /// The model; for a plain service its name.
+    pub model: String,
+    /// Prompt length in tokens.
+    pub prompt_tokens: u64,
+    /// Output tokens allowed; none: the kind's default.
+    pub max_tokens: Option<u32>,
+}
+
 /// Answers to [`AdminQuery`]s.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod attempt;
 pub mod backend;
 pub mod capacity;
+pub mod cli;
 pub mod clock;
 pub mod condition;
 pub mod config;
