Ask for credits that jobs and gangs can use

A job without room asked every engine of its tier for its whole cost, also one that could never hold it, whose home then kept all its memory free for nothing. Jobs of a lane now ask a backend server for the largest of them that it bears, else for the smallest, and gangs ask their members for their parts.

--- a/src/admission/pool.rs
+++ b/src/admission/pool.rs
@@ -185,7 +185,10 @@
                 }
                 Err(why) => {
                     misses += 1;
-                    wants.add(view.now, entry);
+                    let lane = router.places(entry.lane);
+                    if lane.is_some_and(|lane| lane.holds(&entry.job)) {
+                        wants.add(view.now, entry);
+                    }
                     let seen = cursor.get(&workspace).map_or(0, |(_, seen)| *seen);
                     cursor.insert(workspace, (key, seen + 1));
                     if entry.gang {
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -221,8 +221,9 @@
         };
         for place in lane.tiers.iter().take(want.tiers()).flatten() {
             let limits = view.conditions.limits(view.fleet, place.backend);
-            if limits.streams > 0 {
-                capacity.want_for_all(view.now, place.backend, want.cost, want.weight);
+            let cost = want.cost_at(limits).filter(|_| limits.streams > 0);
+            if let Some(cost) = cost {
+                capacity.want_for_all(view.now, place.backend, cost, want.weight);
             }
         }
     }
--- a/src/routing/gang.rs
+++ b/src/routing/gang.rs
@@ -42,7 +42,10 @@
         let plan = Plan::find(view.fleet, ask.job, able, |key| {
             capacity.available(view.now, view.fleet, view.conditions, key)
         });
-        let plan = plan.ok_or(Full::Job)?;
+        let Some(plan) = plan else {
+            self.want_gang(view, capacity, ask);
+            return Err(Full::Job);
+        };
         let mut members: Vec<Member> = Vec::new();
         for part in plan.parts {
             let (now, key) = (view.now, part.backend);
@@ -63,6 +66,16 @@
         Ok(members)
     }
 
+    /// Asks for credits of all members that a gang needs.
+    fn want_gang(&self, view: View<'_>, capacity: &mut Capacity, ask: Ask<'_>) {
+        let plan = Plan::find(view.fleet, ask.job, self.able(ask.lane), |key| {
+            view.conditions.limits(view.fleet, key)
+        });
+        for part in plan.into_iter().flat_map(|plan| plan.parts) {
+            capacity.want(view.now, part.backend, part.cost, ask.job.importance);
+        }
+    }
+
     /// Returns the engines that a waiting gang needs, in the order in which it
     /// asks for them.
     #[must_use]
