Pass over the queue only where room may have come

Each pass looked for room in all lanes again and summed the load of all engines. Now a lane found full stays so until something ends on one of its engines, or for 50 ms; passes with nothing new return at once; turns come from a heap; loads are not cloned.

--- a/src/admission/pool.rs
+++ b/src/admission/pool.rs
@@ -5,7 +5,9 @@
 //! queueing, Goyal, Vin and Cheng 1996): of those that are not ahead of the one
 //! furthest behind by more than a quantum, the job that is due first goes first.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
 use std::collections::HashMap;
 use std::ops::Bound;
 
@@ -39,6 +41,13 @@
 const WORKSPACE_MISSES: usize = 4;
 /// Part of a lane's backend servers that may be kept for jobs that are due.
 const KEPT_PART: usize = 4;
+/// Time after which room is looked for again although nothing is known to have
+/// changed: credits may have come.
+const RECHECK: Millis = Millis(50);
+/// Jobs that are looked at in one pass.
+const LOOKS: usize = 512;
+/// Period at which the rate of work is measured.
+const RATE_PERIOD: Millis = Millis(50);
 /// Half-life of the highest rate of work that was seen while jobs waited.
 const RATE_HALF_LIFE: Millis = Millis::from_secs(5);
 /// How long jobs have to wait before any give way to others: credits may be on
@@ -68,6 +77,9 @@
     since: Option<Millis>,
     planned: Option<Millis>,
     first_latest: Option<Millis>,
+    looked: Option<Looked>,
+    full: Vec<FullLane>,
+    changed: bool,
 }
 
 /// What a job found room on.
@@ -79,9 +91,19 @@
     Gang(Vec<Member>),
 }
 
-/// The last job of each workspace that was looked at in a pass, and how many
-/// were.
-type Cursor = BTreeMap<WorkspaceKey, (OrderKey, usize)>;
+/// A lane without a free stream when it was last looked at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct FullLane {
+    lane: LaneKey,
+    at: Millis,
+}
+
+/// When a pool was last gone through, and the router's state then.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Looked {
+    at: Millis,
+    changes: u64,
+}
 
 /// Orders the workspaces' first jobs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -124,6 +146,7 @@
         self.len += 1;
         self.work_ms += entry.work_ms;
         self.planned = None;
+        self.changed = true;
         let first = self.first_latest.unwrap_or(Millis::NEVER);
         self.first_latest = Some(first.min(entry.latest));
         line.entries.insert(entry.key(), entry);
@@ -152,16 +175,25 @@
         capacity: &mut Capacity,
     ) -> Vec<(Entry, Room)> {
         let mut served = Vec::new();
-        let mut cursor = Cursor::new();
+        if self.len == 0 || self.is_unchanged(view.now, router) {
+            return served;
+        }
+        self.open_lanes(view.now, router);
+        let bound = self.bound();
+        let mut turns = self.turns(bound);
+        let mut looks: BTreeMap<WorkspaceKey, usize> = BTreeMap::new();
         let mut kept = Vec::new();
-        let mut full: Vec<LaneKey> = Vec::new();
         let mut misses = 0;
-        while misses < MISSES {
-            let Some((workspace, key)) = self.next(&cursor) else {
+        for _ in 0..LOOKS {
+            if misses >= MISSES {
+                break;
+            }
+            let Some(Reverse((turn, workspace))) = turns.pop() else {
                 break;
             };
+            let key = turn.key;
             let Some(entry) = self.lines[&workspace].entries.get(&key) else {
-                break;
+                continue;
             };
             let ask = Ask {
                 job: &entry.job,
@@ -169,9 +201,10 @@
                 pressed: view.now >= entry.due,
                 kept: &kept,
             };
-            let result = match full.contains(&entry.lane) {
-                true => Err(Full::Streams),
-                false if entry.gang => router.reserve_gang(view, capacity, ask).map(Room::Gang),
+            let known_full = self.full.iter().any(|full| full.lane == entry.lane);
+            let result = match entry.gang {
+                true => router.reserve_gang(view, capacity, ask).map(Room::Gang),
+                false if known_full => Err(Full::Streams),
                 false => router.place(view, capacity, ask).map(Room::One),
             };
             match result {
@@ -181,15 +214,16 @@
                         served.push((entry, room));
                     }
                 }
+                Err(Full::Streams) if known_full => {}
                 Err(why) => {
                     misses += 1;
-                    let seen = cursor.get(&workspace).map_or(0, |(_, seen)| *seen);
-                    cursor.insert(workspace, (key, seen + 1));
+                    *looks.entry(workspace).or_default() += 1;
                     if entry.gang {
                         let needs = router.gang_needs(view, ask);
                         kept.extend(needs.into_iter().filter(|_| ask.pressed));
                     } else if why == Full::Streams {
-                        full.push(entry.lane);
+                        let (lane, at) = (entry.lane, view.now);
+                        self.full.push(FullLane { lane, at });
                     } else if ask.pressed {
                         let most = router.places(entry.lane).map_or(0, |lane| lane.len());
                         let room = kept.len() < most.div_ceil(KEPT_PART);
@@ -197,8 +231,20 @@
                     }
                 }
             }
+            if looks
+                .get(&workspace)
+                .is_none_or(|seen| *seen < WORKSPACE_MISSES)
+            {
+                let next = self.turn(workspace, Bound::Excluded(key), bound);
+                turns.extend(next.map(|turn| Reverse((turn, workspace))));
+            }
         }
         self.measure(view.now, router);
+        self.changed = false;
+        self.looked = Some(Looked {
+            at: view.now,
+            changes: router.changes(),
+        });
         served
     }
 
@@ -224,30 +270,55 @@
         self.lines.values().flat_map(|line| line.entries.values())
     }
 
-    /// Returns the next job to look at: of the workspaces within the quantum the
-    /// one that is due first, then of the others the one furthest behind.
-    fn next(&self, cursor: &Cursor) -> Option<(WorkspaceKey, OrderKey)> {
-        let bound = self.least_virtual_time()? + FAIR_QUANTUM_TOKENS as f64;
-        let mut best: Option<(Turn, WorkspaceKey)> = None;
-        for (&workspace, line) in &self.lines {
-            let after = match cursor.get(&workspace) {
-                Some((_, seen)) if *seen >= WORKSPACE_MISSES => continue,
-                Some((key, _)) => Bound::Excluded(*key),
-                None => Bound::Unbounded,
-            };
-            let Some((&key, _)) = line.entries.range((after, Bound::Unbounded)).next() else {
-                continue;
-            };
-            let ahead_tokens = match line.virtual_time > bound {
-                true => line.virtual_time as u64,
-                false => 0,
-            };
-            let turn = Turn { ahead_tokens, key };
-            if best.is_none_or(|(known, _)| turn < known) {
-                best = Some((turn, workspace));
-            }
+    /// Returns whether nothing can have made room since the last pass.
+    fn is_unchanged(&self, now: Millis, router: &Router) -> bool {
+        let looked = self.looked.filter(|_| !self.changed);
+        looked.is_some_and(|looked| {
+            looked.changes == router.changes() && now.since(looked.at) < RECHECK
+        })
+    }
+
+    /// Forgets that lanes are full where that may have changed.
+    fn open_lanes(&mut self, now: Millis, router: &Router) {
+        self.full.retain(|full| now.since(full.at) < RECHECK);
+        let since = self.looked.map_or(0, |looked| looked.changes);
+        let Some(changed) = router.changed_since(since) else {
+            return self.full.clear();
+        };
+        for backend in changed {
+            self.full.retain(|full| {
+                let lane = router.places(full.lane);
+                lane.is_some_and(|lane| lane.places().all(|place| place.backend != backend))
+            });
         }
-        best.map(|(turn, workspace)| (workspace, turn.key))
+    }
+
+    /// Returns the first job of each workspace, in turn: of the workspaces within
+    /// the quantum the one that is due first, then of the others the one furthest
+    /// behind.
+    fn turns(&self, bound: f64) -> BinaryHeap<Reverse<(Turn, WorkspaceKey)>> {
+        let keys = self.lines.keys();
+        let turns = keys.filter_map(|&workspace| {
+            let turn = self.turn(workspace, Bound::Unbounded, bound)?;
+            Some(Reverse((turn, workspace)))
+        });
+        turns.collect()
+    }
+
+    /// Returns the turn of a workspace's first job after a key.
+    fn turn(&self, workspace: WorkspaceKey, after: Bound<OrderKey>, bound: f64) -> Option<Turn> {
+        let line = self.lines.get(&workspace)?;
+        let (&key, _) = line.entries.range((after, Bound::Unbounded)).next()?;
+        let ahead_tokens = match line.virtual_time > bound {
+            true => line.virtual_time as u64,
+            false => 0,
+        };
+        Some(Turn { ahead_tokens, key })
+    }
+
+    /// Returns the virtual time from which on a workspace is ahead.
+    fn bound(&self) -> f64 {
+        self.least_virtual_time().unwrap_or(0.0) + FAIR_QUANTUM_TOKENS as f64
     }
 
     fn take(&mut self, workspace: WorkspaceKey, key: OrderKey) -> Option<Entry> {
@@ -287,10 +358,19 @@
             return;
         }
         self.since.get_or_insert(now);
-        let loads = self.backends.iter().map(|&backend| router.load(backend));
+        if now.since(self.measured) < RATE_PERIOD && self.rate > 0.0 {
+            return;
+        }
+        let loads = self
+            .backends
+            .iter()
+            .filter_map(|&backend| router.load(backend));
         let busy: f64 = loads.map(|load| load.part).sum();
         let halvings = now.since(self.measured).0 as f64 / RATE_HALF_LIFE.0 as f64;
         self.measured = now;
+        let least = self.least_virtual_time().unwrap_or(0.0);
+        self.lines
+            .retain(|_, line| !line.entries.is_empty() || line.virtual_time > least);
         self.rate = busy + (self.rate - busy).max(0.0) * (-halvings).exp2();
     }
 
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -280,12 +280,26 @@
         self.affinity.events(now, backend, events);
     }
 
-    /// Returns what this instance has in flight on a backend server.
+    /// Returns what this instance has in flight on a backend server, if it ever
+    /// had anything.
     #[must_use]
-    pub fn load(&self, backend: BackendKey) -> Load {
+    pub fn load(&self, backend: BackendKey) -> Option<&Load> {
         self.loads.get(backend)
     }
 
+    /// Returns how often something in flight may have made room so far.
+    #[must_use]
+    pub fn changes(&self) -> u64 {
+        self.loads.changes()
+    }
+
+    /// Returns the backend servers that may have got room since `changes` was
+    /// the count; none: too many to tell.
+    #[must_use]
+    pub fn changed_since(&self, changes: u64) -> Option<impl Iterator<Item = BackendKey>> {
+        self.loads.changed_since(changes)
+    }
+
     /// Returns this instance's requests on a backend server.
     #[must_use]
     pub fn in_flight(&self, backend: BackendKey) -> Vec<InFlight> {
@@ -407,7 +421,8 @@
         if ask.job.target == Target::Service {
             return true;
         }
-        let long_tokens = self.loads.get(place.backend).long_prefill_tokens;
+        let load = self.loads.get(place.backend);
+        let long_tokens = load.map_or(0, |load| load.long_prefill_tokens);
         if ask.job.length() == LengthClass::Short {
             return long_tokens == 0 || ask.pressed;
         }
@@ -430,8 +445,8 @@
 
     /// Returns whether nobody has to run alone, or does.
     fn bears_alone(&self, now: Millis, backend: BackendKey, job: &Job) -> bool {
-        let load = self.loads.get(backend);
-        !load.alone && (!job.alone || self.loads.streams(now, backend) == 0)
+        let alone = self.loads.get(backend).is_some_and(|load| load.alone);
+        !alone && (!job.alone || self.loads.streams(now, backend) == 0)
     }
 
     /// Returns the attempt that a job would be on a backend server.
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -21,6 +21,9 @@
 /// Age at which a report tells nothing any more.
 pub const REPORT_LIFE: Millis = Millis::from_secs(5);
 
+/// Changes that are remembered.
+const CHANGES: usize = 256;
+
 /// An attempt in flight.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Flight {
@@ -110,6 +113,8 @@
 pub struct Loads {
     flights: BTreeMap<RequestId, Flight>,
     loads: ArenaMap<BackendKey, Load>,
+    changes: u64,
+    changed: VecDeque<BackendKey>,
 }
 
 impl Loads {
@@ -153,6 +158,7 @@
     /// Removes an attempt and returns it.
     pub fn end(&mut self, request: RequestId) -> Option<Flight> {
         let flight = self.flights.remove(&request)?;
+        self.change(flight.backend);
         if flight.first_token.is_none() {
             self.prefilled(request, &flight);
         }
@@ -177,6 +183,7 @@
 
     /// Notes that a gang's member has processed its part.
     pub fn processed(&mut self, backend: BackendKey, tokens: u64) {
+        self.change(backend);
         let load = self.loads.entry(backend).or_default();
         load.prefill_tokens = load.prefill_tokens.saturating_sub(tokens);
         load.long_prefill_tokens = load.long_prefill_tokens.saturating_sub(tokens);
@@ -191,6 +198,7 @@
 
     /// Takes over a load report.
     pub fn reported(&mut self, now: Millis, backend: BackendKey, report: &LoadReport) {
+        self.change(backend);
         let taken = now.since(report.age_ms);
         let since = |flight: &&Flight| flight.sent >= taken;
         let flights = self.on(backend).map(|(_, flight)| flight).filter(since);
@@ -206,10 +214,34 @@
         load.streams_since = streams;
     }
 
-    /// Returns what this instance has in flight on a backend server.
+    /// Returns what this instance has in flight on a backend server, if it ever
+    /// had anything.
+    #[must_use]
+    pub fn get(&self, backend: BackendKey) -> Option<&Load> {
+        self.loads.get(backend)
+    }
+
+    /// Returns how often something in flight may have made room so far.
+    #[must_use]
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Returns the backend servers that may have got room since `changes` was
+    /// the count; none: too many to tell.
     #[must_use]
-    pub fn get(&self, backend: BackendKey) -> Load {
-        self.loads.get(backend).cloned().unwrap_or_default()
+    pub fn changed_since(&self, changes: u64) -> Option<impl Iterator<Item = BackendKey>> {
+        let count = usize::try_from(self.changes - changes).ok()?;
+        let first = self.changed.len().checked_sub(count)?;
+        Some(self.changed.range(first..).copied())
+    }
+
+    fn change(&mut self, backend: BackendKey) {
+        self.changes += 1;
+        if self.changed.len() == CHANGES {
+            self.changed.pop_front();
+        }
+        self.changed.push_back(backend);
     }
 
     /// Returns the prompt tokens that a backend server has still to process:
@@ -249,6 +281,7 @@
     }
 
     fn prefilled(&mut self, request: RequestId, flight: &Flight) {
+        self.change(flight.backend);
         let load = self.loads.entry(flight.backend).or_default();
         load.prefills.retain(|prefill| prefill.request != request);
         let tokens = flight.cost.prefill_tokens;
