--- a/bench/src/experiment/latency.rs
+++ b/bench/src/experiment/latency.rs
@@ -7,6 +7,7 @@
 
 use super::Findings;
 use crate::check::Finding;
+use crate::engine::EngineFault;
 use crate::load::LoadClass;
 use crate::load::Outcome;
 use crate::load::Policy;
@@ -52,6 +53,8 @@
     eprintln!("{}", contender.name());
     let mut stage = Stage::build(contender, set(), okonkwo::declaration(), seed)?;
     stage.warm_up(seed + 1)?;
+    // An engine that is cold still would be slower on one side only.
+    warm(&stage);
     let class = LoadClass {
         prompt_min: 1_000,
         prompt_max: 1_000,
@@ -64,6 +67,15 @@
     Ok(figures(&outcomes))
 }
 
+fn warm(stage: &Stage) {
+    let order = EngineFault {
+        warm: true,
+        ..EngineFault::default()
+    };
+    let engines = &stage.set().engines;
+    engines.iter().for_each(|engine| engine.fault(&order));
+}
+
 fn set() -> SetConfig {
     let mut set = okonkwo::set(ENGINES_PER_DOMAIN);
     for engine in &mut set.engines {
