--- a/bench/src/experiment/faults.rs
+++ b/bench/src/experiment/faults.rs
@@ -241,6 +241,7 @@
 }
 
 const POISON_SPAN: Millis = Millis::from_secs(20);
+const POISON_WORKSPACE: &str = "workspace-1";
 const POISON_FROM: Millis = Millis::from_secs(4);
 /// Crashes that one fingerprint may cause over the whole fleet.
 const POISON_CRASHES_MOST: f64 = 2.0;
@@ -252,6 +253,8 @@
         classes.push(LoadClass {
             name: "poison".to_owned(),
             marker: okonkwo::POISON.to_owned(),
+            // One workspace: the same request has the same fingerprint.
+            workspace: POISON_WORKSPACE.to_owned(),
             prompt_min: 1_000,
             prompt_max: 1_000,
             resends: 3,
--- a/bench/src/load/plan.rs
+++ b/bench/src/load/plan.rs
@@ -38,6 +38,8 @@
     pub service: String,
     /// The plain service's operation.
     pub operation: String,
+    /// The workspace that sends it; empty: any, by their shares.
+    pub workspace: String,
     /// Whether a call must not run more than once: it gets an idempotency key.
     pub once: bool,
     /// Copies of one call sent at the same time to different instances.
@@ -62,6 +64,7 @@
             max_tokens: 32,
             service: String::new(),
             operation: String::new(),
+            workspace: String::new(),
             once: false,
             copies: 1,
             resends: 0,
@@ -143,8 +146,13 @@
 
     fn arrival(&self, rng: &mut ChaCha8Rng, at: Millis, number: u64) -> Arrival {
         let class = pick(rng, self.classes.iter().map(|class| class.weight));
-        let workspace = pick(rng, self.workspaces.iter().map(|one| one.weight));
+        let any = pick(rng, self.workspaces.iter().map(|one| one.weight));
         let wanted = &self.classes[class];
+        let named = self
+            .workspaces
+            .iter()
+            .position(|one| one.name == wanted.workspace);
+        let workspace = named.unwrap_or(any);
         let prompt_tokens = match wanted.service.is_empty() {
             true => length(rng, wanted.prompt_min, wanted.prompt_max),
             false => 0,
