--- a/src/entry/reply.rs
+++ b/src/entry/reply.rs
@@ -67,8 +67,11 @@
 
 impl Drop for Caller {
     fn drop(&mut self) {
+        self.side.close();
         if !self.answered {
             let request = self.request();
+            // First, so that no frame passes once the core knows.
+            self.side.close();
             let _ = self.control.send(Input::CallerGone { request });
         }
     }
