Ask for credits again when jobs find no room

Before: no ask leaves the queue. Of the library's tests a_member_that_fails_at_any_step_leaves_nothing_reserved fails still: a freed credit is not told to the queue, which skips its pass.

--- a/src/admission/pool.rs
+++ b/src/admission/pool.rs
@@ -29,6 +29,7 @@
 use crate::routing::LaneKey;
 use crate::routing::Router;
 use crate::routing::View;
+use crate::routing::Want;
 use crate::verdict::Reason;
 use crate::verdict::Refusal;
 
@@ -184,6 +185,7 @@
         let mut looks: BTreeMap<WorkspaceKey, usize> = BTreeMap::new();
         let mut kept = Vec::new();
         let mut misses = 0;
+        let mut wants = Wants::default();
         for _ in 0..LOOKS {
             if misses >= MISSES {
                 break;
@@ -214,9 +216,13 @@
                         served.push((entry, room));
                     }
                 }
-                Err(Full::Streams) if known_full => {}
+                Err(Full::Streams) if known_full => wants.add(view.now, entry),
                 Err(why) => {
                     misses += 1;
+                    let lane = router.places(entry.lane);
+                    if lane.is_some_and(|lane| lane.holds(&entry.job)) {
+                        wants.add(view.now, entry);
+                    }
                     *looks.entry(workspace).or_default() += 1;
                     if entry.gang {
                         let needs = router.gang_needs(view, ask);
@@ -239,6 +245,9 @@
                 turns.extend(next.map(|turn| Reverse((turn, workspace))));
             }
         }
+        for want in wants.0 {
+            router.want(view, capacity, want);
+        }
         self.measure(view.now, router);
         self.changed = false;
         self.looked = Some(Looked {
@@ -510,3 +519,24 @@
         index
     }
 }
+
+/// What the jobs that found no room want, by lane.
+#[derive(Debug, Default)]
+struct Wants(Vec<Want>);
+
+impl Wants {
+    fn add(&mut self, now: Millis, entry: &Entry) {
+        let cost = entry.job.cost(0);
+        let waited = now.since(entry.job.admitted);
+        let weight = u64::from(entry.job.importance) + 1;
+        let want = match self.0.iter_mut().find(|want| want.lane == entry.lane) {
+            Some(want) => want,
+            None => {
+                self.0.push(Want::new(entry.lane));
+                let last = self.0.len() - 1;
+                &mut self.0[last]
+            }
+        };
+        want.add(cost, weight, waited);
+    }
+}
