--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -22,7 +22,6 @@
 use crate::clock::Millis;
 use crate::condition::Conditions;
 use crate::condition::Sign;
-use crate::declaration::Declaration;
 use crate::fleet::BackendKey;
 use crate::fleet::Fleet;
 use crate::fleet::Listing;
@@ -40,6 +39,8 @@
 use crate::peer::PeerMessage;
 use crate::quarantine::Quarantine;
 use crate::routing::Router;
+use crate::spread::Periods;
+use crate::spread::Spread;
 use crate::store::StoreResult;
 use crate::timeline::EventKind;
 use crate::timeline::Subject;
@@ -65,6 +66,7 @@
     pub(super) everyone: Vec<Member>,
     pub(super) once: Once,
     pub(super) quarantine: Quarantine,
+    pub(super) spread: Spread,
     pub(super) revision: Revision,
     /// When a leaving instance was first without requests.
     pub(super) idle_since: Option<Millis>,
@@ -89,6 +91,7 @@
             members: Membership::new(me),
             everyone: Vec::new(),
             quarantine: Quarantine::default(),
+            spread: Spread::new(Periods::default()),
             once: Once::new(me.unix_zero),
             revision: Revision::default(),
             idle_since: None,
@@ -116,22 +119,6 @@
         (&mut self.capacity, scope)
     }
 
-    /// Brings a declaration into force.
-    pub(super) fn declare(
-        &mut self,
-        cx: &mut Cx<'_>,
-        declaration: &Declaration,
-        revision: Revision,
-    ) {
-        self.fleet.declare(declaration);
-        self.conditions.fleet_changed(cx, &self.fleet);
-        self.revision = revision;
-        let value = i64::try_from(revision.0).unwrap_or(i64::MAX);
-        cx.metrics.set(Level::Revision, value);
-        let detail = format!("revision {} is in force", revision.0);
-        cx.event(EventKind::Revision, Subject::default(), detail);
-    }
-
     pub(super) fn handle(&mut self, cx: &mut Cx<'_>, input: Input) {
         match input {
             Input::Tick => self.tick(cx),
@@ -157,6 +144,7 @@
 
     fn tick(&mut self, cx: &mut Cx<'_>) {
         self.gather(cx);
+        self.spread_tick(cx);
         let outcomes = self.once.tick(cx);
         self.claimed(cx, outcomes);
         let (capacity, mut scope) = self.limits();
@@ -276,6 +264,7 @@
         cx.timeline.observe(frame.stamp);
         for message in frame.messages {
             match message {
+                PeerMessage::Spread(message) => self.spread_message(cx, &frame.from, message),
                 PeerMessage::Quarantine(message) => self.quarantine.on_message(cx.now, message),
                 PeerMessage::Once(message) => {
                     let outcomes = self.once.on_message(cx, &frame.from, message);
@@ -305,7 +294,7 @@
                 let (capacity, mut scope) = self.limits();
                 capacity.on_store(cx, &mut scope, ticket, result);
             }
-            Duty::Spread => {}
+            Duty::Spread => self.spread_store(cx, ticket, result),
         }
     }
 
@@ -315,6 +304,20 @@
             AdminQuery::Timeline { filter, limit } => {
                 AdminAnswer::Events(cx.timeline.select(&filter, limit))
             }
+            AdminQuery::History => AdminAnswer::json(&self.spread.history()),
+            AdminQuery::Held => {
+                let peers = self.spread_peers(cx);
+                AdminAnswer::json(&self.spread.held(&cx.me.name, &peers))
+            }
+            AdminQuery::Listings => AdminAnswer::json(&self.fleet.listings()),
+            AdminQuery::Explain(request) => self.explain(cx, &request),
+            AdminQuery::GetDeclaration { revision } => {
+                return self.spread.show(cx, ticket, revision);
+            }
+            AdminQuery::ApplyDeclaration(request) => {
+                self.spread.apply(cx, ticket, request);
+                return self.take_declaration(cx);
+            }
             AdminQuery::Models { token_sha256 } => self.models(&token_sha256),
         };
         cx.out.push(Output::Admin { ticket, answer });
