Be ready only once the instance list is read

Cause: a replaced instance had the declarations from a peer before it had read the instance list, took callers and refused them with no_backend.

Conclusion: readiness needs both.

--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -137,9 +137,12 @@
         cx.metrics.set(Level::RequestsOpen, open);
     }
 
-    /// Returns whether callers may be sent to this instance.
+    /// Returns whether callers may be sent to this instance: it has declarations
+    /// and has read the instance list.
     pub(super) fn ready(&self) -> bool {
-        !self.leaving && !self.fleet.declaration().kinds.is_empty()
+        let declared = !self.fleet.declaration().kinds.is_empty();
+        let listed = !self.fleet.listings().is_empty();
+        !self.leaving && declared && listed
     }
 
     fn tick(&mut self, cx: &mut Cx<'_>) {
--- a/tests/proof/script.rs
+++ b/tests/proof/script.rs
@@ -14,11 +14,13 @@
 use super::caller::token_sha256;
 use super::world::World;
 use skylarkhook::clock::Millis;
-use skylarkhook::declaration::Declaration;
+use skylarkhook::control::AdminAnswer;
+use skylarkhook::control::AdminQuery;
 use skylarkhook::declaration::Limits;
 use skylarkhook::id::RequestId;
 use skylarkhook::id::Revision;
 use skylarkhook::metrics::Level;
+use skylarkhook::spread::ApplyRequest;
 use skylarkhook::verdict::Verdict;
 
 /// Time past its deadline at which a request must have its final answer.
@@ -50,7 +52,7 @@
 claim_retention_ms = 600000
 
 [[route]]
-name = "near first"
+name = "near-first"
 prefer = ["locality = local", "locality = region"]
 "#;
 
@@ -62,7 +64,7 @@
     out: Vec<String>,
     planned: Vec<(Millis, String, Caller)>,
     limits: (String, String),
-    revision: u64,
+    change: u64,
 }
 
 impl Script {
@@ -74,7 +76,7 @@
             out: Vec::new(),
             planned: Vec::new(),
             limits: (String::new(), String::new()),
-            revision: 0,
+            change: 0,
         }
     }
 
@@ -154,15 +156,29 @@
     fn apply(&mut self, out: &[String]) {
         self.out = out.to_vec();
         let text = self.declaration();
-        let declaration: Declaration = toml::from_str(&text).expect("a declaration");
-        let now = self.world.now;
-        self.revision += 1;
-        for node in self.world.nodes.values_mut() {
-            node.control
-                .declare(now, &declaration, Revision(self.revision));
+        let Some(node) = self.first_live() else {
+            return;
+        };
+        self.change += 1;
+        let request = ApplyRequest {
+            base: Revision(self.world.revision(&node)),
+            text,
+            change: format!("change-{}", self.change),
+            author: "script".to_owned(),
+        };
+        let ticket = self.world.ask(&node, AdminQuery::ApplyDeclaration(request));
+        self.world.run(Millis(200));
+        if let Some(AdminAnswer::Refused(refusal)) = self.world.admin_answers.remove(&ticket) {
+            panic!("the declaration is refused: {refusal:?}");
         }
     }
 
+    fn first_live(&self) -> Option<String> {
+        let nodes = self.world.nodes.values();
+        let live = nodes.filter(|node| node.up && !node.stopped);
+        live.map(|node| node.me.name.clone()).next()
+    }
+
     fn declaration(&self) -> String {
         let mut text = String::new();
         let mut domains: Vec<&str> = self
--- a/tests/proof/world.rs
+++ b/tests/proof/world.rs
@@ -38,6 +38,7 @@
 use skylarkhook::id::AttemptId;
 use skylarkhook::id::Boot;
 use skylarkhook::id::RequestId;
+use skylarkhook::metrics::Level;
 use skylarkhook::metrics::Metrics;
 use skylarkhook::peer::PeerFrame;
 use skylarkhook::peer::PeerMessage;
@@ -249,6 +250,12 @@
         ticket
     }
 
+    /// Returns the revision of the declarations that an instance has in force.
+    pub fn revision(&self, node: &str) -> u64 {
+        let level = self.nodes[node].metrics.level(Level::Revision);
+        u64::try_from(level).expect("a revision")
+    }
+
     /// Returns what an instance says of itself, but for its backend servers.
     pub fn status(&mut self, node: &str) -> String {
         let ticket = self.ask(node, AdminQuery::Status);
