--- a/src/config/load.rs
+++ b/src/config/load.rs
@@ -11,7 +11,6 @@
 use super::Setting;
 use super::Settings;
 use super::TABLE;
-use crate::clock::Millis;
 
 /// Greatest length of a settings file, in bytes.
 const MAX_FILE_BYTES: u64 = 1024 * 1024;
@@ -244,15 +243,6 @@
 
     /// Checks what holds between several settings.
     fn check_together(&mut self, name: &str) {
-        let settings = &self.settings;
-        if settings.credit_life < settings.credit_period * 2 {
-            let message = format!(
-                "`{}`: it is too small; allowed: at least twice [capacity] credit_period, {}",
-                settings.credit_life,
-                settings.credit_period * 2
-            );
-            self.error(name, "[capacity] credit_life".to_owned(), message);
-        }
         let listeners = [
             ("[callers] listen", self.settings.callers_listen.clone()),
             ("[admin] listen", self.settings.admin_listen.clone()),
@@ -285,12 +275,6 @@
         }
         &self.peer_advertise
     }
-
-    /// Returns the time limit of a watch that waits for `wait`.
-    #[must_use]
-    pub fn watch_time_limit(&self, wait: Millis) -> Millis {
-        wait + self.store_time_limit
-    }
 }
 
 fn place(setting: &Setting) -> String {
--- a/src/config/table.rs
+++ b/src/config/table.rs
@@ -91,10 +91,6 @@
         "Address that other instances are told; empty: the one listened on";
     "peer" "secret_file" peer_secret: Secret = None, secret(Allowed::SecretFile),
         "File with the secret that all instances share";
-    "peer" "heartbeat" heartbeat: Millis = Some("500 ms"), span(span(50, 10 * SECOND)),
-        "Period of heartbeats to other instances";
-    "peer" "time_limit" peer_time_limit: Millis = Some("1 s"), span(span(50, 30 * SECOND)),
-        "Time limit of one frame to another instance";
     "store" "addresses" store_addresses: Vec<String> = None, addresses(Allowed::Addresses),
         "Addresses of the platform's key-value service, tried in order";
     "store" "time_limit" store_time_limit: Millis = Some("2 s"), span(span(SECOND, MINUTE)),
@@ -103,26 +99,16 @@
         "Time that a watch waits in the service";
     "store" "poll" store_poll: Millis = Some("30 s"), span(span(SECOND, HOUR)),
         "Mean period at which each instance looks at the declarations by itself";
-    "store" "lease_ttl" lease_ttl: Millis = Some("5 s"), span(span(SECOND, 10 * MINUTE)),
-        "Life of this instance's lease; renewed at a third of it";
     "list" "address" list_address: String = None, address(ADDRESS),
         "Address of the platform's instance list";
     "list" "poll" list_poll: Millis = Some("1 s"), span(span(100, 10 * MINUTE)),
         "Period at which the instance list is read";
     "list" "time_limit" list_time_limit: Millis = Some("2 s"), span(span(SECOND, MINUTE)),
         "Time limit of one reading, rounded up to whole seconds";
-    "backend" "silence" silence: Millis = Some("2 s"), span(span(100, 10 * MINUTE)),
-        "Time without a byte after which a connection to a backend server counts as silent";
     "backend" "connect_time_limit" connect_time_limit: Millis = Some("1 s"), span(span(10, MINUTE)),
         "Time limit for a connection to a backend server";
     "backend" "order_time_limit" order_time_limit: Millis = Some("2 s"), span(span(100, MINUTE)),
         "Time limit of an order or a load report";
-    "backend" "load_poll" load_poll: Millis = Some("1 s"), span(span(100, MINUTE)),
-        "Period at which a home reads the load reports of its backend servers";
-    "capacity" "credit_period" credit_period: Millis = Some("500 ms"), span(span(50, 10 * SECOND)),
-        "Period at which credits are renewed";
-    "capacity" "credit_life" credit_life: Millis = Some("3 s"), span(span(200, MINUTE)),
-        "Life of a credit that is not renewed; at least twice the credit period";
     "shutdown" "time_limit" shutdown_time_limit: Millis = Some("10 min"), span(span(SECOND, 24 * HOUR)),
         "Time after which a graceful shutdown gives up waiting for admitted requests";
     "control" "tick" tick: Millis = Some("20 ms"), span(span(1, SECOND)),
--- a/src/control.rs
+++ b/src/control.rs
@@ -39,6 +39,8 @@
 use crate::id::Revision;
 use crate::metrics::Count;
 use crate::metrics::Metrics;
+use crate::spread::Periods;
+use crate::spread::Spread;
 use crate::store::StoreOp;
 use crate::timeline::EventKind;
 use crate::timeline::Subject;
@@ -67,6 +69,13 @@
         }
     }
 
+    /// Sets how often the declarations are looked at.
+    #[must_use]
+    pub fn with_periods(mut self, periods: Periods) -> Control {
+        self.duties.spread = Spread::new(periods);
+        self
+    }
+
     /// Returns the core of an instance that shares its backend servers with
     /// nobody: it needs neither homes nor the key-value service for them.
     #[must_use]
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -49,6 +49,7 @@
 use crate::platform::HttpList;
 use crate::platform::HttpStore;
 use crate::relay::Relays;
+use crate::spread::Periods;
 
 /// A running daemon.
 #[derive(Debug)]
@@ -110,8 +111,12 @@
             Arc::new(store),
             inputs.clone(),
         );
+        let periods = Periods {
+            poll: cfg.store_poll,
+            watch: cfg.store_watch_wait,
+        };
         let control = ControlThread {
-            control: Control::new(me, seed, Arc::clone(&metrics)),
+            control: Control::new(me, seed, Arc::clone(&metrics)).with_periods(periods),
             clock,
             tick: cfg.tick,
             inputs: input_rx,
