--- a/src/bin/skylarkhook.rs
+++ b/src/bin/skylarkhook.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+
 use skylarkhook::cli::Args;
 use skylarkhook::cli::Exit;
 
--- a/src/bin/skylarkhookd.rs
+++ b/src/bin/skylarkhookd.rs
@@ -13,6 +13,7 @@
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
+
 use skylarkhook::config::LogFormat;
 use skylarkhook::config::Override;
 use skylarkhook::config::Settings;
@@ -25,7 +26,8 @@
 const EXIT_CUT: u8 = 3;
 
 /// Serves callers and takes part in the fleet's control.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(
     note = "Settings are listed in docs/CONFIGURATION.md. SIGTERM or SIGINT: finishes all admitted requests, then exits with 0."
 )]
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -32,7 +32,8 @@
 }
 
 /// Speaks to skylarkhook as a caller or an operator.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(
     example = "Ask for a summary:\n  {command_name} --callers 127.0.0.1:8080 --token-file bank.token ask --kind summary --model m7 'Call history: ...'",
     example = "Change the declarations and wait until all instances have them in force:\n  {command_name} --admin 127.0.0.1:8081 --token-file ops.token apply --wait fleet.toml",
@@ -59,7 +60,8 @@
 }
 
 /// What to do.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand)]
 pub enum Command {
     /// Asks a model.
@@ -91,7 +93,8 @@
 }
 
 /// ask a model and stream its answer
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "ask")]
 pub struct Ask {
     /// model
@@ -112,7 +115,8 @@
 }
 
 /// call an operation of a plain service
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "call")]
 pub struct Call {
     /// idempotency key: the same call sent again runs at most once
@@ -130,12 +134,14 @@
 }
 
 /// show what an instance knows of itself and its fleet
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "status")]
 pub struct Status {}
 
 /// show events of all instances named by --admin, in causal order
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "timeline")]
 pub struct Timeline {
     /// only events about this request (16 hexadecimal digits)
@@ -153,7 +159,8 @@
 }
 
 /// explain why each backend server would or would not be taken
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "explain")]
 pub struct Explain {
     /// workspace
@@ -174,7 +181,8 @@
 }
 
 /// check declaration files without asking any instance
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "validate")]
 pub struct Validate {
     /// files
@@ -183,7 +191,8 @@
 }
 
 /// show what a file would change against the declarations in force
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "diff")]
 pub struct Diff {
     /// compare with this file and ask no instance
@@ -195,7 +204,8 @@
 }
 
 /// put a file in force; safe to repeat, and from two places
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "apply")]
 pub struct Apply {
     /// wait until all instances have it in force
@@ -220,7 +230,8 @@
 }
 
 /// show the declarations in force, or an older revision
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "get")]
 pub struct Get {
     /// revision (default: the newest)
@@ -229,12 +240,14 @@
 }
 
 /// show the revisions that are kept
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "history")]
 pub struct History {}
 
 /// put an older revision in force again, as a new revision
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "rollback")]
 pub struct Rollback {
     /// wait until all instances have it in force
@@ -268,7 +281,8 @@
 
 /// take a failure domain or a backend server out of service: it gets no new
 /// work, what runs is finished
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "drain")]
 pub struct Drain {
     /// wait until all instances have it in force
@@ -283,7 +297,8 @@
 }
 
 /// bring a failure domain or a backend server back into service
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "restore")]
 pub struct Restore {
     /// wait until all instances have it in force
--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -99,13 +99,15 @@
 }
 
 /// An error in the shape of the OpenAI API.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct ErrorBody {
     pub(super) error: ErrorText,
 }
 
 /// The parts of an error that are shown.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct ErrorText {
     pub(super) message: String,
     pub(super) code: String,
