Keep only workspaces that wait in a pool's turns

Each pass went through every workspace that had ever waited: 2,600 at the size of the design, a third of the time by perf. Those without waiting jobs now keep only their virtual time, aside.

--- a/src/admission/pool.rs
+++ b/src/admission/pool.rs
@@ -69,7 +69,10 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     backends: Vec<BackendKey>,
+    /// Workspaces with waiting jobs.
     lines: BTreeMap<WorkspaceKey, Line>,
+    /// Virtual times of workspaces without.
+    idle: HashMap<WorkspaceKey, f64>,
     len: usize,
     work_ms: f64,
     rate: f64,
@@ -134,15 +137,17 @@
     pub fn insert(&mut self, fleet: &Fleet, entry: Entry) {
         let least = self.least_virtual_time();
         let weight = fleet.workspace(entry.job.workspace).weight.max(1);
-        let line = self.lines.entry(entry.job.workspace).or_insert(Line {
+        let workspace = entry.job.workspace;
+        let idle = &mut self.idle;
+        let line = self.lines.entry(workspace).or_insert_with(|| Line {
             entries: BTreeMap::new(),
-            virtual_time: 0.0,
+            virtual_time: idle
+                .remove(&workspace)
+                .unwrap_or(0.0)
+                .max(least.unwrap_or(0.0)),
             weight,
         });
         line.weight = weight;
-        if line.entries.is_empty() {
-            line.virtual_time = line.virtual_time.max(least.unwrap_or(0.0));
-        }
         self.len += 1;
         self.work_ms += entry.work_ms;
         self.planned = None;
@@ -209,8 +214,9 @@
             };
             match result {
                 Ok(room) => {
+                    let weight = self.lines[&workspace].weight;
                     if let Some(entry) = self.take(workspace, key) {
-                        self.charge(&entry);
+                        self.charge(&entry, weight);
                         served.push((entry, room));
                     }
                 }
@@ -322,7 +328,13 @@
     }
 
     fn take(&mut self, workspace: WorkspaceKey, key: OrderKey) -> Option<Entry> {
-        let entry = self.lines.get_mut(&workspace)?.entries.remove(&key)?;
+        let line = self.lines.get_mut(&workspace)?;
+        let entry = line.entries.remove(&key)?;
+        let virtual_time = line.virtual_time;
+        if line.entries.is_empty() {
+            self.lines.remove(&workspace);
+            self.idle.insert(workspace, virtual_time);
+        }
         self.len -= 1;
         self.work_ms = if self.len == 0 {
             0.0
@@ -333,9 +345,13 @@
     }
 
     /// Charges a workspace for a job that is sent off.
-    fn charge(&mut self, entry: &Entry) {
-        if let Some(line) = self.lines.get_mut(&entry.job.workspace) {
-            line.virtual_time += entry.tokens as f64 / f64::from(line.weight);
+    fn charge(&mut self, entry: &Entry, weight: u32) {
+        let workspace = entry.job.workspace;
+        let tokens = entry.tokens as f64;
+        if let Some(line) = self.lines.get_mut(&workspace) {
+            line.virtual_time += tokens / f64::from(line.weight);
+        } else if let Some(virtual_time) = self.idle.get_mut(&workspace) {
+            *virtual_time += tokens / f64::from(weight);
         }
     }
 
@@ -354,7 +370,7 @@
         if self.len == 0 {
             self.since = None;
             self.rate = 0.0;
-            self.lines.clear();
+            self.idle.clear();
             return;
         }
         self.since.get_or_insert(now);
@@ -369,15 +385,14 @@
         let halvings = now.since(self.measured).0 as f64 / RATE_HALF_LIFE.0 as f64;
         self.measured = now;
         let least = self.least_virtual_time().unwrap_or(0.0);
-        self.lines
-            .retain(|_, line| !line.entries.is_empty() || line.virtual_time > least);
+        self.idle.retain(|_, virtual_time| *virtual_time > least);
         self.rate = busy + (self.rate - busy).max(0.0) * (-halvings).exp2();
     }
 
     /// Returns the virtual time of the waiting workspace furthest behind.
     fn least_virtual_time(&self) -> Option<f64> {
-        let waiting = self.lines.values().filter(|line| !line.entries.is_empty());
-        waiting.map(|line| line.virtual_time).min_by(f64::total_cmp)
+        let times = self.lines.values().map(|line| line.virtual_time);
+        times.min_by(f64::total_cmp)
     }
 }
 
