--- a/src/control.rs
+++ b/src/control.rs
@@ -8,6 +8,7 @@
 mod admin;
 mod attempts;
 mod claim;
+mod declare;
 mod duties;
 mod gangs;
 mod message;
@@ -19,6 +20,7 @@
 pub use message::AdminAnswer;
 pub use message::AdminQuery;
 pub use message::Duty;
+pub use message::ExplainRequest;
 pub use message::Identity;
 pub use message::Input;
 pub use message::Output;
@@ -65,6 +67,16 @@
         }
     }
 
+    /// Returns the core of an instance that shares its backend servers with
+    /// nobody: it needs neither homes nor the key-value service for them.
+    #[must_use]
+    pub fn alone(me: Identity, seed: u64, metrics: Arc<Metrics>) -> Control {
+        Control {
+            duties: Duties::alone(&me),
+            ..Control::new(me, seed, metrics)
+        }
+    }
+
     /// Handles one input at time `now`, which never decreases.
     #[must_use]
     pub fn handle(&mut self, now: Millis, input: Input) -> Vec<Output> {
--- a/src/control/message.rs
+++ b/src/control/message.rs
@@ -16,8 +16,10 @@
 use crate::id::Boot;
 use crate::id::Fingerprint;
 use crate::id::RequestId;
+use crate::id::Revision;
 use crate::peer::PeerFrame;
 use crate::peer::PeerMessage;
+use crate::spread::ApplyRequest;
 use crate::store::StoreOp;
 use crate::store::StoreResult;
 use crate::timeline::Event;
@@ -160,10 +162,39 @@
     Status,
     /// Events of this process.
     Timeline { filter: Subject, limit: usize },
+    /// The declarations' text; none: the newest.
+    GetDeclaration { revision: Option<Revision> },
+    /// Changes the declarations.
+    ApplyDeclaration(ApplyRequest),
+    /// The revisions of the declarations that are kept.
+    History,
+    /// Which instances hold which revision of the declarations.
+    Held,
+    /// The platform's instance list, as this instance last read it.
+    Listings,
+    /// Why each backend server would or would not be taken for a request.
+    Explain(ExplainRequest),
     /// The models that a caller with this token's SHA-256 can ask for.
     Models { token_sha256: String },
 }
 
+/// A request that operators ask about.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ExplainRequest {
+    /// The workspace's name.
+    pub workspace: String,
+    /// The request kind's name.
+    pub kind: String,
+    /// The model; for a plain service its name.
+    pub model: String,
+    /// Prompt length in tokens.
+    pub prompt_tokens: u64,
+    /// Output tokens allowed; none: the kind's default.
+    pub max_tokens: Option<u32>,
+}
+
 /// Answers to [`AdminQuery`]s.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -176,3 +207,11 @@
     /// The order was refused.
     Refused(Refusal),
 }
+
+impl AdminAnswer {
+    /// Returns a value as a JSON document.
+    #[must_use]
+    pub fn json(value: &impl Serialize) -> AdminAnswer {
+        AdminAnswer::Json(serde_json::to_value(value).unwrap_or_default())
+    }
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -54,6 +54,16 @@
     Gangs = "gangs_started", "Prompts over one engine's memory that began on several engines";
     GangsBroken = "gangs_broken", "Gangs given up as a member failed";
     Evicted = "requests_evicted", "Admitted requests refused in the queue, before any attempt or between two";
+    DeclarationsAdopted = "declarations_adopted", "Revisions of the declarations that came into force on this instance";
+    DeclarationsUnreadable = "declarations_unreadable", "Revisions of the declarations that this instance could not read";
+    DeclarationPulls = "declaration_pulls", "Times that a newer revision of the declarations was asked of a peer";
+    DeclarationChanges = "declaration_changes", "Revisions of the declarations that this instance put in force in the key-value service";
+    DeclarationConflicts = "declaration_conflicts", "Changes of operators refused as others had changed the same objects";
+    DeclarationRestores = "declaration_restores", "Times that the key-value service held an older or another head and was written anew";
+    HomesStarted = "homes_started", "Times that this instance became home of a backend server";
+    CreditAnswers = "credit_answers", "Answers with credits given as a home";
+    CreditRecalls = "credit_recalls", "Credits recalled as a home";
+    OrphansCancelled = "orphans_cancelled", "Cancels of streams that no live instance answered for";
     StaleFrames = "stale_frames", "Answer frames dropped as their attempt or offset did not match";
 }
 
@@ -66,6 +76,8 @@
     BackendsWarm = "backends_warm", "Backend servers that this instance counts as warm";
     BackendsCold = "backends_cold", "Backend servers that this instance counts as cold or warming up";
     BackendsSilent = "backends_silent", "Backend servers that this instance counts as silent";
+    Homes = "homes", "Backend servers whose home this instance is";
+    StaticShares = "static_shares", "Backend servers of which this instance uses its static share as their home is silent";
     MembersLive = "members_live", "Other instances that are known and not suspected, leaving or gone";
     Ready = "ready", "1 when the instance takes callers, else 0";
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -24,10 +24,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::capacity;
 use crate::id::Boot;
 use crate::membership;
 use crate::once;
 use crate::quarantine;
+use crate::spread;
 
 /// Longest frame, in bytes: a declaration of a megabyte fits.
 pub const MAX_FRAME_BYTES: usize = 2 * 1024 * 1024;
@@ -56,6 +58,10 @@
     Quarantine(quarantine::Message),
     /// Who is alive.
     Membership(membership::Heartbeat),
+    /// Revisions of the declarations.
+    Spread(spread::Message),
+    /// Homes and credits.
+    Capacity(capacity::Message),
 }
 
 /// The edge over which frames leave this process.
