Look for room when credits come back, and ask for them again

A pass over the queue was skipped while the router's books were unchanged, but credits also come back from attempts that were given up, and come new from homes: a gang's credits were found 50 ms late (gang::tests::a_member_that_fails_at_any_step_leaves_nothing_reserved). Both now open the lanes concerned.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -11,6 +11,7 @@
 mod entry;
 mod plan;
 mod pool;
+mod pools;
 
 pub use entry::LEAST_TOKENS;
 pub use entry::OUTPUT_WEIGHT;
@@ -20,8 +21,8 @@
 
 use crate::admission::entry::Entry;
 use crate::admission::pool::Pool;
-use crate::admission::pool::Pools;
 use crate::admission::pool::Room;
+use crate::admission::pools::Pools;
 use crate::capacity::Capacity;
 use crate::capacity::CreditUse;
 use crate::clock::Millis;
@@ -150,6 +151,12 @@
         self.tokens
     }
 
+    /// Looks for room anew with the next dispatch: credits came that the router
+    /// does not know of.
+    pub fn recheck(&mut self) {
+        self.pools.iter_mut().for_each(Pool::recheck);
+    }
+
     /// Decides which jobs leave the queue now.
     pub fn dispatch(
         &mut self,
--- a/src/admission/pool.rs
+++ b/src/admission/pool.rs
@@ -29,6 +29,7 @@
 use crate::routing::LaneKey;
 use crate::routing::Router;
 use crate::routing::View;
+use crate::routing::Want;
 use crate::verdict::Reason;
 use crate::verdict::Refusal;
 
@@ -108,6 +109,14 @@
     changes: u64,
 }
 
+/// Orders the jobs by who gives way first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Giving {
+    importance: u8,
+    pressure: Reverse<u64>,
+    key: Reverse<OrderKey>,
+}
+
 /// Orders the workspaces' first jobs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Turn {
@@ -124,6 +133,50 @@
         self.len
     }
 
+    /// Adds a backend server that the pool's jobs may use.
+    pub fn add_backend(&mut self, backend: BackendKey) {
+        self.backends.push(backend);
+    }
+
+    /// Removes a job.
+    pub fn remove(&mut self, request: RequestId) -> Option<Entry> {
+        let mut entries = self.entries();
+        let entry = entries.find(|entry| entry.job.request == request)?;
+        let (workspace, key) = (entry.job.workspace, entry.key());
+        drop(entries);
+        self.take(workspace, key)
+    }
+
+    /// Removes all jobs; returns them with the backend servers.
+    pub fn dissolve(self) -> (Vec<BackendKey>, Vec<Entry>) {
+        let lines = self.lines.into_values();
+        let entries = lines.flat_map(|line| line.entries.into_values());
+        (self.backends, entries.collect())
+    }
+
+    /// Returns the least important job below an importance, of the workspace
+    /// with the most waiting tokens for its weight, with the key that orders it
+    /// among those of other pools.
+    #[must_use]
+    pub fn least_important(&self, below: u8) -> Option<(Giving, RequestId)> {
+        let lines = self.lines.values().flat_map(|line| {
+            let tokens: u64 = line.entries.values().map(|entry| entry.tokens).sum();
+            let pressure = Reverse(tokens / u64::from(line.weight));
+            line.entries.values().map(move |entry| (entry, pressure))
+        });
+        lines
+            .filter(|(entry, _)| entry.job.importance < below)
+            .map(|(entry, pressure)| {
+                let giving = Giving {
+                    importance: entry.job.importance,
+                    pressure,
+                    key: Reverse(entry.key()),
+                };
+                (giving, entry.job.request)
+            })
+            .min()
+    }
+
     /// Returns how long the waiting jobs keep the backend servers busy.
     #[must_use]
     pub fn wait(&self) -> Millis {
@@ -189,6 +242,7 @@
         let mut looks: BTreeMap<WorkspaceKey, usize> = BTreeMap::new();
         let mut kept = Vec::new();
         let mut misses = 0;
+        let mut wants = Wants::default();
         for _ in 0..LOOKS {
             if misses >= MISSES {
                 break;
@@ -220,9 +274,12 @@
                         served.push((entry, room));
                     }
                 }
-                Err(Full::Streams) if known_full => {}
+                Err(Full::Streams) if known_full => wants.add(view.now, entry),
                 Err(why) => {
                     misses += 1;
+                    if !entry.gang {
+                        wants.add(view.now, entry);
+                    }
                     *looks.entry(workspace).or_default() += 1;
                     if entry.gang {
                         let needs = router.gang_needs(view, ask);
@@ -245,6 +302,9 @@
                 turns.extend(next.map(|turn| Reverse((turn, workspace))));
             }
         }
+        for want in wants.0 {
+            router.want(view, capacity, want);
+        }
         self.measure(view.now, router);
         self.changed = false;
         self.looked = Some(Looked {
@@ -299,6 +359,12 @@
         }
     }
 
+    /// Forgets what is known of full lanes: credits came.
+    pub fn recheck(&mut self) {
+        self.full.clear();
+        self.changed = true;
+    }
+
     /// Returns the first job of each workspace, in turn: of the workspaces within
     /// the quantum the one that is due first, then of the others the one furthest
     /// behind.
@@ -410,118 +476,20 @@
     }
 }
 
-/// All pools of an instance.
+/// What the jobs that found no room want, by lane.
 #[derive(Debug, Default)]
-pub struct Pools {
-    pools: Vec<Pool>,
-    lanes: HashMap<LaneKey, usize>,
-    backends: HashMap<BackendKey, usize>,
-}
-
-impl Pools {
-    /// Returns all pools.
-    pub fn iter(&self) -> impl Iterator<Item = &Pool> {
-        self.pools.iter()
-    }
-
-    /// Returns all pools.
-    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Pool> {
-        self.pools.iter_mut()
-    }
-
-    /// Returns how many jobs wait.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.pools.iter().map(Pool::len).sum()
-    }
-
-    /// Adds a job to the pool of its lane.
-    pub fn insert(&mut self, router: &Router, fleet: &Fleet, entry: Entry) {
-        let index = match self.lanes.get(&entry.lane) {
-            Some(&index) => index,
-            None => self.join(router, fleet, entry.lane),
-        };
-        self.pools[index].insert(fleet, entry);
-    }
-
-    /// Removes a job.
-    pub fn remove(&mut self, request: RequestId) -> Option<Entry> {
-        self.pools.iter_mut().find_map(|pool| {
-            let (workspace, key) = pool
-                .entries()
-                .find(|entry| entry.job.request == request)
-                .map(|entry| (entry.job.workspace, entry.key()))?;
-            pool.take(workspace, key)
-        })
-    }
-
-    /// Returns the least important job below an importance, of the workspace
-    /// with the most waiting tokens for its weight.
-    #[must_use]
-    pub fn least_important(&self, below: u8) -> Option<RequestId> {
-        let lines = self.pools.iter().flat_map(|pool| pool.lines.values());
-        lines
-            .flat_map(|line| {
-                let tokens: u64 = line.entries.values().map(|entry| entry.tokens).sum();
-                let pressure = tokens / u64::from(line.weight);
-                line.entries.values().map(move |entry| (entry, pressure))
-            })
-            .filter(|(entry, _)| entry.job.importance < below)
-            .min_by_key(|(entry, pressure)| {
-                let latest = std::cmp::Reverse(entry.key());
-                (entry.job.importance, std::cmp::Reverse(*pressure), latest)
-            })
-            .map(|(entry, _)| entry.job.request)
-    }
-
-    /// Removes all jobs, in order of arrival, and forgets the pools.
-    pub fn take(&mut self) -> Vec<Entry> {
-        let pools = std::mem::take(self).pools;
-        let lines = pools.into_iter().flat_map(|pool| pool.lines.into_values());
-        let mut entries: Vec<Entry> = lines.flat_map(|line| line.entries.into_values()).collect();
-        entries.sort_by_key(|entry| entry.sequence);
-        entries
-    }
-
-    /// Gives a lane its pool, and joins the pools that it connects.
-    fn join(&mut self, router: &Router, fleet: &Fleet, lane: LaneKey) -> usize {
-        let places = router
-            .places(lane)
-            .into_iter()
-            .flat_map(|lane| lane.places());
-        let backends: Vec<BackendKey> = places.map(|place| place.backend).collect();
-        let mut known: Vec<usize> = backends
-            .iter()
-            .filter_map(|backend| self.backends.get(backend).copied())
-            .collect();
-        known.sort_unstable();
-        known.dedup();
-        let index = known.first().copied().unwrap_or_else(|| {
-            self.pools.push(Pool::default());
-            self.pools.len() - 1
-        });
-        for &other in known.iter().skip(1) {
-            let joined = std::mem::take(&mut self.pools[other]);
-            self.lanes
-                .values_mut()
-                .filter(|pool| **pool == other)
-                .for_each(|pool| *pool = index);
-            self.backends
-                .values_mut()
-                .filter(|pool| **pool == other)
-                .for_each(|pool| *pool = index);
-            self.pools[index].backends.extend(joined.backends);
-            let lines = joined.lines.into_values();
-            for entry in lines.flat_map(|line| line.entries.into_values()) {
-                self.pools[index].insert(fleet, entry);
-            }
-        }
-        for backend in backends {
-            if self.backends.insert(backend, index).is_none() {
-                self.pools[index].backends.push(backend);
-            }
+struct Wants(Vec<Want>);
+
+impl Wants {
+    fn add(&mut self, now: Millis, entry: &Entry) {
+        let cost = entry.job.cost(0);
+        let waited = now.since(entry.job.admitted);
+        let weight = u64::from(entry.job.importance) + 1;
+        let known = self.0.iter().position(|want| want.lane == entry.lane);
+        let index = known.unwrap_or(self.0.len());
+        if known.is_none() {
+            self.0.push(Want::new(entry.lane));
         }
-        self.lanes.insert(lane, index);
-        index
+        self.0[index].add(cost, weight, waited);
     }
 }
--- /dev/null
+++ b/src/admission/pools.rs
@@ -0,0 +1,109 @@
+//! Which pool a waiting job belongs to.
+
+use std::collections::HashMap;
+
+use crate::admission::entry::Entry;
+use crate::admission::pool::Pool;
+use crate::fleet::BackendKey;
+use crate::fleet::Fleet;
+use crate::id::RequestId;
+use crate::routing::LaneKey;
+use crate::routing::Router;
+
+/// All pools of an instance.
+#[derive(Debug, Default)]
+pub struct Pools {
+    pools: Vec<Pool>,
+    lanes: HashMap<LaneKey, usize>,
+    backends: HashMap<BackendKey, usize>,
+}
+
+impl Pools {
+    /// Returns all pools.
+    pub fn iter(&self) -> impl Iterator<Item = &Pool> {
+        self.pools.iter()
+    }
+
+    /// Returns all pools.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Pool> {
+        self.pools.iter_mut()
+    }
+
+    /// Returns how many jobs wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.pools.iter().map(Pool::len).sum()
+    }
+
+    /// Adds a job to the pool of its lane.
+    pub fn insert(&mut self, router: &Router, fleet: &Fleet, entry: Entry) {
+        let index = match self.lanes.get(&entry.lane) {
+            Some(&index) => index,
+            None => self.join(router, fleet, entry.lane),
+        };
+        self.pools[index].insert(fleet, entry);
+    }
+
+    /// Removes a job.
+    pub fn remove(&mut self, request: RequestId) -> Option<Entry> {
+        self.pools.iter_mut().find_map(|pool| pool.remove(request))
+    }
+
+    /// Returns the least important job below an importance.
+    #[must_use]
+    pub fn least_important(&self, below: u8) -> Option<RequestId> {
+        let least = self
+            .pools
+            .iter()
+            .filter_map(|pool| pool.least_important(below));
+        least.min().map(|(_, request)| request)
+    }
+
+    /// Removes all jobs, in order of arrival, and forgets the pools.
+    pub fn take(&mut self) -> Vec<Entry> {
+        let pools = std::mem::take(self).pools;
+        let dissolved = pools.into_iter().map(Pool::dissolve);
+        let mut entries: Vec<Entry> = dissolved.flat_map(|(_, entries)| entries).collect();
+        entries.sort_by_key(|entry| entry.sequence);
+        entries
+    }
+
+    /// Gives a lane its pool, and joins the pools that it connects.
+    fn join(&mut self, router: &Router, fleet: &Fleet, lane: LaneKey) -> usize {
+        let places = router
+            .places(lane)
+            .into_iter()
+            .flat_map(|lane| lane.places());
+        let backends: Vec<BackendKey> = places.map(|place| place.backend).collect();
+        let mut known: Vec<usize> = backends
+            .iter()
+            .filter_map(|backend| self.backends.get(backend).copied())
+            .collect();
+        known.sort_unstable();
+        known.dedup();
+        let index = known.first().copied().unwrap_or_else(|| {
+            self.pools.push(Pool::default());
+            self.pools.len() - 1
+        });
+        for &other in known.iter().skip(1) {
+            let (joined, entries) = std::mem::take(&mut self.pools[other]).dissolve();
+            for pool in self.lanes.values_mut().filter(|pool| **pool == other) {
+                *pool = index;
+            }
+            for backend in joined {
+                self.backends.insert(backend, index);
+                self.pools[index].add_backend(backend);
+            }
+            for entry in entries {
+                self.pools[index].insert(fleet, entry);
+            }
+        }
+        for backend in backends {
+            if self.backends.insert(backend, index).is_none() {
+                self.pools[index].add_backend(backend);
+            }
+        }
+        self.lanes.insert(lane, index);
+        index
+    }
+}
--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -152,6 +152,7 @@
         self.expire(cx);
         self.gang_tick(cx);
         for held in self.lingers.tick(cx, &self.fleet) {
+            self.router.freed(held.backend);
             self.capacity.release(held);
         }
         let ready = self.ready();
@@ -244,6 +245,7 @@
             }
         };
         for held in freed {
+            self.router.freed(held.backend);
             self.capacity.release(held);
         }
     }
@@ -273,6 +275,7 @@
                 PeerMessage::Capacity(message) => {
                     let (capacity, mut scope) = self.limits();
                     capacity.on_message(cx, &mut scope, &frame.from, frame.boot, message);
+                    self.queue.recheck();
                 }
                 PeerMessage::Membership(beat) => {
                     self.members.on_message(cx, &frame.from, frame.boot, beat);
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -236,7 +236,8 @@
         Some(self.changed.range(first..).copied())
     }
 
-    fn change(&mut self, backend: BackendKey) {
+    /// Notes that a backend server may have got room.
+    pub fn change(&mut self, backend: BackendKey) {
         self.changes += 1;
         if self.changed.len() == CHANGES {
             self.changed.pop_front();
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -1,10 +1,13 @@
 use super::*;
+use crate::backend::LoadReport;
+use crate::condition::Sign;
 use crate::fixture::Fixture;
 use crate::fixture::SPEEDS;
 use crate::fixture::fleet;
 use crate::fixture::job;
 use crate::id::Boot;
 use crate::id::Epoch;
+use crate::id::RequestId;
 
 const RULES: &str = "
 [[domain]]
