--- a/src/control.rs
+++ b/src/control.rs
@@ -8,6 +8,7 @@
 mod admin;
 mod attempts;
 mod claim;
+mod declare;
 mod duties;
 mod gangs;
 mod message;
@@ -19,6 +20,7 @@
 pub use message::AdminAnswer;
 pub use message::AdminQuery;
 pub use message::Duty;
+pub use message::ExplainRequest;
 pub use message::Identity;
 pub use message::Input;
 pub use message::Output;
@@ -37,6 +39,8 @@
 use crate::id::Revision;
 use crate::metrics::Count;
 use crate::metrics::Metrics;
+use crate::spread::Periods;
+use crate::spread::Spread;
 use crate::store::StoreOp;
 use crate::timeline::EventKind;
 use crate::timeline::Subject;
@@ -65,6 +69,13 @@
         }
     }
 
+    /// Sets how often the declarations are looked at.
+    #[must_use]
+    pub fn with_periods(mut self, periods: Periods) -> Control {
+        self.duties.spread = Spread::new(periods);
+        self
+    }
+
     /// Returns the core of an instance that shares its backend servers with
     /// nobody: it needs neither homes nor the key-value service for them.
     #[must_use]
