Wait for callers to have the last answers before a daemon ends

The core's word that all requests are answered comes when the last final word has gone to its relay, not to its caller; a process that ended then cut that answer. Daemon::wait_stopped now also waits, for 10 s at most, until the entry has no request open.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,6 +15,7 @@
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
+use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -51,6 +52,9 @@
 use crate::relay::Relays;
 use crate::spread::Periods;
 
+/// Time for callers to read the last answers before the process ends.
+const LAST_ANSWERS: Duration = Duration::from_secs(10);
+
 /// A running daemon.
 #[derive(Debug)]
 pub struct Daemon {
@@ -199,7 +203,14 @@
     /// returns whether they were.
     #[must_use]
     pub fn wait_stopped(&self, limit: Millis) -> bool {
-        self.stopped.recv_timeout(limit.as_duration()).is_ok()
+        let started = Instant::now();
+        let limit = limit.as_duration();
+        if self.stopped.recv_timeout(limit).is_err() {
+            return false;
+        }
+        // The last answers are on their way from the relays to their callers.
+        let left = limit.saturating_sub(started.elapsed());
+        self.entry.wait_idle(left.min(LAST_ANSWERS))
     }
 
     /// Brings a declaration into force on this instance alone; for tests.
