Document every setting and declaration field, checked by tests

docs/CONFIGURATION.md and examples/skylarkhookd.ini are compared with the table of settings and with the fields that the reader knows: what is missing or surplus fails a test. The example file's comments, taken away, give the defaults.

A line without `=` in an INI file becomes part of the next key; the error now shows it on one line.

--- a/src/config/load.rs
+++ b/src/config/load.rs
@@ -188,7 +188,9 @@
     }
 
     fn give(&mut self, source: &str, section: &str, key: &str, value: &str) {
-        let place = format!("[{section}] {key}");
+        // A line without `=` is read as the start of the next line's key.
+        let shown = shorten(&key.replace('\n', " "));
+        let place = format!("[{section}] {shown}");
         let Some(index) = index_of(section, key) else {
             let message = format!("unknown setting{}", hint(section, key));
             self.error(source, place, message);
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -144,3 +144,69 @@
         }
     }
 }
+
+#[test]
+fn the_page_lists_every_setting() {
+    let page = include_str!("../../docs/CONFIGURATION.md");
+    let mut missing = Vec::new();
+    for setting in TABLE {
+        let default = match setting.default {
+            None => "must be given".to_owned(),
+            Some("") => "empty".to_owned(),
+            Some(text) => format!("`{text}`"),
+        };
+        let row = format!(
+            "| `[{}] {}` | {default} | {} | {}. |",
+            setting.section, setting.key, setting.allowed, setting.help
+        );
+        if !page.contains(&row) {
+            missing.push(row);
+        }
+    }
+    let rows = page.lines().filter(|line| line.starts_with("| `["));
+    assert_eq!(missing, Vec::<String>::new(), "{}", missing.join("\n"));
+    assert_eq!(rows.count(), TABLE.len());
+}
+
+/// The example file shows every setting: those that must be given set, all
+/// others as a comment with their default.
+#[test]
+fn the_example_file_is_right_and_complete() {
+    let dir = tempfile::tempdir().unwrap();
+    let example = include_str!("../../examples/skylarkhookd.ini");
+    let secrets = complete(dir.path());
+    let given: Vec<Override> = secrets
+        .lines()
+        .filter(|line| line.contains("_file ="))
+        .zip(["admin", "peer"])
+        .map(|(line, section)| format!("{section}.{line}").parse().unwrap())
+        .collect();
+    let settings = Settings::parse("skylarkhookd.ini", example, &given).unwrap();
+    let defaults = Settings {
+        name: settings.name.clone(),
+        domain: settings.domain.clone(),
+        operators_token: settings.operators_token.clone(),
+        peer_secret: settings.peer_secret.clone(),
+        store_addresses: settings.store_addresses.clone(),
+        list_address: settings.list_address.clone(),
+        ..Settings::default()
+    };
+    assert_eq!(settings, defaults);
+    // With the comment signs taken away it is right as well.
+    let all = example.replace("\n;", "\n");
+    assert_eq!(
+        Settings::parse("skylarkhookd.ini", &all, &given),
+        Ok(defaults)
+    );
+    for setting in TABLE {
+        let section = format!("\n[{}]\n", setting.section);
+        let part = example.split(&section).nth(1).unwrap_or_default();
+        let part = part.split("\n[").next().unwrap_or_default();
+        assert!(part.contains(setting.help), "{}", setting.help);
+        let line = match setting.default {
+            Some(text) => format!("\n;{} = {text}", setting.key),
+            None => format!("\n{} = ", setting.key),
+        };
+        assert!(format!("\n{part}").contains(line.trim_end()), "{line}");
+    }
+}
--- a/src/declaration/tests.rs
+++ b/src/declaration/tests.rs
@@ -366,3 +366,41 @@
         }
     }
 }
+
+/// Returns the fields of a table as the reader knows them.
+fn fields_of(table: &str) -> Vec<String> {
+    let text = match table.split_once('.') {
+        Some((table, part)) => format!("[[{table}]]\n{part} = {{ unknown-field = 1 }}\n"),
+        None => format!("[[{table}]]\nunknown-field = 1\n"),
+    };
+    let problems = parse("f.toml", &text).unwrap_err();
+    let names = problems[0].message.split('`').skip(1).step_by(2);
+    names.skip(1).map(str::to_owned).collect()
+}
+
+#[test]
+fn the_page_lists_every_field() {
+    let page = include_str!("../../docs/CONFIGURATION.md");
+    let mut rows = 0;
+    for table in [
+        "domain",
+        "backend",
+        "limit",
+        "limit.warm",
+        "kind",
+        "route",
+        "workspace",
+    ] {
+        let fields = fields_of(table);
+        assert!(fields.len() >= 3, "{table}: {fields:?}");
+        rows += fields.len();
+        for field in fields {
+            let row = format!("| `{table}` | `{field}` | ");
+            assert!(page.contains(&row), "{row}");
+        }
+    }
+    let listed = page
+        .lines()
+        .filter(|line| line.starts_with("| `") && !line.starts_with("| `["));
+    assert_eq!(listed.count(), rows);
+}
