--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -137,9 +137,12 @@
         cx.metrics.set(Level::RequestsOpen, open);
     }
 
-    /// Returns whether callers may be sent to this instance.
+    /// Returns whether callers may be sent to this instance: it has declarations
+    /// and has read the instance list.
     pub(super) fn ready(&self) -> bool {
-        !self.leaving && !self.fleet.declaration().kinds.is_empty()
+        let declared = !self.fleet.declaration().kinds.is_empty();
+        let listed = !self.fleet.listings().is_empty();
+        !self.leaving && declared && listed
     }
 
     fn tick(&mut self, cx: &mut Cx<'_>) {
@@ -152,6 +155,7 @@
         self.expire(cx);
         self.gang_tick(cx);
         for held in self.lingers.tick(cx, &self.fleet) {
+            self.router.freed(held.backend);
             self.capacity.release(held);
         }
         let ready = self.ready();
@@ -244,6 +248,7 @@
             }
         };
         for held in freed {
+            self.router.freed(held.backend);
             self.capacity.release(held);
         }
     }
@@ -273,6 +278,7 @@
                 PeerMessage::Capacity(message) => {
                     let (capacity, mut scope) = self.limits();
                     capacity.on_message(cx, &mut scope, &frame.from, frame.boot, message);
+                    self.queue.recheck();
                 }
                 PeerMessage::Membership(beat) => {
                     self.members.on_message(cx, &frame.from, frame.boot, beat);
