Move work away from an engine that turns cold under too much

A warm engine with 4 streams that turned cold, limit 1, kept all of them and would have fallen over with them. Now each tick compares what cold engines run with what they bear; the least important requests are dropped there, the relay tells how far they came, and they go on elsewhere from that token. Only idempotent prompts, and out of the retry budget. With several instances each keeps its part of the limit, by its part of the streams that the engine reports.

Shown by: control::tests::cold: of 3 in flight on a cold engine that bears one, 2 are moved once and go on at offset 2 on the other engine.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -95,6 +95,8 @@
     pub offset: u32,
     /// Resumes in a row without a new token.
     pub resumes: u32,
+    /// Whether it was dropped so that another backend server goes on.
+    pub moves: bool,
 }
 
 /// What follows the end of an attempt.
--- a/src/attempt/tests.rs
+++ b/src/attempt/tests.rs
@@ -26,6 +26,7 @@
         start,
         offset: 0,
         resumes: 0,
+        moves: false,
     }
 }
 
--- a/src/condition.rs
+++ b/src/condition.rs
@@ -213,18 +213,22 @@
     }
 
     /// Returns the requests in flight that a cold backend server cannot bear,
-    /// least important first; they should be moved elsewhere.
+    /// least important first; they should be moved elsewhere. `streams` is how
+    /// many it runs for all instances: this one keeps its part of the limits.
     #[must_use]
     pub fn surplus(
         &self,
         fleet: &Fleet,
         backend: BackendKey,
         in_flight: &[InFlight],
+        streams: u32,
     ) -> Vec<RequestId> {
         if !matches!(self.condition(fleet, backend), Condition::Cold { .. }) {
             return Vec::new();
         }
-        let limits = self.limits(fleet, backend);
+        let own = in_flight.len() as u64;
+        let all = u64::from(streams).max(own).max(1);
+        let limits = part(self.limits(fleet, backend), own, all);
         let mut ordered = in_flight.to_vec();
         ordered.sort_by_key(|flight| (std::cmp::Reverse(flight.importance), flight.request));
         let mut kept = Limits::default();
@@ -327,6 +331,20 @@
     }
 }
 
+/// Returns the part `own` of `all` of limits.
+fn part(limits: Limits, own: u64, all: u64) -> Limits {
+    let streams = u64::from(limits.streams) * own / all;
+    let tokens = |limit: u64| match limit {
+        0 => 0,
+        limit => (limit / all * own + limit % all * own / all).max(1),
+    };
+    Limits {
+        streams: u32::try_from(streams).unwrap_or(limits.streams),
+        memory_tokens: tokens(limits.memory_tokens),
+        prefill_tokens: tokens(limits.prefill_tokens),
+    }
+}
+
 /// Returns whether an amount is within limits; 0 stands for no limit of tokens.
 fn within(amount: Limits, limits: Limits) -> bool {
     amount.streams <= limits.streams
--- a/src/condition/tests.rs
+++ b/src/condition/tests.rs
@@ -154,8 +154,10 @@
             },
         })
         .collect();
-    let surplus = conditions.surplus(&fleet, key, &in_flight);
-    assert_eq!(surplus, [RequestId(2), RequestId(5)]);
+    let surplus = |streams| conditions.surplus(&fleet, key, &in_flight, streams);
+    assert_eq!(surplus(6), [RequestId(2), RequestId(5)]);
+    // Six of twelve in all: this instance keeps two of the four.
+    assert_eq!(surplus(12), [2, 5, 3, 0].map(RequestId));
 }
 
 #[test]
--- a/src/control/attempts.rs
+++ b/src/control/attempts.rs
@@ -8,6 +8,7 @@
 use crate::admission::Decision;
 use crate::admission::Dispatch;
 use crate::attempt::Flight;
+use crate::attempt::MAX_TRIES;
 use crate::attempt::Next;
 use crate::attempt::Outcome;
 use crate::attempt::Phase;
@@ -27,6 +28,7 @@
 use crate::metrics::Timing;
 use crate::quarantine::HOLD;
 use crate::quarantine::Standing;
+use crate::routing::View;
 use crate::timeline::EventKind;
 use crate::timeline::Subject;
 use crate::verdict::Reason;
@@ -114,6 +116,7 @@
             start,
             offset: job.offset,
             resumes: 0,
+            moves: false,
         };
         let request = job.request;
         flight.job = Some(job);
@@ -121,6 +124,33 @@
         self.send_call(cx, request);
     }
 
+    /// Moves requests away from backend servers that turned cold under more than
+    /// they bear now. The attempt's end tells how far it came.
+    pub(super) fn unload(&mut self, cx: &mut Cx<'_>) {
+        let view = View {
+            now: cx.now,
+            fleet: &self.fleet,
+            conditions: &self.conditions,
+        };
+        for request in self.router.surplus(view) {
+            let Some(flight) = self.flights.get_mut(&request) else {
+                continue;
+            };
+            let (Phase::Running(running), Some(job)) = (&mut flight.phase, &flight.job) else {
+                continue;
+            };
+            let prompt = matches!(*flight.work, Work::Prompt(_));
+            let movable = prompt && flight.idempotent && flight.tries < MAX_TRIES;
+            if !movable || running.moves || !self.budgets.spend(&job.model) {
+                continue;
+            }
+            running.moves = true;
+            cx.count(Count::Moves);
+            let attempt = running.attempt;
+            cx.out.push(Output::Drop { attempt });
+        }
+    }
+
     fn ended(&mut self, cx: &mut Cx<'_>, attempt: AttemptId, end: &AttemptEnd) {
         let request = attempt.request;
         let Some(mut flight) = self.flights.remove(&request) else {
@@ -132,7 +162,11 @@
         };
         let outcome = Outcome::of(&running, end);
         self.note(cx, &running, &outcome, end);
-        let mut next = flight.next(&running, end, &outcome, &mut self.budgets, &job.model);
+        let moved = running.moves && matches!(end, AttemptEnd::Cancelled { .. });
+        let mut next = match moved {
+            true => Next::Elsewhere,
+            false => flight.next(&running, end, &outcome, &mut self.budgets, &job.model),
+        };
         if outcome.crashed && self.crashed(cx, &mut job, attempt) {
             next = Next::Fail(Reason::Quarantined);
         }
--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -154,6 +154,7 @@
         capacity.tick(cx, &mut scope);
         self.expire(cx);
         self.gang_tick(cx);
+        self.unload(cx);
         for held in self.lingers.tick(cx, &self.fleet) {
             self.router.freed(held.backend);
             self.capacity.release(held);
--- a/src/control/tests.rs
+++ b/src/control/tests.rs
@@ -1,6 +1,7 @@
 //! The core as a whole, on a virtual clock.
 
 mod calls;
+mod cold;
 
 use std::sync::Arc;
 
--- a/src/routing/learn.rs
+++ b/src/routing/learn.rs
@@ -3,6 +3,7 @@
 use crate::backend::CacheEvent;
 use crate::backend::LoadReport;
 use crate::clock::Millis;
+use crate::condition::Condition;
 use crate::condition::InFlight;
 use crate::condition::Sign;
 use crate::declaration::Target;
@@ -12,6 +13,7 @@
 use crate::routing::Flight;
 use crate::routing::Load;
 use crate::routing::Router;
+use crate::routing::View;
 
 /// Weight of a new sample in the average of the pace.
 const PACE_LEARNING: f64 = 0.02;
@@ -107,6 +109,29 @@
         self.loads.changed_since(changes)
     }
 
+    /// Returns the requests of this instance that cold backend servers cannot
+    /// bear, least important first for each.
+    #[must_use]
+    pub fn surplus(&self, view: View<'_>) -> Vec<RequestId> {
+        let View {
+            now,
+            fleet,
+            conditions,
+        } = view;
+        let crowded = self.loads.busy().filter(|&(key, load)| {
+            let limits = conditions.limits(fleet, key);
+            let cold = matches!(conditions.condition(fleet, key), Condition::Cold { .. });
+            let memory = limits.memory_tokens > 0 && load.memory_tokens > limits.memory_tokens;
+            cold && (self.loads.streams(now, key) > limits.streams || memory)
+        });
+        crowded
+            .flat_map(|(key, _)| {
+                let streams = self.loads.streams(now, key);
+                conditions.surplus(fleet, key, &self.in_flight(key), streams)
+            })
+            .collect()
+    }
+
     /// Returns this instance's requests on a backend server.
     #[must_use]
     pub fn in_flight(&self, backend: BackendKey) -> Vec<InFlight> {
@@ -115,7 +140,7 @@
             .map(|(request, flight)| InFlight {
                 request,
                 importance: flight.importance,
-                cost: flight.cost,
+                cost: flight.remaining(),
             })
             .collect()
     }
