Keep unreserved characters of lease names as they are

A lease named lease-1 was sent as lease%2D1, which a server that compares names as they come does not know: no instance could register, and none became home. The test now uses such a name. A lost lease is asked for again after 500 ms instead of at each tick.

--- a/src/capacity/registry.rs
+++ b/src/capacity/registry.rs
@@ -448,7 +448,7 @@
         self.lease = None;
         self.registered = false;
         self.renewed = None;
-        self.next_lease = now;
+        self.next_lease = now + RETRY_PAUSE;
     }
 
     fn read_back(&mut self, sent: Millis, entry: Option<StoreEntry>) -> Option<Change> {
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -32,6 +32,13 @@
 use crate::store::StoreOp;
 use crate::store::StoreResult;
 
+/// All but the unreserved characters of RFC 3986, section 2.3.
+const RESERVED: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~');
+
 /// Greatest length of an answer: a value of a megabyte in base64, with room.
 const MAX_STORE_ANSWER_BYTES: u64 = 2 * 1024 * 1024;
 /// Greatest length of the instance list.
@@ -199,7 +206,7 @@
     let mut url = key_url(addr, key) + &format!("?version={}", version.0);
     if let Some(lease) = lease {
         url.push_str("&lease=");
-        url.extend(utf8_percent_encode(&lease.0, NON_ALPHANUMERIC));
+        url.extend(utf8_percent_encode(&lease.0, RESERVED));
     }
     let value = STANDARD.encode(value);
     with_json(Request::new(Method::Put, url), &ValueBody { value })
@@ -221,7 +228,7 @@
 }
 
 fn lease_url(addr: &str, lease: &LeaseId) -> String {
-    url(addr, "/v1/lease/") + &utf8_percent_encode(&lease.0, NON_ALPHANUMERIC).to_string()
+    url(addr, "/v1/lease/") + &utf8_percent_encode(&lease.0, RESERVED).to_string()
 }
 
 /// An answer of any status.
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -123,11 +123,11 @@
 
 #[test]
 fn leases_are_granted_renewed_and_revoked() {
-    let lease = LeaseId("7".to_owned());
+    let lease = LeaseId("lease-7".to_owned());
     let (asked, result) = call(
         &StoreOp::Grant { ttl: Millis(5000) },
         200,
-        r#"{"lease":"7"}"#,
+        r#"{"lease":"lease-7"}"#,
     );
     assert_eq!(asked, r#"POST /v1/lease {"ttl_ms":5000}"#);
     assert_eq!(result, Ok(StoreAnswer::Lease(lease.clone())));
@@ -142,7 +142,7 @@
         200,
         "{}",
     );
-    assert_eq!(asked, "DELETE /v1/lease/7 ");
+    assert_eq!(asked, "DELETE /v1/lease/lease-7 ");
     assert_eq!(result, Ok(StoreAnswer::Lease(lease)));
 }
 
