--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod serve;
 pub mod service;
 pub mod site;
+pub mod slopes;
 pub mod stage;
 pub mod store;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -14,6 +14,7 @@
 use skylarkhook_bench::load::command;
 use skylarkhook_bench::serve::Set;
 use skylarkhook_bench::serve::SetConfig;
+use skylarkhook_bench::slopes;
 
 /// Stand-ins, load and experiments for skylarkhook.
 #[derive(FromArgs)]
@@ -29,6 +30,7 @@
     Load(LoadArgs),
     Demo(Demo),
     Experiment(Experiment),
+    Slopes(Slopes),
 }
 
 /// Runs a set of stand-ins until it is ended.
@@ -61,6 +63,11 @@
 #[argh(subcommand, name = "demo")]
 struct Demo {}
 
+/// Measures what control costs an instance, against what it grows with.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "slopes")]
+struct Slopes {}
+
 /// Runs an experiment, baselines beside; exit code 1 if a bound was broken.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "experiment")]
@@ -96,6 +103,7 @@
         Command::Serve(args) => serve(&args),
         Command::Load(args) => command::run(&args.file, args.seed, args.csv.as_deref()),
         Command::Demo(Demo {}) => demo::run(),
+        Command::Slopes(Slopes {}) => slopes::run(),
         Command::Experiment(args) => {
             experiment::run(&args.name, args.seed, args.csv, args.report.as_deref())
         }
