Declare ramps that begin when the stand-ins are warm

The stand-ins bear the cold limit until 8 requests are completed; the declared ramp took its first step after 4, so the demo showed 41 cold engines that fell over. Both are one constant now. The warm-up load is halved as well: 60/s is more than 12 cold engines serve, and it has to warm the fleet, not to overload it.

--- a/bench/src/okonkwo.rs
+++ b/bench/src/okonkwo.rs
@@ -48,6 +48,9 @@
     prefill_tokens: 12_000,
 };
 
+/// Requests after which a backend server bears more than its cold limit; the
+/// first step of the declared ramp comes no earlier.
+const COLD_COMPLETIONS: u32 = 8;
 const WORKSPACES: usize = 10;
 /// Shares of the workspaces: a few are large.
 const WORKSPACE_WEIGHTS: [u32; WORKSPACES] = [8, 6, 4, 1, 1, 1, 1, 1, 1, 1];
@@ -79,6 +82,7 @@
         warm: WARM,
         cold: COLD,
         poison: POISON.to_owned(),
+        cold_completions: COLD_COMPLETIONS,
         ..EngineConfig::default()
     }
 }
@@ -89,6 +93,7 @@
         domain: domain.to_owned(),
         warm: SERVICE_WARM,
         cold: SERVICE_COLD,
+        cold_completions: COLD_COMPLETIONS,
         ..ServiceConfig::default()
     }
 }
@@ -138,7 +143,7 @@
         matches: selector(matches),
         warm,
         cold,
-        ramp_successes: 4,
+        ramp_successes: COLD_COMPLETIONS,
         ramp_steps: 4,
     }
 }
--- a/bench/src/stage.rs
+++ b/bench/src/stage.rs
@@ -26,7 +26,7 @@
 const PROGRESS: Duration = Duration::from_secs(2);
 /// Load under which the system's ramps reach warm before a run.
 const WARM_UP: Millis = Millis::from_secs(5);
-const WARM_UP_RATE: f64 = 60.0;
+const WARM_UP_RATE: f64 = 30.0;
 /// Time for finished streams to be freed after a run.
 const SETTLE: Duration = Duration::from_millis(300);
 
