--- a/src/admission/pool.rs
+++ b/src/admission/pool.rs
@@ -70,7 +70,10 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     backends: Vec<BackendKey>,
+    /// Workspaces with waiting jobs.
     lines: BTreeMap<WorkspaceKey, Line>,
+    /// Virtual times of workspaces without.
+    idle: HashMap<WorkspaceKey, f64>,
     len: usize,
     work_ms: f64,
     rate: f64,
@@ -106,6 +109,14 @@
     changes: u64,
 }
 
+/// Orders the jobs by who gives way first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Giving {
+    importance: u8,
+    pressure: Reverse<u64>,
+    key: Reverse<OrderKey>,
+}
+
 /// Orders the workspaces' first jobs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Turn {
@@ -122,6 +133,50 @@
         self.len
     }
 
+    /// Adds a backend server that the pool's jobs may use.
+    pub fn add_backend(&mut self, backend: BackendKey) {
+        self.backends.push(backend);
+    }
+
+    /// Removes a job.
+    pub fn remove(&mut self, request: RequestId) -> Option<Entry> {
+        let mut entries = self.entries();
+        let entry = entries.find(|entry| entry.job.request == request)?;
+        let (workspace, key) = (entry.job.workspace, entry.key());
+        drop(entries);
+        self.take(workspace, key)
+    }
+
+    /// Removes all jobs; returns them with the backend servers.
+    pub fn dissolve(self) -> (Vec<BackendKey>, Vec<Entry>) {
+        let lines = self.lines.into_values();
+        let entries = lines.flat_map(|line| line.entries.into_values());
+        (self.backends, entries.collect())
+    }
+
+    /// Returns the least important job below an importance, of the workspace
+    /// with the most waiting tokens for its weight, with the key that orders it
+    /// among those of other pools.
+    #[must_use]
+    pub fn least_important(&self, below: u8) -> Option<(Giving, RequestId)> {
+        let lines = self.lines.values().flat_map(|line| {
+            let tokens: u64 = line.entries.values().map(|entry| entry.tokens).sum();
+            let pressure = Reverse(tokens / u64::from(line.weight));
+            line.entries.values().map(move |entry| (entry, pressure))
+        });
+        lines
+            .filter(|(entry, _)| entry.job.importance < below)
+            .map(|(entry, pressure)| {
+                let giving = Giving {
+                    importance: entry.job.importance,
+                    pressure,
+                    key: Reverse(entry.key()),
+                };
+                (giving, entry.job.request)
+            })
+            .min()
+    }
+
     /// Returns how long the waiting jobs keep the backend servers busy.
     #[must_use]
     pub fn wait(&self) -> Millis {
@@ -135,15 +190,17 @@
     pub fn insert(&mut self, fleet: &Fleet, entry: Entry) {
         let least = self.least_virtual_time();
         let weight = fleet.workspace(entry.job.workspace).weight.max(1);
-        let line = self.lines.entry(entry.job.workspace).or_insert(Line {
+        let workspace = entry.job.workspace;
+        let idle = &mut self.idle;
+        let line = self.lines.entry(workspace).or_insert_with(|| Line {
             entries: BTreeMap::new(),
-            virtual_time: 0.0,
+            virtual_time: idle
+                .remove(&workspace)
+                .unwrap_or(0.0)
+                .max(least.unwrap_or(0.0)),
             weight,
         });
         line.weight = weight;
-        if line.entries.is_empty() {
-            line.virtual_time = line.virtual_time.max(least.unwrap_or(0.0));
-        }
         self.len += 1;
         self.work_ms += entry.work_ms;
         self.planned = None;
@@ -211,16 +268,16 @@
             };
             match result {
                 Ok(room) => {
+                    let weight = self.lines[&workspace].weight;
                     if let Some(entry) = self.take(workspace, key) {
-                        self.charge(&entry);
+                        self.charge(&entry, weight);
                         served.push((entry, room));
                     }
                 }
                 Err(Full::Streams) if known_full => wants.add(view.now, entry),
                 Err(why) => {
                     misses += 1;
-                    let lane = router.places(entry.lane);
-                    if lane.is_some_and(|lane| lane.holds(&entry.job)) {
+                    if !entry.gang {
                         wants.add(view.now, entry);
                     }
                     *looks.entry(workspace).or_default() += 1;
@@ -302,6 +359,12 @@
         }
     }
 
+    /// Forgets what is known of full lanes: credits came.
+    pub fn recheck(&mut self) {
+        self.full.clear();
+        self.changed = true;
+    }
+
     /// Returns the first job of each workspace, in turn: of the workspaces within
     /// the quantum the one that is due first, then of the others the one furthest
     /// behind.
@@ -331,7 +394,13 @@
     }
 
     fn take(&mut self, workspace: WorkspaceKey, key: OrderKey) -> Option<Entry> {
-        let entry = self.lines.get_mut(&workspace)?.entries.remove(&key)?;
+        let line = self.lines.get_mut(&workspace)?;
+        let entry = line.entries.remove(&key)?;
+        let virtual_time = line.virtual_time;
+        if line.entries.is_empty() {
+            self.lines.remove(&workspace);
+            self.idle.insert(workspace, virtual_time);
+        }
         self.len -= 1;
         self.work_ms = if self.len == 0 {
             0.0
@@ -342,9 +411,13 @@
     }
 
     /// Charges a workspace for a job that is sent off.
-    fn charge(&mut self, entry: &Entry) {
-        if let Some(line) = self.lines.get_mut(&entry.job.workspace) {
-            line.virtual_time += entry.tokens as f64 / f64::from(line.weight);
+    fn charge(&mut self, entry: &Entry, weight: u32) {
+        let workspace = entry.job.workspace;
+        let tokens = entry.tokens as f64;
+        if let Some(line) = self.lines.get_mut(&workspace) {
+            line.virtual_time += tokens / f64::from(line.weight);
+        } else if let Some(virtual_time) = self.idle.get_mut(&workspace) {
+            *virtual_time += tokens / f64::from(weight);
         }
     }
 
@@ -363,7 +436,7 @@
         if self.len == 0 {
             self.since = None;
             self.rate = 0.0;
-            self.lines.clear();
+            self.idle.clear();
             return;
         }
         self.since.get_or_insert(now);
@@ -378,15 +451,14 @@
         let halvings = now.since(self.measured).0 as f64 / RATE_HALF_LIFE.0 as f64;
         self.measured = now;
         let least = self.least_virtual_time().unwrap_or(0.0);
-        self.lines
-            .retain(|_, line| !line.entries.is_empty() || line.virtual_time > least);
+        self.idle.retain(|_, virtual_time| *virtual_time > least);
         self.rate = busy + (self.rate - busy).max(0.0) * (-halvings).exp2();
     }
 
     /// Returns the virtual time of the waiting workspace furthest behind.
     fn least_virtual_time(&self) -> Option<f64> {
-        let waiting = self.lines.values().filter(|line| !line.entries.is_empty());
-        waiting.map(|line| line.virtual_time).min_by(f64::total_cmp)
+        let times = self.lines.values().map(|line| line.virtual_time);
+        times.min_by(f64::total_cmp)
     }
 }
 
@@ -404,122 +476,6 @@
     }
 }
 
-/// All pools of an instance.
-#[derive(Debug, Default)]
-pub struct Pools {
-    pools: Vec<Pool>,
-    lanes: HashMap<LaneKey, usize>,
-    backends: HashMap<BackendKey, usize>,
-}
-
-impl Pools {
-    /// Returns all pools.
-    pub fn iter(&self) -> impl Iterator<Item = &Pool> {
-        self.pools.iter()
-    }
-
-    /// Returns all pools.
-    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Pool> {
-        self.pools.iter_mut()
-    }
-
-    /// Returns how many jobs wait.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.pools.iter().map(Pool::len).sum()
-    }
-
-    /// Adds a job to the pool of its lane.
-    pub fn insert(&mut self, router: &Router, fleet: &Fleet, entry: Entry) {
-        let index = match self.lanes.get(&entry.lane) {
-            Some(&index) => index,
-            None => self.join(router, fleet, entry.lane),
-        };
-        self.pools[index].insert(fleet, entry);
-    }
-
-    /// Removes a job.
-    pub fn remove(&mut self, request: RequestId) -> Option<Entry> {
-        self.pools.iter_mut().find_map(|pool| {
-            let (workspace, key) = pool
-                .entries()
-                .find(|entry| entry.job.request == request)
-                .map(|entry| (entry.job.workspace, entry.key()))?;
-            pool.take(workspace, key)
-        })
-    }
-
-    /// Returns the least important job below an importance, of the workspace
-    /// with the most waiting tokens for its weight.
-    #[must_use]
-    pub fn least_important(&self, below: u8) -> Option<RequestId> {
-        let lines = self.pools.iter().flat_map(|pool| pool.lines.values());
-        lines
-            .flat_map(|line| {
-                let tokens: u64 = line.entries.values().map(|entry| entry.tokens).sum();
-                let pressure = tokens / u64::from(line.weight);
-                line.entries.values().map(move |entry| (entry, pressure))
-            })
-            .filter(|(entry, _)| entry.job.importance < below)
-            .min_by_key(|(entry, pressure)| {
-                let latest = std::cmp::Reverse(entry.key());
-                (entry.job.importance, std::cmp::Reverse(*pressure), latest)
-            })
-            .map(|(entry, _)| entry.job.request)
-    }
-
-    /// Removes all jobs, in order of arrival, and forgets the pools.
-    pub fn take(&mut self) -> Vec<Entry> {
-        let pools = std::mem::take(self).pools;
-        let lines = pools.into_iter().flat_map(|pool| pool.lines.into_values());
-        let mut entries: Vec<Entry> = lines.flat_map(|line| line.entries.into_values()).collect();
-        entries.sort_by_key(|entry| entry.sequence);
-        entries
-    }
-
-    /// Gives a lane its pool, and joins the pools that it connects.
-    fn join(&mut self, router: &Router, fleet: &Fleet, lane: LaneKey) -> usize {
-        let places = router
-            .places(lane)
-            .into_iter()
-            .flat_map(|lane| lane.places());
-        let backends: Vec<BackendKey> = places.map(|place| place.backend).collect();
-        let mut known: Vec<usize> = backends
-            .iter()
-            .filter_map(|backend| self.backends.get(backend).copied())
-            .collect();
-        known.sort_unstable();
-        known.dedup();
-        let index = known.first().copied().unwrap_or_else(|| {
-            self.pools.push(Pool::default());
-            self.pools.len() - 1
-        });
-        for &other in known.iter().skip(1) {
-            let joined = std::mem::take(&mut self.pools[other]);
-            self.lanes
-                .values_mut()
-                .filter(|pool| **pool == other)
-                .for_each(|pool| *pool = index);
-            self.backends
-                .values_mut()
-                .filter(|pool| **pool == other)
-                .for_each(|pool| *pool = index);
-            self.pools[index].backends.extend(joined.backends);
-            let lines = joined.lines.into_values();
-            for entry in lines.flat_map(|line| line.entries.into_values()) {
-                self.pools[index].insert(fleet, entry);
-            }
-        }
-        for backend in backends {
-            if self.backends.insert(backend, index).is_none() {
-                self.pools[index].backends.push(backend);
-            }
-        }
-        self.lanes.insert(lane, index);
-        index
-    }
-}
-
 /// What the jobs that found no room want, by lane.
 #[derive(Debug, Default)]
 struct Wants(Vec<Want>);
@@ -529,14 +485,11 @@
         let cost = entry.job.cost(0);
         let waited = now.since(entry.job.admitted);
         let weight = u64::from(entry.job.importance) + 1;
-        let want = match self.0.iter_mut().find(|want| want.lane == entry.lane) {
-            Some(want) => want,
-            None => {
-                self.0.push(Want::new(entry.lane));
-                let last = self.0.len() - 1;
-                &mut self.0[last]
-            }
-        };
-        want.add(cost, weight, waited);
+        let known = self.0.iter().position(|want| want.lane == entry.lane);
+        let index = known.unwrap_or(self.0.len());
+        if known.is_none() {
+            self.0.push(Want::new(entry.lane));
+        }
+        self.0[index].add(cost, weight, waited);
     }
 }
