--- a/src/declaration/check/rules.rs
+++ b/src/declaration/check/rules.rs
@@ -85,7 +85,7 @@
         }
         if cold == 0 && warm != 0 && field != "streams" {
             findings
-                .error(
+                .warning(
                     &place,
                     format!("cold {field} is not limited but warm {field} is"),
                 )
--- a/src/declaration/tests.rs
+++ b/src/declaration/tests.rs
@@ -86,7 +86,7 @@
         (
             "memory_tokens = 100 ",
             "memory_tokens = 0 ",
-            "f.toml:8:39: cold memory_tokens is not limited but warm memory_tokens is",
+            "f.toml:8:39: warning: cold memory_tokens is not limited but warm memory_tokens is",
         ),
         (
             "deadline_ms = 5000",
