--- a/src/spread.rs
+++ b/src/spread.rs
@@ -54,6 +54,7 @@
 use crate::metrics::Count;
 use crate::store::KeyVersion;
 use crate::store::StoreAnswer;
+use crate::store::StoreFailure;
 use crate::store::StoreOp;
 use crate::store::StoreResult;
 use crate::timeline::EventKind;
@@ -63,6 +64,9 @@
 
 /// Texts kept in memory, for differences and merges.
 const RECENT: usize = 4;
+/// Time after which a call that never came back counts as lost, beyond what a
+/// watch waits; every edge has a shorter limit of its own.
+const CALL_LIMIT: Millis = Millis::from_secs(60);
 /// Changes of operators that wait for their turn.
 const MAX_WAITING: usize = 64;
 
@@ -129,7 +133,7 @@
     /// The highest revision that a peer told of.
     heard: Revision,
     news: bool,
-    calls: BTreeMap<u64, Call>,
+    calls: BTreeMap<u64, (Millis, Call)>,
     next_call: u64,
     store_version: KeyVersion,
     watching: bool,
@@ -207,6 +211,7 @@
     pub fn tick(&mut self, cx: &mut Cx<'_>, peers: &[Peer], watcher: bool) {
         let highest = peers.iter().map(|peer| peer.revision).max();
         self.heard = highest.unwrap_or_default();
+        self.give_up_calls(cx);
         self.look(cx, watcher);
         self.pull(cx, peers);
         self.start_restore(cx);
@@ -216,7 +221,7 @@
 
     /// Takes over the store's answer to one of this duty's calls.
     pub fn on_store(&mut self, cx: &mut Cx<'_>, ticket: Ticket, result: StoreResult) {
-        let Some(call) = self.calls.remove(&ticket.number) else {
+        let Some((_, call)) = self.calls.remove(&ticket.number) else {
             return;
         };
         match call {
@@ -355,7 +360,7 @@
 
     fn call(&mut self, cx: &mut Cx<'_>, call: Call, op: StoreOp) {
         self.next_call += 1;
-        self.calls.insert(self.next_call, call);
+        self.calls.insert(self.next_call, (cx.now, call));
         let ticket = Ticket {
             duty: Duty::Spread,
             number: self.next_call,
@@ -363,6 +368,21 @@
         cx.store(ticket, op);
     }
 
+    /// Counts calls that never came back as lost.
+    fn give_up_calls(&mut self, cx: &mut Cx<'_>) {
+        let limit = self.periods.watch + CALL_LIMIT;
+        while let Some((&number, (since, _))) = self.calls.first_key_value() {
+            if cx.now.since(*since) < limit {
+                return;
+            }
+            let ticket = Ticket {
+                duty: Duty::Spread,
+                number,
+            };
+            self.on_store(cx, ticket, Err(StoreFailure::MayHaveRun));
+        }
+    }
+
     fn on_shown(&mut self, cx: &mut Cx<'_>, ticket: u64, past: &Past, result: StoreResult) {
         let entry = match result {
             Ok(StoreAnswer::Entry(entry)) => entry,
--- a/src/spread/catch_up.rs
+++ b/src/spread/catch_up.rs
@@ -164,7 +164,7 @@
             self.adopt(cx, head, &text);
             return;
         }
-        let under_way = self.calls.values().any(|call| match call {
+        let under_way = self.calls.values().any(|(_, call)| match call {
             Call::Text(other) => other.newest.is(&head.newest),
             _ => false,
         });
--- a/src/spread/tests/faults.rs
+++ b/src/spread/tests/faults.rs
@@ -116,6 +116,20 @@
     assert_eq!(net.applied(4, 1, "second", &with("a", "north")), 2);
 }
 
+#[test]
+fn calls_that_never_come_back_do_not_block_an_instance() {
+    let mut net = started();
+    net.nodes[0].deaf = true;
+    let ticket = net.apply(0, 1, "second", &with("a", "north"));
+    net.run(Millis::from_secs(60));
+    net.nodes[0].deaf = false;
+    net.run(Millis::from_secs(120));
+    assert!(net.outcome(ticket).is_some());
+    assert_eq!(net.applied(0, 1, "third", &with("b", "south")), 2);
+    net.run(WITHIN);
+    assert_eq!(net.revisions(), [2; 6]);
+}
+
 #[test]
 fn racing_changes_to_different_objects_are_both_in_force() {
     let mut net = started();
--- a/src/spread/tests/net.rs
+++ b/src/spread/tests/net.rs
@@ -126,6 +126,8 @@
     pub spread: Spread,
     pub up: bool,
     pub cut: bool,
+    /// Whether answers of the store never reach it.
+    pub deaf: bool,
     pub answers: BTreeMap<u64, AdminAnswer>,
     pub metrics: Metrics,
     rng: ChaCha8Rng,
@@ -174,6 +176,7 @@
             spread: Spread::new(Periods::default()),
             up: true,
             cut: false,
+            deaf: false,
             answers: BTreeMap::new(),
             metrics: Metrics::new(),
             rng: ChaCha8Rng::seed_from_u64(index as u64),
@@ -209,6 +212,9 @@
         self.now += STEP;
         self.end_watches();
         for (index, ticket, result) in std::mem::take(&mut self.inbox) {
+            if self.nodes[index].deaf {
+                continue;
+            }
             self.with(index, |spread, cx| spread.on_store(cx, ticket, result));
         }
         for (from, to, message) in std::mem::take(&mut self.mail) {
