Move work once, when an engine turns cold, and not on lagging reports

The move compared each tick what a cold engine runs with what it bears, and counted what was sent since a lagging report on top of requests that had ended since. What is sent to a cold engine is within its credits anyhow; only what was in flight when it turned cold can be too much. So the comparison is made once, at the turn.

The scenarios' fake also told nobody that a dropped attempt had ended, as the traffic thread does (with the relay's offset); dropped requests hung until their deadline. It tells now.

--- a/src/condition.rs
+++ b/src/condition.rs
@@ -120,6 +120,7 @@
 pub struct Conditions {
     states: ArenaMap<BackendKey, State>,
     news: ArenaMap<BackendKey, News>,
+    turned_cold: Vec<BackendKey>,
 }
 
 impl Conditions {
@@ -168,7 +169,9 @@
         let state = self.states.entry(backend).or_default();
         let before = state.condition;
         state.adopt(condition);
+        let after = state.condition;
         self.announce(cx, fleet, backend, before, "the home's word");
+        self.note_turn(backend, before, after);
     }
 
     /// Notes who left, was taken out or came back, after each change of the
@@ -183,6 +186,11 @@
         self.measure(cx, fleet);
     }
 
+    /// Returns the backend servers that turned cold since the last call.
+    pub fn take_turned_cold(&mut self) -> Vec<BackendKey> {
+        std::mem::take(&mut self.turned_cold)
+    }
+
     /// Returns the condition of a backend server.
     #[must_use]
     pub fn condition(&self, fleet: &Fleet, backend: BackendKey) -> Condition {
@@ -254,12 +262,22 @@
         let state = self.states.entry(backend).or_default();
         let before = state.condition;
         let cold = state.sign(cx.now, fleet.backend(backend).limit.as_ref(), sign);
+        let after = state.condition;
         if self.announce(cx, fleet, backend, before, &format!("{sign:?}")) {
             self.measure(cx, fleet);
+            self.note_turn(backend, before, after);
         }
         cold
     }
 
+    /// Notes a backend server that bears less than before.
+    fn note_turn(&mut self, backend: BackendKey, before: Condition, after: Condition) {
+        let bore_more = matches!(before, Condition::Warm | Condition::Cold { step: 1.. });
+        if bore_more && after == (Condition::Cold { step: 0 }) {
+            self.turned_cold.push(backend);
+        }
+    }
+
     /// Records a change and returns whether there was one.
     fn announce(
         &self,
--- a/src/control/attempts.rs
+++ b/src/control/attempts.rs
@@ -127,12 +127,17 @@
     /// Moves requests away from backend servers that turned cold under more than
     /// they bear now. The attempt's end tells how far it came.
     pub(super) fn unload(&mut self, cx: &mut Cx<'_>) {
+        let turned = self.conditions.take_turned_cold();
         let view = View {
             now: cx.now,
             fleet: &self.fleet,
             conditions: &self.conditions,
         };
-        for request in self.router.surplus(view) {
+        let moving: Vec<RequestId> = turned
+            .into_iter()
+            .flat_map(|backend| self.router.surplus(view, backend))
+            .collect();
+        for request in moving {
             let Some(flight) = self.flights.get_mut(&request) else {
                 continue;
             };
--- a/src/routing/learn.rs
+++ b/src/routing/learn.rs
@@ -3,7 +3,6 @@
 use crate::backend::CacheEvent;
 use crate::backend::LoadReport;
 use crate::clock::Millis;
-use crate::condition::Condition;
 use crate::condition::InFlight;
 use crate::condition::Sign;
 use crate::declaration::Target;
@@ -109,27 +108,14 @@
         self.loads.changed_since(changes)
     }
 
-    /// Returns the requests of this instance that cold backend servers cannot
-    /// bear, least important first for each.
+    /// Returns the requests of this instance that a backend server which turned
+    /// cold cannot bear, least important first.
     #[must_use]
-    pub fn surplus(&self, view: View<'_>) -> Vec<RequestId> {
-        let View {
-            now,
-            fleet,
-            conditions,
-        } = view;
-        let crowded = self.loads.busy().filter(|&(key, load)| {
-            let limits = conditions.limits(fleet, key);
-            let cold = matches!(conditions.condition(fleet, key), Condition::Cold { .. });
-            let memory = limits.memory_tokens > 0 && load.memory_tokens > limits.memory_tokens;
-            cold && (self.loads.streams(now, key) > limits.streams || memory)
-        });
-        crowded
-            .flat_map(|(key, _)| {
-                let streams = self.loads.streams(now, key);
-                conditions.surplus(fleet, key, &self.in_flight(key), streams)
-            })
-            .collect()
+    pub fn surplus(&self, view: View<'_>, backend: BackendKey) -> Vec<RequestId> {
+        let streams = self.loads.streams(view.now, backend);
+        let in_flight = self.in_flight(backend);
+        view.conditions
+            .surplus(view.fleet, backend, &in_flight, streams)
     }
 
     /// Returns this instance's requests on a backend server.
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -105,8 +105,6 @@
 pub struct Load {
     /// Attempts of this instance.
     pub streams: u32,
-    /// Memory tokens of this instance's attempts.
-    pub memory_tokens: u64,
     /// Prompt tokens of this instance that are not processed yet.
     pub prefill_tokens: u64,
     /// Those of them in prompts that are not short.
@@ -140,7 +138,6 @@
         self.end(request);
         let load = self.loads.entry(flight.backend).or_default();
         load.streams += 1;
-        load.memory_tokens += flight.cost.memory_tokens;
         load.prefill_tokens += flight.cost.prefill_tokens;
         if flight.length != LengthClass::Short {
             load.long_prefill_tokens += flight.cost.prefill_tokens;
@@ -182,8 +179,6 @@
         }
         let load = self.loads.entry(flight.backend).or_default();
         load.streams = load.streams.saturating_sub(1);
-        let memory_tokens = flight.cost.memory_tokens;
-        load.memory_tokens = load.memory_tokens.saturating_sub(memory_tokens);
         load.part = if load.streams == 0 {
             0.0
         } else {
@@ -293,11 +288,6 @@
         }
     }
 
-    /// Returns the backend servers on which this instance has something.
-    pub fn busy(&self) -> impl Iterator<Item = (BackendKey, &Load)> {
-        self.loads.iter().filter(|(_, load)| load.streams > 0)
-    }
-
     /// Returns this instance's attempts on a backend server, by request.
     pub fn on(&self, backend: BackendKey) -> impl Iterator<Item = (RequestId, &Flight)> {
         self.flights
--- a/tests/proof/world.rs
+++ b/tests/proof/world.rs
@@ -595,6 +595,10 @@
         let Some(side) = node.sides.remove(&attempt) else {
             return;
         };
+        let boot = node.me.boot;
+        let offset = side.side.offset();
+        let event = AttemptEvent::Ended(AttemptEnd::Cancelled { offset });
+        self.tell(NEAR, name, boot, Input::Attempt { attempt, event });
         let Some(engine) = self.engines.get_mut(&side.backend) else {
             return;
         };
