--- a/src/capacity/tests/mixed.rs
+++ b/src/capacity/tests/mixed.rs
@@ -1,1 +1,121 @@
+//! Faults at random, one on top of the other: no step may send a stream above a
+//! limit, and once all is mended the limits are in use again.
 
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use super::world::Declared;
+use super::world::NAMES;
+use super::world::World;
+use crate::clock::Millis;
+
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+
+/// Something that goes wrong, or is mended.
+#[derive(Debug, Clone)]
+enum Fault {
+    Kill(usize),
+    Replace(usize),
+    Leave(usize),
+    Pause(usize),
+    Wake,
+    StoreDown(bool),
+    StoreLoss(u32),
+    CutPlatform(usize),
+    CutOff(usize),
+    Isolate(usize),
+    Mend,
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        (0..NAMES.len()).prop_map(Fault::Kill),
+        (0..NAMES.len()).prop_map(Fault::Replace),
+        (0..NAMES.len()).prop_map(Fault::Leave),
+        (0..NAMES.len()).prop_map(Fault::Pause),
+        Just(Fault::Wake),
+        any::<bool>().prop_map(Fault::StoreDown),
+        (0_u32..60).prop_map(Fault::StoreLoss),
+        (0..DOMAINS.len()).prop_map(Fault::CutPlatform),
+        (0..DOMAINS.len()).prop_map(Fault::CutOff),
+        (0..NAMES.len()).prop_map(Fault::Isolate),
+        Just(Fault::Mend),
+    ]
+}
+
+fn apply(world: &mut World, fault: &Fault, number: u64) {
+    match *fault {
+        Fault::Kill(index) => world.kill(NAMES[index]),
+        Fault::Replace(index) => {
+            // A replaced instance has a new name, as on the platform.
+            let name = format!("{}-{number}", &NAMES[index][..1]);
+            world.start(&name, number);
+        }
+        Fault::Leave(index) => world.leave(NAMES[index]),
+        Fault::Pause(index) => {
+            if let Some(node) = world.nodes.get_mut(NAMES[index]) {
+                node.paused = true;
+            }
+        }
+        Fault::Wake => wake(world),
+        Fault::StoreDown(down) => world.store_down = down,
+        Fault::StoreLoss(loss) => world.store_loss = loss,
+        Fault::CutPlatform(index) => {
+            world.cut_platform.insert(DOMAINS[index].to_owned());
+        }
+        Fault::CutOff(index) => world.cut_off(DOMAINS[index]),
+        Fault::Isolate(index) => {
+            world.isolated.insert(NAMES[index].to_owned());
+        }
+        Fault::Mend => world.mend(),
+    }
+}
+
+fn wake(world: &mut World) {
+    for node in world.nodes.values_mut() {
+        node.paused = false;
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 10,
+        max_shrink_iters: 0,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_261_203),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_mix_of_faults_sends_a_stream_above_a_limit(
+        seed in any::<u64>(),
+        faults in prop::collection::vec((fault(), 500_u64..9_000), 4..10),
+    ) {
+        let declared = Declared {
+            warm: 12,
+            cold: 12,
+            successes: 8,
+            engines: 1,
+        };
+        let mut world = World::new(declared, seed);
+        world.run(Millis::from_secs(12));
+        for (number, (fault, span)) in (10..).zip(&faults) {
+            apply(&mut world, fault, number);
+            world.run(Millis(*span));
+            prop_assert!(world.faults.is_empty(), "{fault:?}: {:?}", world.faults);
+        }
+        world.mend();
+        wake(&mut world);
+        world.store_down = false;
+        world.store_loss = 0;
+        for (number, domain) in (100..).zip(DOMAINS) {
+            world.start(&format!("{domain}-{number}"), number);
+        }
+        world.run(Millis::from_secs(45));
+        prop_assert!(world.faults.is_empty(), "after all: {:?}", world.faults);
+        for domain in DOMAINS {
+            let running = world.running(&format!("{domain}-e1"));
+            prop_assert!(running >= 6, "{running} streams in {domain} after all");
+        }
+    }
+}
