--- a/src/capacity/tests/mixed.rs
+++ b/src/capacity/tests/mixed.rs
@@ -79,7 +79,7 @@
 
 proptest! {
     #![proptest_config(ProptestConfig {
-        cases: 10,
+        cases: 24,
         max_shrink_iters: 0,
         failure_persistence: None,
         rng_seed: RngSeed::Fixed(20_261_203),
