--- a/bench/src/deployment.rs
+++ b/bench/src/deployment.rs
@@ -121,12 +121,16 @@
         let Some(old) = self.daemons.get_mut(place).and_then(Option::take) else {
             return Ok(true);
         };
+        let start = Instant::now();
         old.begin_shutdown();
         let stopped = old.wait_stopped(limit.into());
+        eprintln!("          finished after {:?}", start.elapsed());
         old.stop();
+        eprintln!("          ended after {:?}", start.elapsed());
         let new = self.start_daemon(place)?;
         self.daemons[place] = Some(new);
         self.wait_ready()?;
+        eprintln!("          replaced after {:?}", start.elapsed());
         Ok(stopped)
     }
 
--- a/bench/src/site.rs
+++ b/bench/src/site.rs
@@ -9,6 +9,7 @@
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -116,7 +117,8 @@
             let server = Arc::clone(&server);
             let handler = Arc::clone(&self.handler);
             let closed = Arc::clone(&closed);
-            thread::spawn(move || work(&server, &handler, &closed));
+            let addr = self.addr;
+            thread::spawn(move || work(&server, addr, &handler, &closed));
         }
         *lock(&self.listening) = Some(Listening { socket, closed });
         Ok(())
@@ -125,14 +127,17 @@
 
 /// Handles requests until the site is closed, then cuts those that were still
 /// on their way.
-fn work(server: &Server, handler: &Handler, closed: &AtomicBool) {
+fn work(server: &Server, addr: SocketAddr, handler: &Handler, closed: &AtomicBool) {
     let mut drained = 0;
     while drained < DRAIN_POLLS {
         let request = server.recv_timeout(DRAIN_POLL).ok().flatten();
         let closed = closed.load(Ordering::Acquire);
         match request {
             Some(request) if closed => cut(request),
-            Some(request) => handler(request),
+            Some(request) => {
+                nudge(addr);
+                handler(request);
+            }
             None => drained += u32::from(closed),
         }
     }
@@ -144,6 +149,14 @@
     }
 }
 
+/// Connects to a site for a moment. `tiny_http` lets some connections of a burst
+/// wait until another one ends; the thread that ends this one takes over one of
+/// them.
+fn nudge(addr: SocketAddr) {
+    // A site that was closed meanwhile has no connection that waits.
+    let _ = TcpStream::connect(addr);
+}
+
 /// Accepted sockets inherit `TCP_NODELAY`, so that single tokens leave at once.
 fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
