--- a/bench/src/load/plan.rs
+++ b/bench/src/load/plan.rs
@@ -172,11 +172,10 @@
     pub fn prompt(&self, arrival: &Arrival) -> String {
         let class = &self.classes[arrival.class];
         let bytes = arrival.prompt_tokens as usize * BYTES_PER_TOKEN;
-        let shared = arrival.workspace as u64 * SHARED_PARTS + arrival.seed % SHARED_PARTS;
-        let own = if class.marker.is_empty() {
-            arrival.seed
-        } else {
-            1
+        let variant = arrival.workspace as u64 * SHARED_PARTS + arrival.seed % SHARED_PARTS;
+        let (shared, own) = match class.marker.is_empty() {
+            true => (variant, arrival.seed),
+            false => (0, 1),
         };
         let mut text = class.marker.clone();
         fill(
--- a/bench/src/load/tests.rs
+++ b/bench/src/load/tests.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::Load;
@@ -43,6 +44,21 @@
     assert_ne!(config().plan(), other.plan());
 }
 
+#[test]
+fn prompts_differ_but_for_those_with_a_marker() {
+    let mut cfg = config();
+    let plan = cfg.plan();
+    let prompts = |cfg: &LoadConfig| -> BTreeSet<String> {
+        plan.iter().map(|arrival| cfg.prompt(arrival)).collect()
+    };
+    assert_eq!(prompts(&cfg).len(), plan.len());
+    cfg.classes[0].marker = "<<crash>>".to_owned();
+    cfg.classes[0].prompt_max = cfg.classes[0].prompt_min;
+    let plan = cfg.plan();
+    let marked: BTreeSet<String> = plan.iter().map(|arrival| cfg.prompt(arrival)).collect();
+    assert_eq!(marked.len(), 1);
+}
+
 #[test]
 fn a_baseline_run_finds_every_answer_whole() {
     let engine = EngineHandle::start(EngineConfig::default()).unwrap();
