--- a/tests/proof/main.rs
+++ b/tests/proof/main.rs
@@ -6,10 +6,12 @@
 
 mod backend;
 mod caller;
+mod mixed;
 mod script;
 mod store;
 mod world;
 
+use script::Command;
 use script::Script;
 
 /// Runs one scenario; each is a test of its own, so that they run side by side.
@@ -20,7 +22,11 @@
             fn $name() {
                 let mut script = Script::new();
                 datadriven::walk(concat!("scenarios/", $file, ".txt"), |file| {
-                    file.run(|case| script.run(case));
+                    file.run(|case| {
+                        let directive = case.directive.clone();
+                        let args = case.args.clone();
+                        script.run(&Command { directive, args })
+                    });
                 });
             }
         )*
--- a/tests/proof/script.rs
+++ b/tests/proof/script.rs
@@ -4,8 +4,7 @@
 //! or the figures that `count` prints. `check` lists every broken promise.
 
 use std::collections::BTreeMap;
-
-use datadriven::TestCase;
+use std::collections::HashMap;
 
 use super::backend::Engine;
 use super::backend::Service;
@@ -56,6 +55,13 @@
 prefer = ["locality = local", "locality = region"]
 "#;
 
+/// One command of the language.
+#[derive(Debug, Clone)]
+pub struct Command {
+    pub directive: String,
+    pub args: HashMap<String, Vec<String>>,
+}
+
 /// A world and what the script has done to it.
 pub struct Script {
     pub world: World,
@@ -81,7 +87,7 @@
     }
 
     /// Carries out one directive and returns what it prints.
-    pub fn run(&mut self, case: &TestCase) -> String {
+    pub fn run(&mut self, case: &Command) -> String {
         let args = Args(case);
         match case.directive.as_str() {
             "world" => self.build(&args),
@@ -483,7 +489,7 @@
     }
 
     /// Lists every promise that is broken.
-    fn check(&mut self) -> String {
+    pub fn check(&self) -> String {
         let mut broken = Vec::new();
         for (request, caller) in &self.world.callers {
             self.check_caller(*request, caller, &mut broken);
@@ -563,7 +569,7 @@
     }
 }
 
-struct Args<'a>(&'a TestCase);
+struct Args<'a>(&'a Command);
 
 impl Args<'_> {
     fn text(&self, key: &str, default: &str) -> String {
