--- a/bench/src/slopes.rs
+++ b/bench/src/slopes.rs
@@ -10,12 +10,12 @@
 use std::hint::black_box;
 
 use eyre::Result;
-use skylarkhook::id::Boot;
-use skylarkhook::peer::PeerFrame;
-use skylarkhook::peer::PeerMessage;
 
 use self::core::Core;
 use self::core::Sizes;
+use skylarkhook::id::Boot;
+use skylarkhook::peer::PeerFrame;
+use skylarkhook::peer::PeerMessage;
 
 /// Repetitions of one measured step.
 const ROUNDS: u32 = 20_000;
--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -18,6 +18,7 @@
 mod message;
 mod poll;
 mod registry;
+mod shared;
 #[cfg(test)]
 mod tests;
 
@@ -51,11 +52,7 @@
 pub use registry::LEASE_TTL;
 pub use registry::Registry;
 
-use std::collections::BTreeMap;
-
-use rand::seq::IndexedRandom;
-
-use self::poll::Polls;
+use self::shared::Shared;
 use crate::backend::LoadReport;
 use crate::clock::Millis;
 use crate::condition::Conditions;
@@ -65,7 +62,6 @@
 use crate::control::Ticket;
 use crate::declaration::Limits;
 use crate::fleet::BackendKey;
-use crate::fleet::DomainKey;
 use crate::fleet::Fleet;
 use crate::id::Boot;
 use crate::id::Epoch;
@@ -76,9 +72,6 @@
 use crate::peer::PeerMessage;
 use crate::store::StoreResult;
 
-/// Time between two questions for the homes of another failure domain.
-const ASK_HOMES_PERIOD: Millis = Millis(500);
-
 /// Part of a credit that one attempt holds.
 #[derive(Debug, PartialEq, Eq)]
 pub struct CreditUse {
@@ -128,37 +121,12 @@
     shared: Option<Shared>,
 }
 
-#[derive(Debug)]
-struct Shared {
-    registry: Registry,
-    homes: Homes,
-    polls: Polls,
-    /// Homes of other failure domains.
-    foreign: BTreeMap<DomainKey, HomesDocument>,
-    next_ask_homes: BTreeMap<DomainKey, Millis>,
-    /// When the document in force was learned.
-    learned: Millis,
-    /// Homes of backend servers, as far as they were looked up.
-    known: BTreeMap<BackendKey, (String, Epoch)>,
-    /// Generation of the fleet for which homes were started.
-    generation: Option<u64>,
-}
-
 impl Capacity {
     /// Returns the part of an instance that shares backend servers with others.
     #[must_use]
     pub fn new(me: &Identity) -> Capacity {
         Capacity {
-            shared: Some(Shared {
-                registry: Registry::new(me),
-                homes: Homes::default(),
-                polls: Polls::default(),
-                foreign: BTreeMap::new(),
-                next_ask_homes: BTreeMap::new(),
-                learned: Millis::ZERO,
-                known: BTreeMap::new(),
-                generation: None,
-            }),
+            shared: Some(Shared::new(me)),
             ..Capacity::default()
         }
     }
@@ -455,166 +423,6 @@
     }
 }
 
-impl Shared {
-    /// Starts homes of backend servers that are new in the fleet.
-    fn follow_fleet(&mut self, cx: &mut Cx<'_>, scope: &mut Scope<'_>) {
-        let generation = Some(scope.fleet.generation());
-        if !self.registry.holds() || self.generation == generation {
-            return;
-        }
-        if let Some(document) = self.registry.document() {
-            self.homes.find_new(cx, scope, document);
-            self.generation = generation;
-        }
-    }
-
-    /// Returns the home of a backend server and the epoch of its document.
-    fn home_of(
-        &mut self,
-        fleet: &Fleet,
-        me: Option<DomainKey>,
-        key: BackendKey,
-    ) -> Option<(String, Epoch)> {
-        if let Some(known) = self.known.get(&key) {
-            return Some(known.clone());
-        }
-        let found = self.look_up(fleet, me, key)?;
-        self.known.insert(key, found.clone());
-        Some(found)
-    }
-
-    fn look_up(
-        &self,
-        fleet: &Fleet,
-        me: Option<DomainKey>,
-        key: BackendKey,
-    ) -> Option<(String, Epoch)> {
-        let backend = fleet.backend(key);
-        let document = match Some(backend.domain) == me {
-            true => self.registry.document()?,
-            false => self.foreign.get(&backend.domain)?,
-        };
-        let home = document.home_of(&backend.name)?;
-        Some((home.name.clone(), document.epoch))
-    }
-
-    fn on_change(
-        &mut self,
-        cx: &mut Cx<'_>,
-        scope: &mut Scope<'_>,
-        change: &Change,
-        out: &mut Outbox,
-    ) {
-        self.learned = cx.now;
-        self.generation = None;
-        self.known.clear();
-        scope.members.hurry();
-        self.homes.on_change(cx, scope, change, out);
-    }
-
-    fn hear(
-        &mut self,
-        cx: &mut Cx<'_>,
-        scope: &mut Scope<'_>,
-        domain: &str,
-        document: HomesDocument,
-        out: &mut Outbox,
-    ) {
-        if domain == cx.me.domain {
-            if let Some(change) = self.registry.hear(document) {
-                self.on_change(cx, scope, &change, out);
-            }
-            return;
-        }
-        let Some(domain) = scope.fleet.domain_key(domain) else {
-            return;
-        };
-        let known = self.foreign.entry(domain).or_default();
-        if document.epoch > known.epoch {
-            *known = document;
-            self.known.clear();
-        }
-    }
-
-    /// Asks for the homes of failure domains whose backend servers are wanted.
-    fn find_foreign(&mut self, cx: &mut Cx<'_>, scope: &Scope<'_>, credits: &Credits) {
-        let me = scope.fleet.domain_key(&cx.me.domain);
-        let mut wanted: Vec<DomainKey> = Vec::new();
-        for (key, _) in credits.books() {
-            let domain = scope.fleet.backend(key).domain;
-            let known = self.foreign.contains_key(&domain);
-            if Some(domain) != me && !known && !wanted.contains(&domain) {
-                wanted.push(domain);
-            }
-        }
-        for domain in wanted {
-            let next = self.next_ask_homes.entry(domain).or_default();
-            if *next > cx.now {
-                continue;
-            }
-            *next = cx.now + ASK_HOMES_PERIOD;
-            let live = scope.members.live_in(&scope.fleet.domain(domain).name);
-            let Some(name) = live.choose(cx.rng) else {
-                continue;
-            };
-            let Some(addr) = scope.members.addr(name) else {
-                continue;
-            };
-            cx.out.push(Output::Peer {
-                to: (*name).to_owned(),
-                addr: addr.to_owned(),
-                message: PeerMessage::Capacity(Message::AskHomes),
-            });
-        }
-    }
-
-    /// Decides of which backend servers the static share is used, and asks them
-    /// for load reports.
-    fn use_fallback(
-        &mut self,
-        cx: &mut Cx<'_>,
-        scope: &Scope<'_>,
-        credits: &Credits,
-        fallback: &mut Fallback,
-    ) {
-        let mut keys = Vec::new();
-        for (key, _) in credits.books() {
-            if self.falls_back(cx, scope, credits, key) {
-                keys.push(key);
-                self.polls.ask(cx, scope.fleet, key, LOAD_PERIOD);
-            }
-        }
-        fallback.set(&keys);
-    }
-
-    fn falls_back(
-        &self,
-        cx: &Cx<'_>,
-        scope: &Scope<'_>,
-        credits: &Credits,
-        key: BackendKey,
-    ) -> bool {
-        let backend = scope.fleet.backend(key);
-        let Some(document) = self.registry.document() else {
-            return false;
-        };
-        let own = scope.fleet.domain_key(&cx.me.domain) == Some(backend.domain);
-        let settled = cx.now.since(self.learned) >= FALLBACK_AFTER;
-        let newest = scope.members.highest_epoch() <= document.epoch;
-        if !own || !settled || !newest || !self.registry.holds() {
-            return false;
-        }
-        let Some(home) = document.home_of(&backend.name) else {
-            return false;
-        };
-        if home.name == cx.me.name || credits.in_force(cx.now, key).is_some() {
-            return false;
-        }
-        let heard = scope.members.heard_at(&home.name);
-        heard.is_none_or(|at| cx.now.since(at) >= FALLBACK_AFTER)
-    }
-}
-
 fn level(count: usize) -> i64 {
     i64::try_from(count).unwrap_or(i64::MAX)
 }
--- a/src/capacity/tests/world.rs
+++ b/src/capacity/tests/world.rs
@@ -1,9 +1,12 @@
 //! Six instances with membership, conditions and capacity only, before engines
 //! that admit whatever comes, over a network that delays, cuts and pauses.
 
+mod node;
+
+pub use node::Node;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::sync::Arc;
 
 use rand::RngExt;
 use rand::SeedableRng;
@@ -13,32 +16,20 @@
 use crate::backend::BackendOrder;
 use crate::backend::LoadReport;
 use crate::backend::RunningStream;
-use crate::capacity::Capacity;
-use crate::capacity::CreditUse;
-use crate::capacity::Scope;
 use crate::clock::Millis;
-use crate::condition::Conditions;
 use crate::condition::Sign;
 use crate::control::Cx;
-use crate::control::Identity;
 use crate::control::Output;
 use crate::control::Ticket;
-use crate::declaration::Declaration;
-use crate::fleet::Fleet;
 use crate::fleet::Listing;
 use crate::fleet::Role;
 use crate::id::Boot;
 use crate::id::Epoch;
 use crate::id::RequestId;
-use crate::job::Cost;
-use crate::membership::Membership;
-use crate::membership::OwnState;
-use crate::metrics::Metrics;
 use crate::peer::PeerMessage;
 use crate::store::StoreFailure;
 use crate::store::StoreOp;
 use crate::store::StoreResult;
-use crate::timeline::Timeline;
 
 /// Time between two steps.
 pub const STEP: Millis = Millis(25);
@@ -65,24 +56,6 @@
     pub engines: usize,
 }
 
-pub struct Node {
-    pub me: Identity,
-    pub fleet: Fleet,
-    pub conditions: Conditions,
-    pub members: Membership,
-    pub capacity: Capacity,
-    pub metrics: Arc<Metrics>,
-    timeline: Timeline,
-    rng: ChaCha8Rng,
-    /// Difference between the world's clock and the instance's own.
-    skew: Millis,
-    pub paused: bool,
-    pub leaving: bool,
-    held: BTreeMap<RequestId, CreditUse>,
-    pub sent_messages: u64,
-    pub sent_bytes: u64,
-}
-
 #[derive(Debug, Default)]
 pub struct Engine {
     pub running: BTreeMap<RequestId, String>,
@@ -647,153 +620,11 @@
     }
 }
 
-impl Node {
-    fn new(name: &str, boot: u64, skew: Millis, declared: Declared) -> Node {
-        let me = Identity {
-            name: name.to_owned(),
-            domain: domain(name).to_owned(),
-            boot: Boot(boot),
-            peer_addr: format!("{name}:1"),
-            unix_zero: Millis::ZERO,
-        };
-        let mut fleet = Fleet::default();
-        fleet.domain_or_insert(&me.domain);
-        fleet.declare(&declaration(declared));
-        Node {
-            fleet,
-            conditions: Conditions::default(),
-            members: Membership::new(&me),
-            capacity: Capacity::new(&me),
-            metrics: Arc::new(Metrics::new()),
-            timeline: Timeline::new(name),
-            rng: ChaCha8Rng::seed_from_u64(boot),
-            skew,
-            paused: false,
-            leaving: false,
-            held: BTreeMap::new(),
-            sent_messages: 0,
-            sent_bytes: 0,
-            me,
-        }
-    }
-
-    fn run(&mut self, now: Millis, act: impl FnOnce(&mut Node, &mut Cx<'_>)) -> Vec<Output> {
-        let mut out = Vec::new();
-        let me = self.me.clone();
-        let metrics = Arc::clone(&self.metrics);
-        let mut timeline = std::mem::replace(&mut self.timeline, Timeline::new(&me.name));
-        let mut rng = self.rng.clone();
-        let mut cx = Cx {
-            now: now.since(self.skew),
-            me: &me,
-            out: &mut out,
-            rng: &mut rng,
-            timeline: &mut timeline,
-            metrics: &metrics,
-        };
-        act(self, &mut cx);
-        self.rng = rng;
-        self.timeline = timeline;
-        out
-    }
-
-    fn split(&mut self) -> (&mut Capacity, Scope<'_>) {
-        let scope = Scope {
-            fleet: &self.fleet,
-            conditions: &mut self.conditions,
-            members: &mut self.members,
-        };
-        (&mut self.capacity, scope)
-    }
-
-    fn tick(&mut self, cx: &mut Cx<'_>) {
-        let own = OwnState {
-            epoch: self.capacity.epoch(),
-            ..OwnState::default()
-        };
-        self.members.tick(cx, own);
-        let (capacity, mut scope) = self.split();
-        capacity.tick(cx, &mut scope);
-    }
-
-    fn peer(&mut self, cx: &mut Cx<'_>, from: &str, boot: Boot, message: PeerMessage) {
-        match message {
-            PeerMessage::Membership(beat) => self.members.on_message(cx, from, boot, beat),
-            PeerMessage::Capacity(message) => {
-                let (capacity, mut scope) = self.split();
-                capacity.on_message(cx, &mut scope, from, boot, message);
-            }
-            other => panic!("not a message of these duties: {other:?}"),
-        }
-    }
-
-    fn store(&mut self, cx: &mut Cx<'_>, ticket: Ticket, result: StoreResult) {
-        let (capacity, mut scope) = self.split();
-        capacity.on_store(cx, &mut scope, ticket, result);
-    }
-
-    fn report(&mut self, cx: &mut Cx<'_>, engine: &str, report: &LoadReport) {
-        let key = self.fleet.backend_key(engine).unwrap();
-        let sign = Sign::Reported { boot: report.boot };
-        self.conditions.sign(cx, &self.fleet, key, sign);
-        self.fleet.set_boot(key, report.boot);
-        let open: BTreeSet<RequestId> = self.held.keys().copied().collect();
-        let (capacity, mut scope) = self.split();
-        capacity.on_report(cx, &mut scope, key, report, &|request| {
-            open.contains(&request)
-        });
-    }
-
-    fn ended(&mut self, cx: &mut Cx<'_>, request: RequestId, sign: Option<Sign>) {
-        let Some(held) = self.held.remove(&request) else {
-            return;
-        };
-        if let Some(sign) = sign {
-            self.conditions.sign(cx, &self.fleet, held.backend, sign);
-        }
-        self.capacity.release(held);
-    }
-
-    fn try_start(&mut self, cx: &mut Cx<'_>, engine: &str, request: RequestId) -> Option<Epoch> {
-        let key = self.fleet.backend_key(engine)?;
-        let cost = Cost {
-            memory_tokens: MEMORY,
-            prefill_tokens: PREFILL,
-        };
-        let held = self
-            .capacity
-            .take(cx.now, &self.fleet, &self.conditions, key, cost);
-        let Some(held) = held else {
-            self.capacity.want(cx.now, key, cost, 50);
-            let (capacity, mut scope) = self.split();
-            capacity.ask(cx, &mut scope);
-            return None;
-        };
-        let epoch = held.epoch;
-        self.held.insert(request, held);
-        Some(epoch)
-    }
-}
-
 /// Returns the failure domain in a name.
 pub fn domain(name: &str) -> &str {
     name.split('-').next().unwrap()
 }
 
-fn declaration(declared: Declared) -> Declaration {
-    let text = format!(
-        "[[limit]]\nramp_steps = 1\nramp_successes = {}\n\
-         warm = {{ streams = {}, memory_tokens = {} }}\n\
-         cold = {{ streams = {}, memory_tokens = {} }}\n",
-        declared.successes,
-        declared.warm,
-        declared.warm * MEMORY,
-        declared.cold,
-        declared.cold * MEMORY,
-    );
-    toml::from_str(&text).unwrap()
-}
-
 fn listings(names: &BTreeSet<String>, engines: &[String]) -> Vec<Listing> {
     let listing = |name: &str, role| Listing {
         name: name.to_owned(),
