Give unused credits back at once when an instance leaves

A leaving instance kept credits that it did not use for five seconds. It now gives them back with the next ask.

--- a/src/capacity.rs
+++ b/src/capacity.rs
@@ -219,6 +219,7 @@
 
     /// Starts to hand over the homes of a leaving instance.
     pub fn leave(&mut self) {
+        self.credits.leave();
         if let Some(shared) = &mut self.shared {
             shared.registry.leave();
         }
--- a/src/capacity/credit.rs
+++ b/src/capacity/credit.rs
@@ -78,6 +78,8 @@
     next_ask: BTreeMap<String, Millis>,
     /// Something may have to be asked before the next period.
     urgent: bool,
+    /// Credits that are not in use are given back at once.
+    leaving: bool,
 }
 
 impl Credits {
@@ -181,6 +183,12 @@
         }
     }
 
+    /// Gives credits back as soon as they are not in use.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+        self.urgent = true;
+    }
+
     /// Returns whether [`Credits::due`] can be spared until the next tick.
     #[must_use]
     pub fn is_calm(&self) -> bool {
@@ -206,6 +214,10 @@
             if due && !periodic.contains(&home) {
                 periodic.push(home.clone());
             }
+            if self.leaving {
+                book.credit = book.credit.min(book.used);
+                book.active = None;
+            }
             let give_back = book.gives_back(now);
             let keeps = !book.is_idle(now) || give_back;
             let local = scope.conditions.condition(scope.fleet, key);
--- a/src/capacity/tests/world.rs
+++ b/src/capacity/tests/world.rs
@@ -2,8 +2,10 @@
 //! that admit whatever comes, over a network that delays, cuts and pauses.
 
 mod node;
+mod parts;
 
 pub use node::Node;
+pub use parts::Engine;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -12,24 +14,21 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use self::parts::Event;
+use self::parts::listings;
 use super::store::FakeStore;
 use crate::backend::BackendOrder;
-use crate::backend::LoadReport;
-use crate::backend::RunningStream;
 use crate::clock::Millis;
 use crate::condition::Sign;
 use crate::control::Cx;
 use crate::control::Output;
 use crate::control::Ticket;
-use crate::fleet::Listing;
-use crate::fleet::Role;
 use crate::id::Boot;
 use crate::id::Epoch;
 use crate::id::RequestId;
 use crate::peer::PeerMessage;
 use crate::store::StoreFailure;
 use crate::store::StoreOp;
-use crate::store::StoreResult;
 
 /// Time between two steps.
 pub const STEP: Millis = Millis(25);
@@ -56,66 +55,6 @@
     pub engines: usize,
 }
 
-#[derive(Debug, Default)]
-pub struct Engine {
-    pub running: BTreeMap<RequestId, String>,
-    pub boot: u64,
-    pub epoch: Epoch,
-    /// Refuses orders with an older epoch than it has seen.
-    pub fences: bool,
-    /// When it turned cold, and what it bears since.
-    pub cold: Option<(Millis, u64)>,
-    /// Admissions above that, and the time of the last, from then on.
-    pub above: (u64, Millis),
-}
-
-#[derive(Debug, Clone)]
-enum Event {
-    Peer {
-        to: String,
-        from: String,
-        boot: Boot,
-        message: PeerMessage,
-    },
-    Store {
-        node: String,
-        boot: Boot,
-        ticket: Ticket,
-        op: StoreOp,
-    },
-    StoreAnswer {
-        node: String,
-        boot: Boot,
-        ticket: Ticket,
-        result: StoreResult,
-    },
-    Start {
-        engine: String,
-        node: String,
-        request: RequestId,
-        epoch: Epoch,
-    },
-    Finish {
-        engine: String,
-        request: RequestId,
-    },
-    Ended {
-        node: String,
-        request: RequestId,
-        sign: Option<Sign>,
-    },
-    Order {
-        node: String,
-        engine: String,
-        order: BackendOrder,
-    },
-    Report {
-        node: String,
-        engine: String,
-        report: LoadReport,
-    },
-}
-
 pub struct World {
     pub now: Millis,
     pub nodes: BTreeMap<String, Node>,
@@ -582,60 +521,7 @@
     }
 }
 
-impl Event {
-    /// Returns the instance that has to be awake for the event.
-    fn node(&self) -> Option<&str> {
-        match self {
-            Event::Peer { to, .. } => Some(to),
-            Event::StoreAnswer { node, .. }
-            | Event::Ended { node, .. }
-            | Event::Report { node, .. } => Some(node),
-            Event::Store { .. }
-            | Event::Start { .. }
-            | Event::Finish { .. }
-            | Event::Order { .. } => None,
-        }
-    }
-}
-
-impl Engine {
-    fn report(&self) -> LoadReport {
-        let streams = self.running.iter().map(|(&request, owner)| RunningStream {
-            request,
-            owner: owner.clone(),
-            memory_tokens: MEMORY,
-        });
-        let streams: Vec<RunningStream> = streams.collect();
-        let count = u64::try_from(streams.len()).unwrap();
-        LoadReport {
-            boot: Boot(self.boot),
-            epoch: self.epoch,
-            age_ms: Millis(40),
-            memory_used: count * MEMORY,
-            memory_total: 1_000_000,
-            prefill_waiting: count * PREFILL,
-            streams,
-            models: Vec::new(),
-        }
-    }
-}
-
 /// Returns the failure domain in a name.
 pub fn domain(name: &str) -> &str {
     name.split('-').next().unwrap()
 }
-
-fn listings(names: &BTreeSet<String>, engines: &[String]) -> Vec<Listing> {
-    let listing = |name: &str, role| Listing {
-        name: name.to_owned(),
-        role,
-        domain: domain(name).to_owned(),
-        addr: format!("{name}:2"),
-        peer_addr: format!("{name}:1"),
-        leaving: false,
-        labels: BTreeMap::new(),
-    };
-    let entries = names.iter().map(|name| listing(name, Role::Entry));
-    let engines = engines.iter().map(|name| listing(name, Role::Engine));
-    entries.chain(engines).collect()
-}
