--- a/bench/src/stage.rs
+++ b/bench/src/stage.rs
@@ -13,6 +13,7 @@
 use crate::load::LoadRun;
 use crate::load::Outcome;
 use crate::load::Policy;
+use crate::load::Summary;
 use crate::load::Target;
 use crate::okonkwo;
 use crate::serve::Set;
@@ -187,7 +188,10 @@
             }
             thread::sleep(STEP);
         }
-        let outcomes = runs.into_iter().map(LoadRun::wait).collect();
+        let outcomes: Vec<Vec<Outcome>> = runs.into_iter().map(LoadRun::wait).collect();
+        for (load, outcomes) in loads.iter().zip(&outcomes) {
+            eprint!("{}", Summary::of(load, outcomes).table());
+        }
         thread::sleep(SETTLE);
         Ok(outcomes)
     }
