Confirm the results of a leaving instance

Before: a_leaving_instance_gets_its_results_confirmed fails with 12 open changes. After: none is open. Conclusion: answers go to every instance that is known.

--- a/src/control/duties.rs
+++ b/src/control/duties.rs
@@ -194,16 +194,28 @@
                 addr: self.members.addr(name).unwrap_or_default().to_owned(),
             })
             .collect();
-        self.once.set_members(keepers);
-        let others = self.members.members();
-        self.everyone = others
-            .filter(|(_, member)| member.state.serves())
-            .map(|(name, member)| Member {
+        self.once.set_keepers(keepers);
+        let (live, known) = self.others();
+        self.everyone = live;
+        self.once.set_known(known);
+        self.quarantine.tick(cx, &self.everyone);
+    }
+
+    /// Returns the other instances that serve, and all that are known.
+    fn others(&self) -> (Vec<Member>, Vec<Member>) {
+        let mut live = Vec::new();
+        let mut known = Vec::new();
+        for (name, member) in self.members.members() {
+            let other = Member {
                 name: name.to_owned(),
                 addr: member.addr.clone(),
-            })
-            .collect();
-        self.quarantine.tick(cx, &self.everyone);
+            };
+            if member.state.serves() {
+                live.push(other.clone());
+            }
+            known.push(other);
+        }
+        (live, known)
     }
 
     fn backend(&mut self, cx: &mut Cx<'_>, name: &str, answer: BackendAnswer) {
--- a/src/once.rs
+++ b/src/once.rs
@@ -71,7 +71,8 @@
 /// The duty on one instance: claims of its own requests, and its shards.
 #[derive(Debug)]
 pub struct Once {
-    members: Vec<Member>,
+    keepers: Vec<Member>,
+    known: Vec<Member>,
     keeper: Keeper,
     open: BTreeMap<(RequestId, bool), Open>,
 }
@@ -89,16 +90,23 @@
     #[must_use]
     pub fn new(unix_zero: Millis) -> Once {
         Once {
-            members: Vec::new(),
+            keepers: Vec::new(),
+            known: Vec::new(),
             keeper: Keeper::new(unix_zero),
             open: BTreeMap::new(),
         }
     }
 
-    /// Takes over which instances are live, this one included.
-    pub fn set_members(&mut self, mut members: Vec<Member>) {
-        members.sort();
-        self.members = members;
+    /// Takes over which instances write shards, this one included.
+    pub fn set_keepers(&mut self, mut keepers: Vec<Member>) {
+        keepers.sort();
+        self.keepers = keepers;
+    }
+
+    /// Takes over which instances are known, those that are leaving included:
+    /// they too get answers.
+    pub fn set_known(&mut self, known: Vec<Member>) {
+        self.known = known;
     }
 
     /// Starts to claim a key for a request; `body` is the hash of its body.
@@ -245,7 +253,7 @@
         };
         open.next_send = cx.now + RESEND_PERIOD;
         let change = open.change.clone();
-        let keeper = keeper_of(&self.members, change.slot.shard());
+        let keeper = keeper_of(&self.keepers, change.slot.shard());
         match keeper {
             Some(member) if member.name != cx.me.name => {
                 cx.out.push(Output::Peer {
@@ -277,7 +285,7 @@
                 outcomes.extend(self.answered(cx, request, claim, answer));
                 continue;
             }
-            let Some(member) = self.members.iter().find(|member| member.name == to) else {
+            let Some(member) = self.known.iter().find(|member| member.name == to) else {
                 continue;
             };
             cx.out.push(Output::Peer {
--- a/src/once/tests.rs
+++ b/src/once/tests.rs
@@ -89,6 +89,13 @@
     format!("entry-{index}")
 }
 
+fn member(index: usize) -> Member {
+    Member {
+        name: name(index),
+        addr: index.to_string(),
+    }
+}
+
 impl World {
     fn new(count: usize) -> World {
         let mut world = World {
@@ -114,14 +121,10 @@
     }
 
     fn restart(&mut self, index: usize) {
-        let members = (0..self.instances.len())
-            .map(|index| Member {
-                name: name(index),
-                addr: index.to_string(),
-            })
-            .collect();
+        let members: Vec<Member> = (0..self.instances.len()).map(member).collect();
         self.instances[index] = Once::new(Millis(0));
-        self.instances[index].set_members(members);
+        self.instances[index].set_keepers(members.clone());
+        self.instances[index].set_known(members);
         self.running.retain(|_, (owner, _)| *owner != index);
     }
 
@@ -289,6 +292,30 @@
     assert_eq!(answer, Some(ClaimAnswer::Granted));
 }
 
+/// The others count a leaving instance as no keeper any more; its results have
+/// to be confirmed all the same.
+#[test]
+fn a_leaving_instance_gets_its_results_confirmed() {
+    let mut world = World::new(3);
+    for request in 0..12 {
+        world.claim(0, request, &format!("k{request}"));
+    }
+    for _ in 0..5 {
+        world.step(Millis(300));
+    }
+    let staying: Vec<Member> = (1..3).map(member).collect();
+    for once in &mut world.instances {
+        once.set_keepers(staying.clone());
+    }
+    for request in 0..12 {
+        world.settle(request);
+    }
+    for _ in 0..5 {
+        world.step(Millis(300));
+    }
+    assert_eq!(world.instances[0].unconfirmed(), 0);
+}
+
 #[test]
 fn the_same_key_in_another_workspace_is_another_claim() {
     assert_ne!(Slot::of("a", "bk"), Slot::of("ab", "k"));
