Tell a sign of cold once, not with every input

Cause: whether news were untold was derived from the condition, so a failure domain that came back (out to cold, no sign) counted as untold for ever: each input sent an ask, each answer was an input. Six processes with one domain taken out and back sent 7.9 million frames in 90 s; frames were lost, claims refused, huge prompts starved. News now are what conditions hold as untold, and are told early at most every 50 ms.

Before: domain-out-and-back sends 12,795 bytes a second on one instance in the proof, which now checks the 12,000 of the target in every scenario and history. After: all 24 scenarios and the histories stay below.

--- a/src/capacity/credit.rs
+++ b/src/capacity/credit.rs
@@ -15,7 +15,6 @@
 use super::Recall;
 use super::Scope;
 use crate::clock::Millis;
-use crate::condition::Condition;
 use crate::control::Cx;
 use crate::fleet::BackendKey;
 use crate::id::Epoch;
@@ -49,7 +48,11 @@
     next_early: Millis,
     /// A recall is to be confirmed.
     recalled: bool,
-    news: NewsState,
+    /// The ask that told of the newest sign of cold; an older answer does not
+    /// override it.
+    cold_in: u64,
+    /// When news may be told again before the next period.
+    next_news: Millis,
     pub(super) starts: VecDeque<(Millis, Amount)>,
 }
 
@@ -61,14 +64,6 @@
     weight: u64,
 }
 
-/// What keeps a home's word from overriding a newer sign of cold.
-#[derive(Debug, Clone, Copy, Default)]
-struct NewsState {
-    adopted: Option<Condition>,
-    adopted_by: u64,
-    cold_in: u64,
-}
-
 /// All credits of this instance.
 #[derive(Debug, Default)]
 pub struct Credits {
@@ -158,13 +153,11 @@
                 continue;
             }
             book.grant(grant, sent + grants.life, grants.epoch);
-            let local = scope.conditions.condition(scope.fleet, key);
-            if !book.news.admits(grants.number, local) {
+            let untold = scope.conditions.has_cold_news(key);
+            if untold || grants.number < book.cold_in {
                 continue;
             }
-            book.news.adopted = Some(grant.condition);
-            book.news.adopted_by = grants.number;
-            if grant.condition != local {
+            if grant.condition != scope.conditions.condition(scope.fleet, key) {
                 scope
                     .conditions
                     .adopt(cx, scope.fleet, key, grant.condition);
@@ -220,8 +213,8 @@
             }
             let give_back = book.gives_back(now);
             let keeps = !book.is_idle(now) || give_back;
-            let local = scope.conditions.condition(scope.fleet, key);
-            let early = book.is_early(now) || book.news.is_untold(local);
+            let news = scope.conditions.has_cold_news(key);
+            let early = book.is_early(now) || book.tells_early(now, news);
             let asks_now = early || (due && keeps);
             if !asks_now {
                 continue;
@@ -236,10 +229,9 @@
             });
             let name = &scope.fleet.backend(key).name;
             let news = scope.conditions.take_news(key);
-            book.news.cold_in = match news {
-                Some(news) if news.cold => ask.number,
-                _ => book.news.cold_in,
-            };
+            if news.is_some_and(|news| news.cold) {
+                book.cold_in = ask.number;
+            }
             let item = book.ask(now, ask.number, name);
             ask.items.push(AskItem { news, ..item });
         }
@@ -284,6 +276,15 @@
         true
     }
 
+    /// Returns whether a sign of cold is to be told before the next period.
+    fn tells_early(&mut self, now: Millis, news: bool) -> bool {
+        if !news || now < self.next_news {
+            return false;
+        }
+        self.next_news = now + ASK_GAP;
+        true
+    }
+
     fn free(&self, now: Millis) -> Amount {
         match now < self.until {
             true => self.credit.minus(self.used),
@@ -326,19 +327,3 @@
         self.at.is_some_and(|at| now.since(at) < WANT_LIFE)
     }
 }
-
-impl NewsState {
-    /// Returns whether the condition in the answer to ask `number` is newer
-    /// than what this instance saw itself.
-    fn admits(&self, number: u64, local: Condition) -> bool {
-        number >= self.cold_in && !self.is_untold(local)
-    }
-
-    /// Returns whether this instance saw a sign of cold after the home's last
-    /// word and has not told the home yet.
-    fn is_untold(&self, local: Condition) -> bool {
-        let turned = local == Condition::Cold { step: 0 };
-        let differs = self.adopted.is_some_and(|adopted| adopted != local);
-        turned && differs && self.cold_in <= self.adopted_by
-    }
-}
--- a/src/condition.rs
+++ b/src/condition.rs
@@ -148,6 +148,12 @@
             .filter(|news| *news != News::default())
     }
 
+    /// Returns whether a sign of cold was seen that the home has not been told.
+    #[must_use]
+    pub fn has_cold_news(&self, backend: BackendKey) -> bool {
+        self.news.get(backend).is_some_and(|news| news.cold)
+    }
+
     /// Takes over what another instance saw of a backend server.
     pub fn hear(&mut self, cx: &mut Cx<'_>, fleet: &Fleet, backend: BackendKey, news: News) {
         if news.cold {
--- a/tests/proof/script.rs
+++ b/tests/proof/script.rs
@@ -25,6 +25,9 @@
 /// Time past its deadline at which a request must have its final answer.
 const ANSWER_SLACK: Millis = Millis(100);
 
+/// Bytes that control may cost an instance in a second.
+const CONTROL_BYTES_PER_S: u64 = 12_000;
+
 const KINDS: &str = r#"
 [[kind]]
 name = "summary"
@@ -508,6 +511,7 @@
             broken.extend(doubled.map(|(key, runs)| format!("{name}: {key} ran {runs} times")));
         }
         self.check_keys(&mut broken);
+        self.check_control(&mut broken);
         if broken.is_empty() {
             return "ok\n".to_owned();
         }
@@ -556,6 +560,17 @@
         pause.map_or(at, |(_, to)| *to)
     }
 
+    /// Frames to other instances cost an instance no more than control may.
+    fn check_control(&self, broken: &mut Vec<String>) {
+        for node in self.world.nodes.values() {
+            let seconds = self.world.now.since(node.started).0.div_ceil(1_000).max(1);
+            let rate = node.bytes_sent / seconds;
+            if rate > CONTROL_BYTES_PER_S {
+                broken.push(format!("{} sent {rate} bytes a second", node.me.name));
+            }
+        }
+    }
+
     /// A key may have run on several backend servers: all runs count.
     fn check_keys(&self, broken: &mut Vec<String>) {
         let mut runs: BTreeMap<&str, u32> = BTreeMap::new();
--- a/tests/proof/world.rs
+++ b/tests/proof/world.rs
@@ -71,6 +71,9 @@
     pub metrics: Arc<Metrics>,
     pub up: bool,
     pub stopped: bool,
+    /// When it started, and bytes of frames that it sent since.
+    pub started: Millis,
+    pub bytes_sent: u64,
     pub paused_until: Millis,
     pub pauses: Vec<(Millis, Millis)>,
     inbox: Vec<Input>,
@@ -178,6 +181,8 @@
             metrics,
             up: true,
             stopped: false,
+            started: self.now,
+            bytes_sent: 0,
             paused_until: Millis::ZERO,
             pauses: Vec::new(),
             inbox: Vec::new(),
@@ -443,6 +448,7 @@
             messages,
         };
         let encoded = frame.encode().expect("a frame that fits");
+        node.bytes_sent += encoded.len() as u64;
         let frame = PeerFrame::decode(&encoded).expect("its own encoding");
         self.tell(NEAR, to, boot, Input::Peer(frame));
     }
