Count an engine as late only beyond the prompts it may hold of others

Cause: a first token over four times late turned an engine cold, but the prediction knows this instance's prompts only: a short prompt behind another instance's 300,000 tokens is late on a healthy engine. The time for all prompts that the warm limit lets in is added.

The routing test's check holds for both sides of the new bound. Conclusion: a busy engine is not cold.

--- a/src/prediction.rs
+++ b/src/prediction.rs
@@ -85,10 +85,11 @@
 }
 
 impl Prediction {
-    /// Returns whether a first token after `took` is several times late.
+    /// Returns whether a first token after `took` is several times late on an
+    /// engine that may have been `busy` with prompts of other instances.
     #[must_use]
-    pub fn is_late(&self, took: Millis) -> bool {
-        self.proven && took > self.first_token * LATE_FACTOR + LATE_GRACE
+    pub fn is_late(&self, took: Millis, busy: Millis) -> bool {
+        self.proven && took > self.first_token * LATE_FACTOR + busy + LATE_GRACE
     }
 
     /// Returns whether a whole answer after `took` kept to the prediction.
@@ -136,6 +137,16 @@
         }
     }
 
+    /// Returns how long a backend server takes for all prompt tokens that its
+    /// warm limit lets in.
+    #[must_use]
+    pub fn busy(&self, now: Millis, fleet: &Fleet, backend: BackendKey, model: &str) -> Millis {
+        let speed = self.speeds(now, fleet, backend, model).prefill_tokens_per_s;
+        let rule = fleet.backend(backend).limit.as_ref();
+        let tokens = rule.map_or(0, |rule| rule.warm.prefill_tokens);
+        Millis((tokens as f64 * 1_000.0 / speed.value.max(1.0)) as u64)
+    }
+
     /// Learns from a prompt of `tokens` tokens that was processed in `took`.
     pub fn observe_first_token(
         &mut self,
--- a/src/routing/learn.rs
+++ b/src/routing/learn.rs
@@ -37,10 +37,12 @@
     ) -> Option<(BackendKey, Sign)> {
         let (flight, processing) = self.loads.first_token(now, request)?;
         let took = now.since(flight.sent);
-        if self.is_engine(fleet, flight.backend) {
+        let (backend, model) = (flight.backend, &flight.model);
+        let busy = self.predictor.busy(now, fleet, backend, model);
+        if self.is_engine(fleet, backend) {
             self.learn_prefill(now, fleet, &flight, processing);
         }
-        let late = flight.predicted.is_late(took);
+        let late = flight.predicted.is_late(took, busy);
         late.then_some((flight.backend, Sign::Late))
     }
 
--- a/src/routing/tests.rs
+++ b/src/routing/tests.rs
@@ -200,10 +200,23 @@
 #[test]
 fn late_first_token_is_a_sign_and_speeds_are_learned() {
     let mut world = World::new();
-    let job = job(&world.fleet, 1, 8_000, 10);
-    world.place(&job).unwrap();
+    let first = job(&world.fleet, 1, 8_000, 10);
+    let name = world.place(&first).unwrap();
+    let backend = world.fleet.backend_key(&name).unwrap();
+    let busy = world
+        .router
+        .predictor
+        .busy(Millis(0), &world.fleet, backend, "m");
     let now = Millis(9_000);
     let sign = world.router.first_token(now, &world.fleet, RequestId(1));
+    assert_eq!(sign, None, "prompts of other instances may go first");
+    world
+        .router
+        .ended(now, &world.fleet, RequestId(1), Some(10));
+    let mut world = World::new();
+    world.place(&first).unwrap();
+    let now = Millis(9_000) + busy;
+    let sign = world.router.first_token(now, &world.fleet, RequestId(1));
     let (key, sign) = sign.unwrap();
     assert_eq!(sign, Sign::Late);
     let learned = world.router.predictor.speeds(now, &world.fleet, key, "m");
