Let old epochs use up neither tries nor budget

Before: old_epochs_use_up_neither_tries_nor_budget fails, as four tries end a request. After: passes; what never ran may be turned away 16 times.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -35,6 +35,9 @@
 
 /// Calls that one request may cause at most, resumes not counted.
 pub const MAX_TRIES: u32 = 4;
+/// Calls that one request may cause at most while none of them ran: refused
+/// connections and old epochs cost a backend server nothing.
+pub const MAX_CALLS: u32 = 16;
 /// Resumes on one engine in a row without a new token.
 pub const MAX_RESUMES: u32 = 2;
 
@@ -201,11 +204,17 @@
         if outcome.lingers && self.can_resume(running, outcome.offset) {
             return Next::Resume;
         }
+        let turned_away = matches!(
+            end,
+            AttemptEnd::Refused | AttemptEnd::Rejected(Rejection::StaleEpoch)
+        );
+        if turned_away && ran == Verdict::NotRun && self.number < MAX_CALLS {
+            return Next::Elsewhere;
+        }
         if self.tries >= MAX_TRIES {
             return Next::Fail(Reason::BackendFailed);
         }
-        let free = matches!(end, AttemptEnd::Refused) && ran == Verdict::NotRun;
-        if free || budgets.spend(group) {
+        if budgets.spend(group) {
             return Next::Elsewhere;
         }
         Next::Fail(Reason::BackendFailed)
--- a/src/attempt/tests.rs
+++ b/src/attempt/tests.rs
@@ -82,6 +82,19 @@
     );
 }
 
+/// When homes are handed over, several engines in a row may have seen a newer
+/// epoch than the credit's.
+#[test]
+fn old_epochs_use_up_neither_tries_nor_budget() {
+    let end = AttemptEnd::Rejected(Rejection::StaleEpoch);
+    let mut flight = service_flight(false);
+    flight.tries = MAX_TRIES;
+    flight.number = MAX_TRIES;
+    assert_eq!(decide(&flight, &end), Next::Elsewhere);
+    flight.number = MAX_CALLS;
+    assert_eq!(decide(&flight, &end), Next::Fail(Reason::BackendFailed));
+}
+
 #[test]
 fn an_idempotent_call_is_tried_elsewhere_after_a_break() {
     let end = AttemptEnd::Broken {
