--- a/src/attempt/budget.rs
+++ b/src/attempt/budget.rs
@@ -11,16 +11,41 @@
 pub const RETRY_RESERVE: f64 = 10.0;
 
 /// Retry budgets by model or plain service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Budgets {
+    share: f64,
+    reserve: f64,
     left: HashMap<String, f64>,
 }
 
+impl Default for Budgets {
+    fn default() -> Budgets {
+        Budgets::new(RETRY_SHARE, RETRY_RESERVE)
+    }
+}
+
 impl Budgets {
+    /// Returns full budgets in which each first try earns `share` of a retry
+    /// and `reserve` retries may be saved up.
+    #[must_use]
+    pub fn new(share: f64, reserve: f64) -> Budgets {
+        Budgets {
+            share,
+            reserve,
+            left: HashMap::new(),
+        }
+    }
+
+    /// Changes how many retries may be saved up.
+    pub fn set_reserve(&mut self, reserve: f64) {
+        self.reserve = reserve;
+    }
+
     /// Earns the share of one first try.
     pub fn earn(&mut self, group: &str) {
+        let (share, reserve) = (self.share, self.reserve);
         let left = self.entry(group);
-        *left = (*left + RETRY_SHARE).min(RETRY_RESERVE);
+        *left = (*left + share).min(reserve);
     }
 
     /// Spends one retry; returns whether the budget allowed it.
@@ -35,8 +60,8 @@
 
     fn entry(&mut self, group: &str) -> &mut f64 {
         if !self.left.contains_key(group) {
-            self.left.insert(group.to_owned(), RETRY_RESERVE);
+            self.left.insert(group.to_owned(), self.reserve);
         }
-        self.left.entry(group.to_owned()).or_insert(RETRY_RESERVE)
+        self.left.entry(group.to_owned()).or_insert(self.reserve)
     }
 }
--- a/src/bin/skylarkhookd.rs
+++ b/src/bin/skylarkhookd.rs
@@ -6,19 +6,17 @@
 
 use argh::FromArgs;
 use eyre::WrapErr;
-use logforth::append::Stderr;
-use logforth::filter::rustlog::RustLogFilterBuilder;
-use logforth::layout::JsonLayout;
-use logforth::layout::TextLayout;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
 
-use skylarkhook::config::LogFormat;
 use skylarkhook::config::Override;
 use skylarkhook::config::Settings;
 use skylarkhook::config::SettingsError;
 use skylarkhook::daemon::Daemon;
+use skylarkhook::gateway;
+use skylarkhook::logging;
+use skylarkhook::logging::LeftOut;
 
 /// Exit code when the settings are wrong.
 const EXIT_SETTINGS: u8 = 2;
@@ -103,8 +101,25 @@
     }
 }
 
+fn serve_gateway(settings: &Settings, left_out: LeftOut) -> eyre::Result<ExitCode> {
+    log::info!(
+        instance = settings.name.as_str(),
+        domain = settings.domain.as_str(),
+        listen = settings.gateway_listen.as_str(),
+        version = env!("CARGO_PKG_VERSION"),
+        unix_ms = logging::unix_now_ms();
+        "gateway starts"
+    );
+    let whole = gateway::daemon::run(settings, left_out).wrap_err("cannot serve")?;
+    log::logger().flush();
+    Ok(if whole { ExitCode::SUCCESS } else { ExitCode::from(EXIT_CUT) })
+}
+
 fn serve(settings: &Settings) -> eyre::Result<ExitCode> {
-    start_log(settings);
+    let left_out = logging::start(settings.log_format, &settings.log_filter);
+    if settings.is_gateway() {
+        return serve_gateway(settings, left_out);
+    }
     let mut signals = Signals::new([SIGTERM, SIGINT]).wrap_err("cannot take signals")?;
     let daemon = Daemon::start(settings).wrap_err("cannot start")?;
     log::info!(
@@ -127,14 +142,3 @@
     log::error!("requests were cut: [shutdown] time_limit is over");
     Ok(ExitCode::from(EXIT_CUT))
 }
-
-fn start_log(settings: &Settings) {
-    let filter = RustLogFilterBuilder::from_spec(settings.log_filter.as_str()).build();
-    let stderr = match settings.log_format {
-        LogFormat::Text => Stderr::default().with_layout(TextLayout::default()),
-        LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
-    };
-    logforth::starter_log::builder()
-        .dispatch(|dispatch| dispatch.filter(filter).append(stderr))
-        .apply();
-}
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -94,10 +94,20 @@
     }
 }
 
-/// Reads the monotonic clock of this process.
+/// Reads a clock of this machine that never goes back.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    start: Instant,
+    source: Source,
+}
+
+/// Where a clock's time comes from.
+#[derive(Debug, Clone, Copy)]
+enum Source {
+    /// Time since an instant; stands still while the machine is suspended.
+    Monotonic(Instant),
+    /// Time since the machine's boot, less the time at the clock's start; goes
+    /// on while the machine is suspended.
+    Boot { zero: Duration },
 }
 
 impl Clock {
@@ -105,13 +115,35 @@
     #[must_use]
     pub fn start() -> Clock {
         Clock {
-            start: Instant::now(),
+            source: Source::Monotonic(Instant::now()),
+        }
+    }
+
+    /// Starts a clock at zero that also counts time in which the machine is
+    /// suspended, where the system has one.
+    #[must_use]
+    pub fn start_boot() -> Clock {
+        match boot_time() {
+            Some(zero) => Clock {
+                source: Source::Boot { zero },
+            },
+            None => Clock::start(),
         }
     }
 
     /// Returns the time since the clock's start.
     #[must_use]
     pub fn now(&self) -> Millis {
-        Millis::from(self.start.elapsed())
+        match self.source {
+            Source::Monotonic(start) => Millis::from(start.elapsed()),
+            Source::Boot { zero } => {
+                Millis::from(boot_time().unwrap_or(zero).saturating_sub(zero))
+            }
+        }
     }
 }
+
+fn boot_time() -> Option<Duration> {
+    let time = nix::time::clock_gettime(nix::time::ClockId::CLOCK_BOOTTIME).ok()?;
+    Some(Duration::from(time))
+}
--- a/src/config/allowed.rs
+++ b/src/config/allowed.rs
@@ -62,6 +62,8 @@
     Size { min: u64, max: u64 },
     /// A plain number.
     Number { min: u64, max: u64 },
+    /// A part of one, with up to three decimals; kept in thousandths.
+    Ratio,
     /// `text` or `json`.
     LogFormat,
     /// `off`, `error`, `warn`, `info`, `debug` or `trace`, also by module.
@@ -96,6 +98,7 @@
                 with_unit(max, SIZE_UNITS)
             ),
             Allowed::Number { min, max } => write!(f, "{min} to {max}"),
+            Allowed::Ratio => f.write_str("0 to 1, such as 0.2"),
             Allowed::LogFormat => f.write_str("text or json"),
             Allowed::LogFilter => {
                 f.write_str("off, error, warn, info, debug or trace, or a list such as info,skylarkhook::peer=debug")
@@ -161,6 +164,14 @@
         self.check(value)
     }
 
+    pub(super) fn ratio(self, text: &str) -> Result<u64, String> {
+        let value: f64 = text.parse().map_err(|_| "it is no number".to_owned())?;
+        if !(0.0..=1.0).contains(&value) {
+            return Err("it does not lie between 0 and 1".to_owned());
+        }
+        Ok((value * 1000.0).round() as u64)
+    }
+
     pub(super) fn log_format(self, text: &str) -> Result<LogFormat, String> {
         match text {
             "text" => Ok(LogFormat::Text),
--- a/src/config/load.rs
+++ b/src/config/load.rs
@@ -14,6 +14,8 @@
 
 /// Greatest length of a settings file, in bytes.
 const MAX_FILE_BYTES: u64 = 1024 * 1024;
+/// Section of the settings that every process needs.
+const INSTANCE_SECTION: &str = "instance";
 /// Greatest edit distance of a near miss.
 const NEAR_MISS_EDITS: usize = 3;
 
@@ -208,9 +210,11 @@
     }
 
     fn complete(&mut self, name: &str) {
+        let is_gateway = self.is_gateway();
         for (index, setting) in TABLE.iter().enumerate() {
             match self.given.remove(&index) {
                 Some(given) => self.apply(setting, &given),
+                None if is_gateway && setting.section != INSTANCE_SECTION => {}
                 None if setting.default.is_none() => {
                     let message = format!("missing; allowed: {}", setting.allowed);
                     self.error(name, place(setting), message);
@@ -223,6 +227,13 @@
         }
     }
 
+    /// Returns whether the settings are those of a gateway, which has no other
+    /// listener than its own.
+    fn is_gateway(&self) -> bool {
+        let given = index_of("gateway", "listen").and_then(|index| self.given.get(&index));
+        given.is_some_and(|given| !given.value.is_empty())
+    }
+
     fn finish(self) -> Result<Settings, SettingsError> {
         if !self.errors.is_empty() {
             return Err(SettingsError {
@@ -245,6 +256,10 @@
 
     /// Checks what holds between several settings.
     fn check_together(&mut self, name: &str) {
+        if self.settings.is_gateway() && self.settings.gateway_store.is_empty() {
+            let message = "missing; a gateway needs the address of the platform's store";
+            self.error(name, "[gateway] store".to_owned(), message.to_owned());
+        }
         let listeners = [
             ("[callers] listen", self.settings.callers_listen.clone()),
             ("[admin] listen", self.settings.admin_listen.clone()),
@@ -269,6 +284,12 @@
 }
 
 impl Settings {
+    /// Returns whether the process forwards HTTP requests unchanged.
+    #[must_use]
+    pub fn is_gateway(&self) -> bool {
+        !self.gateway_listen.is_empty()
+    }
+
     /// Returns the address that other instances are told.
     #[must_use]
     pub fn advertised_peer_addr(&self) -> &str {
--- a/src/config/table.rs
+++ b/src/config/table.rs
@@ -109,6 +109,25 @@
         "Time limit for a connection to a backend server";
     "backend" "order_time_limit" order_time_limit: Millis = Some("2 s"), span(span(100, MINUTE)),
         "Time limit of an order or a load report";
+    "gateway" "listen" gateway_listen: String = Some(""), address(Allowed::Address { optional: true }),
+        "Address on which HTTP requests are forwarded; given: the process is a gateway and needs no other listener";
+    "gateway" "status_listen" gateway_status_listen: String = Some("127.0.0.1:8083"), address(ADDRESS),
+        "Address at which the platform asks whether a gateway takes callers";
+    "gateway" "metrics_listen" gateway_metrics_listen: String = Some(""), address(Allowed::Address { optional: true }),
+        "Address on which a gateway's metrics are served; empty: with the status";
+    "gateway" "peer_listen" gateway_peer_listen: String = Some("127.0.0.1:8084"), address(ADDRESS),
+        "Address for datagrams of other gateways";
+    "gateway" "store" gateway_store: String = Some(""), address(Allowed::Address { optional: true }),
+        "Address of the platform's store; a gateway needs it";
+    "gateway" "revoke_limit" gateway_revoke_limit: Millis = Some("5 s"), span(span(SECOND, HOUR)),
+        "Time after which a key that was taken away must not be used any more";
+    "gateway" "config_limit" gateway_config_limit: Millis = Some("2 s"), span(span(100, HOUR)),
+        "Time after which a change of the configuration has to be in force";
+    "gateway" "retry_ratio" gateway_retry_ratio: u64 = Some("0.2"), ratio(Allowed::Ratio),
+        "Retries for each request, over all gateways";
+    "gateway" "retry_extra" gateway_retry_extra: u64 = Some("100"),
+        number(Allowed::Number { min: 0, max: 1_000_000 }),
+        "Retries beyond that ratio in its window, over all gateways";
     "shutdown" "time_limit" shutdown_time_limit: Millis = Some("10 min"), span(span(SECOND, 24 * HOUR)),
         "Time after which a graceful shutdown gives up waiting for admitted requests";
     "control" "tick" tick: Millis = Some("20 ms"), span(span(1, SECOND)),
@@ -116,7 +135,7 @@
     "control" "seed" seed: u64 = Some("0"), number(Allowed::Number { min: 0, max: u64::MAX }),
         "Seed of the random numbers; 0: from the operating system";
     "log" "format" log_format: LogFormat = Some("text"), log_format(Allowed::LogFormat),
-        "How log lines are written to the standard error stream";
+        "How log lines are written to the standard output stream";
     "log" "level" log_filter: String = Some("info"), log_filter(Allowed::LogFilter),
         "Which log lines are written";
 }
--- /dev/null
+++ b/src/gateway.rs
@@ -0,0 +1,25 @@
+//! The gateway: callers' HTTP requests, forwarded unchanged to the backend
+//! servers of a platform that keeps its own registry and configuration.
+//!
+//! [`core::Core`] decides and does no I/O; it runs on the control thread. The
+//! traffic thread owns all sockets: callers ([`server`]), backend servers
+//! ([`upstream`]), the platform's store ([`feed`]) and the other instances
+//! ([`peers`]). What is spoken on the wire with the platform is known to
+//! [`crate::adapter`] alone.
+
+pub mod core;
+pub mod daemon;
+pub mod engine;
+pub mod events;
+pub mod feed;
+pub mod forward;
+pub mod instances;
+pub mod message;
+pub mod peers;
+pub mod placement;
+pub mod roster;
+pub mod route;
+pub mod server;
+pub mod settings;
+pub mod shares;
+pub mod upstream;
--- /dev/null
+++ b/src/gateway/core/facts.rs
@@ -0,0 +1,155 @@
+//! Taking over facts from the platform's store.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use super::Core;
+use crate::clock::Millis;
+use crate::gateway::message::Fact;
+use crate::gateway::message::Output;
+use crate::gateway::roster::Change;
+use crate::gateway::roster::ServerEntry;
+use crate::gateway::route::RouteTable;
+
+impl Core {
+    pub(super) fn take_facts(
+        &mut self,
+        now: Millis,
+        complete: bool,
+        facts: Vec<Fact>,
+        out: &mut Vec<Output>,
+    ) {
+        if complete {
+            self.drop_absent(now, &facts);
+        }
+        for fact in facts {
+            self.take_fact(now, fact, out);
+        }
+        if let Some(table) = &self.table {
+            self.standing.set_specs(now, &self.roster, table);
+        }
+    }
+
+    fn take_fact(&mut self, now: Millis, fact: Fact, out: &mut Vec<Output>) {
+        match fact {
+            Fact::Routes(table) => self.take_routes(table, out),
+            Fact::DomainOut(domain) => {
+                if self.domains_out.insert(domain.clone()) {
+                    log::info!(domain = domain.as_str(); "failure domain taken out");
+                }
+            }
+            Fact::DomainBack(domain) => {
+                if self.domains_out.remove(&domain) {
+                    log::info!(domain = domain.as_str(); "failure domain back in service");
+                }
+            }
+            Fact::Server(entry) => self.take_server(now, entry),
+            Fact::ServerGone(id) => self.server_gone(now, &id),
+            Fact::Instance(member) => {
+                if member.name != self.me.name {
+                    self.instances.heard(now, &member);
+                }
+            }
+            Fact::InstanceGone(name) => self.instances.remove(&name),
+        }
+    }
+
+    fn take_routes(&mut self, table: Arc<RouteTable>, out: &mut Vec<Output>) {
+        let known = self.table.as_ref().map_or(0, |table| table.version);
+        if self.table.is_some() && table.version <= known {
+            if table.version < known {
+                log::warn!(version = table.version, in_force = known; "older configuration ignored");
+            }
+            return;
+        }
+        log::info!(
+            version = table.version,
+            before = known,
+            services = table.services.len();
+            "configuration in force"
+        );
+        out.push(Output::Limits(table.limits));
+        self.table = Some(table);
+    }
+
+    fn take_server(&mut self, now: Millis, entry: ServerEntry) {
+        self.missing.remove(&entry.id);
+        let id = entry.id.clone();
+        let (service, draining) = (entry.service.clone(), entry.draining);
+        let cold_ms = entry.cold_left.0;
+        match self.roster.upsert(now, entry) {
+            Change::Same => return,
+            Change::Started(key) => self.standing.restarted(key),
+            Change::Updated(_) => {}
+        }
+        log::info!(
+            server = id.as_str(),
+            service = service.as_str(),
+            draining = draining,
+            cold_ms = cold_ms;
+            "backend server listed"
+        );
+    }
+
+    /// Takes over that a server's entry is gone. Entries lapse while the store
+    /// is away and come back soon after, so one that goes missing around an
+    /// outage is kept for that long.
+    fn server_gone(&mut self, now: Millis, id: &str) {
+        if self.freshness.recently_away(now, self.bounds.store_return) {
+            log::info!(server = id; "backend server's entry lapsed");
+            self.missing.insert(id.to_owned(), now + self.bounds.store_return);
+            return;
+        }
+        self.drop_server(id, "entry removed");
+    }
+
+    /// Drops servers that are still missing after the store's return.
+    pub(super) fn expire_missing(&mut self, now: Millis) {
+        if self.freshness.recently_away(now, self.bounds.store_return) {
+            return;
+        }
+        let gone: Vec<String> = self
+            .missing
+            .iter()
+            .filter(|(_, until)| now >= **until)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in gone {
+            self.missing.remove(&id);
+            self.drop_server(&id, "entry did not come back");
+        }
+    }
+
+    fn drop_server(&mut self, id: &str, cause: &str) {
+        if self.roster.remove(id).is_some() {
+            log::info!(server = id, cause = cause; "backend server gone");
+        }
+    }
+
+    /// Drops what a complete reading of the store does not name any more.
+    fn drop_absent(&mut self, now: Millis, facts: &[Fact]) {
+        let mut servers = HashSet::new();
+        let mut domains = HashSet::new();
+        for fact in facts {
+            match fact {
+                Fact::Server(entry) => {
+                    servers.insert(entry.id.as_str());
+                }
+                Fact::DomainOut(domain) => {
+                    domains.insert(domain.as_str());
+                }
+                _ => {}
+            }
+        }
+        self.domains_out.retain(|domain| domains.contains(domain.as_str()));
+        let absent: Vec<String> = self
+            .roster
+            .listed()
+            .map(|(_, server)| server.entry.id.clone())
+            .filter(|id| !servers.contains(id.as_str()) && !self.missing.contains_key(id))
+            .collect();
+        for id in absent {
+            self.server_gone(now, &id);
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/core/requests.rs
@@ -0,0 +1,815 @@
+//! The life of a request: checked, placed, sent, sent again, answered.
+
+use std::sync::Arc;
+
+use super::Core;
+use super::standing::value_of;
+use crate::clock::Millis;
+use crate::gateway::engine::JobKey;
+use crate::gateway::instances::PeerMessage;
+use crate::gateway::instances::Placed;
+use crate::gateway::message::Output;
+use crate::gateway::message::Part;
+use crate::gateway::message::Plan;
+use crate::gateway::message::PromptShape;
+use crate::gateway::message::Reservation;
+use crate::gateway::message::SendEnd;
+use crate::gateway::message::Submission;
+use crate::gateway::message::Ticket;
+use crate::gateway::placement;
+use crate::gateway::placement::Candidate;
+use crate::gateway::placement::Choice;
+use crate::gateway::placement::Prompt;
+use crate::gateway::roster::ServerKey;
+use crate::gateway::roster::id_hash;
+use crate::gateway::route::Repeat;
+use crate::gateway::route::Route;
+use crate::gateway::route::RouteTable;
+use crate::gateway::route::Workspace;
+use crate::gateway::shares::cold_share;
+use crate::metrics::Count;
+use crate::metrics::Timing;
+use crate::verdict::Reason;
+use crate::verdict::Refusal;
+use crate::verdict::Verdict;
+
+/// Deadline of a request whose caller names none; the longest of any route.
+const DEFAULT_DEADLINE: Millis = Millis(15_000);
+/// Time kept free before a deadline, for the answer's way to the caller.
+const ANSWER_MARGIN: Millis = Millis(30);
+/// Part of a request's target for which it may wait for a backend server; a
+/// caller who is refused later than that has waited in vain.
+const HOLD_DIVISOR: u64 = 8;
+/// Sends that may fail without counting, as no backend server ran the request.
+const FREE_SENDS: u32 = 3;
+/// Part of a caller's time that Retry-After may take; callers do not wait
+/// longer.
+const RETRY_AFTER_DIVISOR: u64 = 3;
+/// Retry-After where nothing tells when a backend server will be free.
+const RETRY_AFTER_DEFAULT: Millis = Millis(500);
+/// Retry-After while the configuration is not known or not fresh; another
+/// instance may know it at once.
+const RETRY_AFTER_UNREADY: Millis = Millis(200);
+/// Callers of streams leave after the longest of this, [`PATIENCE_TARGETS`]
+/// times the target and [`PATIENCE_GAPS`] times the wanted pause.
+const PATIENCE: Millis = Millis(2_000);
+const PATIENCE_TARGETS: u64 = 4;
+const PATIENCE_GAPS: u64 = 8;
+/// Part of a caller's patience after which a silent send is given up, so that
+/// another has time to answer: in percent.
+const SILENCE_PERCENT: u64 = 60;
+/// Connections that this instance opens to one backend server, beyond its
+/// share of those accepted.
+const MIN_CONNECTIONS: usize = 2;
+/// Time that memory is reserved beyond the request's deadline; a request whose
+/// memory runs out is cut off.
+const RESERVATION_SLACK: Millis = Millis(1_000);
+/// Urgency at engines where nothing else is said; the middle of their scale.
+const URGENCY: u8 = 5;
+
+/// A request that is not answered yet.
+#[derive(Debug)]
+pub struct Request {
+    submission: Submission,
+    route: Arc<Route>,
+    service: String,
+    workspace: Workspace,
+    /// When the final answer is due.
+    answer_due: Millis,
+    /// Until when it may wait for a backend server, if it waits.
+    waits_until: Option<Millis>,
+    sent: Option<Sent>,
+    /// Sends that a backend server may have run.
+    sends: u32,
+    /// Sends that none has run.
+    free_sends: u32,
+    /// Servers that are not asked again.
+    tried: Vec<ServerKey>,
+    /// What is known of whether it ran.
+    verdict: Verdict,
+    /// Whether output has reached the caller.
+    output_begun: bool,
+}
+
+/// A send that has not ended.
+#[derive(Debug, Clone)]
+struct Sent {
+    job: JobKey,
+    server: ServerKey,
+    parts: Vec<ServerKey>,
+    at: Millis,
+    predicted_ms: f64,
+    started: bool,
+}
+
+impl Sent {
+    fn servers(&self) -> Vec<ServerKey> {
+        let mut servers = self.parts.clone();
+        servers.push(self.server);
+        servers
+    }
+}
+
+impl Core {
+    pub(super) fn submit(
+        &mut self,
+        now: Millis,
+        ticket: Ticket,
+        submission: Submission,
+        out: &mut Vec<Output>,
+    ) {
+        self.count(Count::Submitted);
+        let request = match self.check(now, submission) {
+            Ok(request) => request,
+            Err((id, refusal)) => {
+                self.log_refusal(&id, &refusal, "check");
+                self.count(Count::RefusedNotRun);
+                out.push(Output::Refuse(ticket, refusal));
+                return;
+            }
+        };
+        self.budgets.earn(&request.service);
+        self.requests.insert(ticket, request);
+        self.place(now, ticket, out);
+    }
+
+    /// Checks a request against the configuration.
+    fn check(&self, now: Millis, submission: Submission) -> Result<Request, (String, Refusal)> {
+        let id = submission.head.request_id.clone();
+        let refuse = |refusal| Err((id.clone(), refusal));
+        let unready = |message: &str| {
+            Refusal::not_run(Reason::Unavailable, message).retry_after(RETRY_AFTER_UNREADY)
+        };
+        let Some(table) = &self.table else {
+            return refuse(unready("no configuration is known yet"));
+        };
+        let certain = self.freshness.absence_certain(now);
+        let Some(route) = table.route(&submission.host, &submission.path) else {
+            if !certain {
+                return refuse(unready("no such route in a configuration that may be old"));
+            }
+            return refuse(Refusal::not_run(Reason::NotFound, "no such route"));
+        };
+        let Some(workspace) = table.workspace(route, submission.head.key.as_deref()) else {
+            if !certain {
+                return refuse(unready("unknown key in a configuration that may be old"));
+            }
+            return refuse(Refusal::not_run(Reason::Unauthorized, "unknown key"));
+        };
+        let keyed = table.keys.is_some() && !route.anonymous;
+        if keyed && !self.freshness.keys_usable(now) {
+            return refuse(unready("keys cannot be checked: the configuration may be old"));
+        }
+        if id.is_empty() {
+            let message = "the request has no id";
+            return refuse(Refusal::not_run(Reason::BadRequest, message));
+        }
+        if let Some(left) = self.crashes.held(now, submission.fingerprint) {
+            let refusal = Refusal::not_run(Reason::Quarantined, "crashed several backend servers");
+            return refuse(refusal.retry_after(left));
+        }
+        let Some(service) = route.pick_service(id_hash(&id)) else {
+            let message = "the route has no service";
+            return refuse(Refusal::not_run(Reason::NoBackend, message));
+        };
+        let deadline = submission.head.deadline.unwrap_or(DEFAULT_DEADLINE);
+        let patience = deadline.min(route.time_limit);
+        Ok(Request {
+            service: service.to_owned(),
+            workspace,
+            answer_due: submission.arrived + patience,
+            waits_until: None,
+            sent: None,
+            sends: 0,
+            free_sends: 0,
+            tried: Vec::new(),
+            verdict: Verdict::NotRun,
+            output_begun: false,
+            route: Arc::new(route.clone()),
+            submission,
+        })
+    }
+
+    /// Sends a request to a backend server, lets it wait for one, or refuses it.
+    fn place(&mut self, now: Millis, ticket: Ticket, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get(&ticket) else {
+            return;
+        };
+        if now + ANSWER_MARGIN >= request.answer_due {
+            let refusal = failure(request, Reason::DeadlineExceeded, "no time is left");
+            return self.refuse(now, ticket, refusal, out);
+        }
+        self.standing.advance(now);
+        let Some(table) = self.table.clone() else {
+            return;
+        };
+        let request = &self.requests[&ticket];
+        let job = JobKey(id_hash(&request.submission.head.request_id) ^ u64::from(request.total_sends()));
+        let is_engine = table
+            .services
+            .get(&request.service)
+            .is_some_and(|service| service.engine.is_some());
+        let choice = match request.submission.head.prompt {
+            Some(shape) if is_engine => {
+                let prompt = self.prompt(now, &table, request, job, shape);
+                self.choose_engines(now, &table, request, &prompt)
+                    .map(|choice| (choice, Some(prompt)))
+            }
+            _ => self.choose_server(now, &table, request).map(|key| {
+                let choice = Choice {
+                    first: key,
+                    parts: Vec::new(),
+                    first_reserved: 0,
+                    first_token: now.0 as f64,
+                    loss: 0.0,
+                };
+                (choice, None)
+            }),
+        };
+        let Some((choice, prompt)) = choice else {
+            return self.wait_or_refuse(now, ticket, out);
+        };
+        if let Some(prompt) = &prompt
+            && choice.first_token >= prompt.deadline
+        {
+            let wait = Millis((choice.first_token - now.0 as f64) as u64);
+            return self.refuse_overload(now, ticket, wait, out);
+        }
+        self.send(now, &table, ticket, job, &choice, prompt.as_ref(), out);
+    }
+
+    fn prompt(
+        &self,
+        now: Millis,
+        table: &RouteTable,
+        request: &Request,
+        job: JobKey,
+        shape: PromptShape,
+    ) -> Prompt {
+        let usual = table
+            .services
+            .get(&request.service)
+            .and_then(|service| service.engine)
+            .map_or(0, |engine| engine.usual_output_tokens);
+        let output = shape
+            .expected_output_tokens
+            .unwrap_or(usual)
+            .min(shape.max_output_tokens);
+        let target = request.route.target_latency;
+        let due = (request.submission.arrived + target).max(now + Millis(1));
+        Prompt {
+            key: job,
+            prompt_tokens: shape.prompt_tokens as f64,
+            output_tokens: output as f64,
+            due: due.0 as f64,
+            deadline: request.answer_due.0 as f64,
+            target: target.0 as f64,
+            value: value_of(shape.prompt_tokens),
+            urgency: URGENCY,
+        }
+    }
+
+    /// Returns whether a backend server may get new work.
+    fn usable(&self, now: Millis, service: &str, key: ServerKey) -> bool {
+        let server = self.roster.get(key);
+        server.listed
+            && !server.entry.draining
+            && server.entry.service == service
+            && !self.domains_out.contains(&server.entry.domain)
+            && !self.health.avoided(now, key)
+    }
+
+    /// Returns whether a cold server's rate leaves room; warm ones always have.
+    fn within_cold_rate(&self, now: Millis, table: &RouteTable, key: ServerKey) -> bool {
+        let server = self.roster.get(key);
+        let rate = table
+            .services
+            .get(&server.entry.service)
+            .map_or(0.0, |service| service.cold_rate);
+        if rate <= 0.0 || now >= server.cold_until {
+            return true;
+        }
+        let hash = id_hash(&server.entry.id);
+        let share = cold_share(rate, self.instances.count(), &self.me.name, hash);
+        self.cold.allows(now, key, share)
+    }
+
+    fn choose_engines(
+        &self,
+        now: Millis,
+        table: &RouteTable,
+        request: &Request,
+        prompt: &Prompt,
+    ) -> Option<Choice> {
+        let mut candidates = Vec::new();
+        for (key, server) in self.roster.listed() {
+            let Some(load) = self.standing.engine(key) else {
+                continue;
+            };
+            if !self.usable(now, &request.service, key) || request.tried.contains(&key) {
+                continue;
+            }
+            let warm = now >= server.cold_until;
+            candidates.push(Candidate {
+                key,
+                load,
+                far: server.entry.domain != self.me.domain,
+                may_write: warm || self.within_cold_rate(now, table, key),
+                may_help: warm,
+            });
+        }
+        placement::place(now, prompt, &candidates)
+    }
+
+    /// Chooses the plain server with the fewest calls for its slots.
+    fn choose_server(&self, now: Millis, table: &RouteTable, request: &Request) -> Option<ServerKey> {
+        let fullness = |key: ServerKey| {
+            let server = self.roster.get(key);
+            let far = server.entry.domain != self.me.domain;
+            let calls = self.standing.calls(key) as f64 / f64::from(server.entry.slots.max(1));
+            (calls, far)
+        };
+        self.roster
+            .listed()
+            .map(|(key, _)| key)
+            .filter(|&key| self.usable(now, &request.service, key))
+            .filter(|key| !request.tried.contains(key))
+            .filter(|&key| self.within_cold_rate(now, table, key))
+            .min_by(|&a, &b| {
+                fullness(a)
+                    .partial_cmp(&fullness(b))
+                    .unwrap_or(std::cmp::Ordering::Equal)
+            })
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn send(
+        &mut self,
+        now: Millis,
+        table: &RouteTable,
+        ticket: Ticket,
+        job: JobKey,
+        choice: &Choice,
+        prompt: Option<&Prompt>,
+        out: &mut Vec<Output>,
+    ) {
+        let plan = self.plan(now, table, ticket, job, choice, prompt);
+        let is_cold = now < self.roster.get(choice.first).cold_until;
+        if is_cold {
+            self.cold.count(now, choice.first);
+        }
+        let standing = self.standing.describe(choice.first);
+        match prompt {
+            Some(prompt) => self.standing.place_prompt(
+                now,
+                prompt,
+                choice.first,
+                choice.first_reserved,
+                &choice.parts,
+            ),
+            None => self.standing.place_call(now, choice.first, job),
+        }
+        let predicted_ms = choice.first_token - now.0 as f64;
+        let request = self.requests.get_mut(&ticket);
+        let Some(request) = request else {
+            return;
+        };
+        request.waits_until = None;
+        request.sent = Some(Sent {
+            job,
+            server: choice.first,
+            parts: choice.parts.iter().map(|(key, _)| *key).collect(),
+            at: now,
+            predicted_ms,
+            started: false,
+        });
+        let (id, sends) = (request.submission.head.request_id.clone(), request.total_sends());
+        log::info!(
+            request = id.as_str(),
+            send = sends,
+            server = plan.server_id.as_str(),
+            parts = plan.parts.len(),
+            predicted_ms = predicted_ms as i64,
+            loss = choice.loss,
+            prompt_tokens = prompt.map_or(0.0, |prompt| prompt.prompt_tokens),
+            cold = is_cold,
+            standing = standing.as_str(),
+            config_version = table.version,
+            config_age_ms = self.freshness.proof_age(now).0;
+            "sent"
+        );
+        self.count(Count::Attempts);
+        if sends > 0 {
+            self.count(Count::Retries);
+        }
+        self.tell_placed(now, job, choice, prompt, out);
+        out.push(Output::Send(ticket, plan));
+    }
+
+    fn plan(
+        &self,
+        now: Millis,
+        table: &RouteTable,
+        ticket: Ticket,
+        job: JobKey,
+        choice: &Choice,
+        prompt: Option<&Prompt>,
+    ) -> Plan {
+        let request = &self.requests[&ticket];
+        let server = self.roster.get(choice.first);
+        let accepted = table
+            .services
+            .get(&request.service)
+            .map_or(0, |service| service.max_connections as usize);
+        let hold = request.answer_due.since(now) + RESERVATION_SLACK;
+        let name = format!("{:016x}", job.0);
+        let mut parts = Vec::new();
+        let mut reservations = Vec::new();
+        let first = [(choice.first, choice.first_reserved)];
+        for &(key, tokens) in first.iter().chain(&choice.parts) {
+            let addr = self.roster.get(key).entry.addr.clone();
+            if tokens > 0 {
+                reservations.push(Reservation {
+                    addr: addr.clone(),
+                    name: name.clone(),
+                    tokens,
+                    hold,
+                });
+            }
+            if tokens > 0 || key != choice.first {
+                parts.push(Part {
+                    addr,
+                    reservation: (tokens > 0).then(|| name.clone()),
+                });
+            }
+        }
+        Plan {
+            send: request.total_sends(),
+            addr: server.entry.addr.clone(),
+            server_id: server.entry.id.clone(),
+            max_connections: (accepted / self.instances.count()).max(MIN_CONNECTIONS),
+            parts,
+            reservations,
+            urgency: prompt.map(|prompt| prompt.urgency),
+            workspace: request.workspace.name.clone(),
+            answer_due: request.answer_due,
+            silence: silence_limit(&request.route),
+            output_due: output_due(now, request, choice.first_token),
+            resumable: request.route.repeat == Repeat::Resume,
+            streaming: request.route.streaming,
+            retry_failures: request.route.repeat != Repeat::Never
+                && request.sends + 1 < request.route.max_sends,
+        }
+    }
+
+    fn tell_placed(
+        &self,
+        now: Millis,
+        job: JobKey,
+        choice: &Choice,
+        prompt: Option<&Prompt>,
+        out: &mut Vec<Output>,
+    ) {
+        let hash = |key: ServerKey| id_hash(&self.roster.get(key).entry.id);
+        let placed = Placed {
+            job: job.0,
+            server: hash(choice.first),
+            parts: choice.parts.iter().map(|(key, _)| hash(*key)).collect(),
+            prompt_tokens: prompt.map_or(0, |prompt| prompt.prompt_tokens as u64),
+            output_tokens: prompt.map_or(0, |prompt| prompt.output_tokens as u64),
+            parts_memory: choice.parts.iter().map(|(_, tokens)| tokens).sum(),
+            urgency: prompt.map_or(0, |prompt| prompt.urgency),
+            due_in_ms: prompt.map_or(0, |prompt| (prompt.due - now.0 as f64).max(1.0) as u64),
+        };
+        self.tell(out, PeerMessage::Placed(placed));
+    }
+
+    pub(super) fn started(&mut self, now: Millis, ticket: Ticket, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        request.output_begun = true;
+        request.verdict = Verdict::MayHaveRun;
+        let Some(sent) = &mut request.sent else {
+            return;
+        };
+        sent.started = true;
+        let sent = sent.clone();
+        let observed_ms = now.since(sent.at).0;
+        let waited = now.since(request.submission.arrived);
+        let late = waited > request.route.target_latency;
+        let id = request.submission.head.request_id.clone();
+        let route = request.route.name.clone();
+        log::info!(
+            request = id.as_str(),
+            predicted_ms = sent.predicted_ms as i64,
+            observed_ms = observed_ms,
+            waited_ms = waited.0,
+            late = late;
+            "first output"
+        );
+        self.metrics.observe(Timing::FirstOutput, &route, waited);
+        self.standing.started(now, sent.job, &sent.servers());
+        if sent.parts.is_empty() {
+            self.standing
+                .observe_pace(sent.server, sent.predicted_ms, observed_ms as f64);
+        }
+        let hash = |key: ServerKey| id_hash(&self.roster.get(key).entry.id);
+        let message = PeerMessage::Started {
+            job: sent.job.0,
+            server: hash(sent.server),
+            parts: sent.parts.iter().map(|key| hash(*key)).collect(),
+        };
+        self.tell(out, message);
+    }
+
+    pub(super) fn cold_seen(&mut self, now: Millis, ticket: Ticket, left: Millis) {
+        let sent = self.requests.get(&ticket).and_then(|request| request.sent.as_ref());
+        if let Some(sent) = sent {
+            self.roster.mark_cold(sent.server, now + left);
+        }
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        now: Millis,
+        ticket: Ticket,
+        end: SendEnd,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(request) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        let Some(sent) = request.sent.take() else {
+            // It left while it waited for a backend server.
+            self.requests.remove(&ticket);
+            return;
+        };
+        request.tried.push(sent.server);
+        let id = request.submission.head.request_id.clone();
+        log::info!(
+            request = id.as_str(),
+            server = self.roster.get(sent.server).entry.id.as_str(),
+            end:? = end,
+            started = sent.started,
+            after_ms = now.since(sent.at).0;
+            "send ended"
+        );
+        self.release(now, &sent, out);
+        self.judge_server(now, ticket, &sent, end, out);
+        match end {
+            SendEnd::Whole => self.finish(now, ticket, Count::Done),
+            SendEnd::CallerGone => self.finish(now, ticket, Count::CallersGone),
+            SendEnd::NotSent | SendEnd::Misdirected | SendEnd::Refused => {
+                self.again_not_run(now, ticket, end, out);
+            }
+            SendEnd::Failed | SendEnd::Broken | SendEnd::Silent => {
+                self.again_may_have_run(now, ticket, end, out);
+            }
+        }
+    }
+
+    /// Takes a send off the servers it stood on and tells the others.
+    fn release(&mut self, now: Millis, sent: &Sent, out: &mut Vec<Output>) {
+        self.standing.ended(now, sent.job, &sent.servers());
+        let hash = |key: ServerKey| id_hash(&self.roster.get(key).entry.id);
+        let message = PeerMessage::Ended {
+            job: sent.job.0,
+            server: hash(sent.server),
+            parts: sent.parts.iter().map(|key| hash(*key)).collect(),
+        };
+        self.tell(out, message);
+    }
+
+    /// Draws from a send's end what it says of the backend server.
+    fn judge_server(
+        &mut self,
+        now: Millis,
+        ticket: Ticket,
+        sent: &Sent,
+        end: SendEnd,
+        out: &mut Vec<Output>,
+    ) {
+        let server = sent.server;
+        let fingerprint = self.requests[&ticket].submission.fingerprint;
+        match end {
+            SendEnd::Whole => {
+                self.health.succeeded(server);
+                self.crashes.clear(fingerprint);
+                return;
+            }
+            SendEnd::CallerGone | SendEnd::Failed => return,
+            SendEnd::Misdirected => {
+                let id = self.roster.get(server).entry.id.clone();
+                log::warn!(server = id.as_str(); "address belongs to another backend server");
+            }
+            SendEnd::Broken => {
+                let hash = id_hash(&self.roster.get(server).entry.id);
+                self.crashes.record(now, fingerprint, hash);
+                self.tell(out, PeerMessage::Crashed { fingerprint, server: hash });
+            }
+            SendEnd::NotSent | SendEnd::Refused | SendEnd::Silent => {}
+        }
+        let pause = self.health.failed(now, server);
+        log::info!(
+            server = self.roster.get(server).entry.id.as_str(),
+            end:? = end,
+            pause_ms = pause.0;
+            "backend server avoided"
+        );
+        let message = PeerMessage::Suspect {
+            server: id_hash(&self.roster.get(server).entry.id),
+            avoid_ms: pause.0,
+        };
+        self.tell(out, message);
+    }
+
+    /// Goes on after a send that no backend server has run.
+    fn again_not_run(&mut self, now: Millis, ticket: Ticket, end: SendEnd, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        request.free_sends += 1;
+        let arrived = end != SendEnd::NotSent;
+        let service = request.service.clone();
+        let again = request.free_sends <= FREE_SENDS && (!arrived || self.budgets.spend(&service));
+        if again {
+            return self.place(now, ticket, out);
+        }
+        let request = &self.requests[&ticket];
+        let refusal = failure(request, Reason::NoBackend, "backend servers refused it");
+        self.refuse(now, ticket, refusal, out);
+    }
+
+    /// Goes on after a send that a backend server may have run.
+    fn again_may_have_run(
+        &mut self,
+        now: Millis,
+        ticket: Ticket,
+        end: SendEnd,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(request) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        request.sends += 1;
+        request.verdict = Verdict::MayHaveRun;
+        let repeatable = match request.route.repeat {
+            Repeat::Idempotent => !request.output_begun,
+            Repeat::Resume => true,
+            Repeat::Never => false,
+        };
+        let service = request.service.clone();
+        let allowed = repeatable
+            && request.sends < request.route.max_sends
+            && now + ANSWER_MARGIN < request.answer_due;
+        if allowed && self.budgets.spend(&service) {
+            return self.place(now, ticket, out);
+        }
+        if end == SendEnd::Failed {
+            out.push(Output::PassFailure(ticket));
+            return self.finish(now, ticket, Count::FailedMayHaveRun);
+        }
+        let request = &self.requests[&ticket];
+        let late = now + ANSWER_MARGIN >= request.answer_due || end == SendEnd::Silent;
+        let reason = if late { Reason::DeadlineExceeded } else { Reason::BackendFailed };
+        let refusal = failure(request, reason, "no backend server gave a whole answer");
+        self.refuse(now, ticket, refusal, out);
+    }
+
+    /// Lets a request wait for a backend server, for a small part of its target.
+    fn wait_or_refuse(&mut self, now: Millis, ticket: Ticket, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        let until = request.submission.arrived + Millis(request.route.target_latency.0 / HOLD_DIVISOR);
+        if now < until {
+            request.waits_until = Some(until);
+            return;
+        }
+        let refusal = failure(request, Reason::NoBackend, "no backend server may take it now");
+        self.refuse(now, ticket, refusal, out);
+    }
+
+    /// Tries again to place requests that wait.
+    pub(super) fn retry_waiting(&mut self, now: Millis, out: &mut Vec<Output>) {
+        let waiting: Vec<Ticket> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.waits_until.is_some())
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in waiting {
+            self.place(now, ticket, out);
+        }
+    }
+
+    fn refuse_overload(
+        &mut self,
+        now: Millis,
+        ticket: Ticket,
+        wait: Millis,
+        out: &mut Vec<Output>,
+    ) {
+        let request = &self.requests[&ticket];
+        let message = "the answer would begin after the deadline";
+        let refusal = failure(request, Reason::DeadlineUnreachable, message).retry_after(wait);
+        self.refuse(now, ticket, refusal, out);
+    }
+
+    fn refuse(&mut self, now: Millis, ticket: Ticket, refusal: Refusal, out: &mut Vec<Output>) {
+        let Some(request) = self.requests.get(&ticket) else {
+            return;
+        };
+        let id = request.submission.head.request_id.clone();
+        let refusal = with_retry_after(now, request, refusal);
+        self.log_refusal(&id, &refusal, "final");
+        let count = match refusal.verdict {
+            Verdict::NotRun => Count::RefusedNotRun,
+            Verdict::MayHaveRun | Verdict::Done => Count::FailedMayHaveRun,
+        };
+        out.push(Output::Refuse(ticket, refusal));
+        self.finish(now, ticket, count);
+    }
+
+    fn finish(&mut self, now: Millis, ticket: Ticket, count: Count) {
+        self.count(count);
+        if let Some(request) = self.requests.remove(&ticket) {
+            let waited = now.since(request.submission.arrived);
+            log::info!(
+                request = request.submission.head.request_id.as_str(),
+                route = request.route.name.as_str(),
+                outcome:? = count,
+                total_ms = waited.0;
+                "request over"
+            );
+            self.metrics.observe(Timing::Whole, &request.route.name, waited);
+        }
+    }
+
+    fn log_refusal(&self, id: &str, refusal: &Refusal, stage: &str) {
+        log::info!(
+            request = id,
+            stage = stage,
+            reason = refusal.reason.code(),
+            ran = refusal.verdict.as_str(),
+            retry_after_ms = refusal.retry_after.map_or(0, |span| span.0),
+            config_version = self.table.as_ref().map_or(0, |table| table.version),
+            detail = refusal.message.as_str();
+            "refused"
+        );
+    }
+}
+
+impl Request {
+    /// Returns how often it was sent, whether it ran or not.
+    fn total_sends(&self) -> u32 {
+        self.sends + self.free_sends
+    }
+}
+
+/// Returns the final answer to a request that did not succeed. What has not run
+/// is refused; only then may the caller come back whatever the request is.
+fn failure(request: &Request, reason: Reason, message: &str) -> Refusal {
+    match (request.verdict, reason) {
+        (Verdict::NotRun, Reason::DeadlineExceeded) => {
+            Refusal::not_run(Reason::DeadlineUnreachable, message)
+        }
+        (Verdict::NotRun, reason) => Refusal::not_run(reason, message),
+        (_, Reason::NoBackend | Reason::DeadlineUnreachable) => {
+            Refusal::may_have_run(Reason::BackendFailed, message)
+        }
+        (_, reason) => Refusal::may_have_run(reason, message),
+    }
+}
+
+fn with_retry_after(now: Millis, request: &Request, refusal: Refusal) -> Refusal {
+    if refusal.verdict != Verdict::NotRun {
+        return refusal;
+    }
+    let left = request.answer_due.since(now);
+    let longest = Millis(left.0 / RETRY_AFTER_DIVISOR);
+    let wanted = refusal.retry_after.unwrap_or(RETRY_AFTER_DEFAULT);
+    refusal.retry_after(wanted.min(longest))
+}
+
+/// Returns how long a send may stay silent before it is given up.
+fn silence_limit(route: &Route) -> Millis {
+    let targets = route.target_latency * PATIENCE_TARGETS;
+    let gaps = route.target_gap.unwrap_or_default() * PATIENCE_GAPS;
+    let patience = PATIENCE.max(targets).max(gaps);
+    Millis(patience.0 * SILENCE_PERCENT / 100)
+}
+
+/// Returns until when the first output may come. A stream's is predicted; a
+/// plain call that may be repeated gets half of the time left.
+fn output_due(now: Millis, request: &Request, first_token: f64) -> Millis {
+    if request.route.repeat == Repeat::Never {
+        return request.answer_due;
+    }
+    if request.route.streaming {
+        let predicted = Millis(first_token.max(now.0 as f64) as u64);
+        return (predicted + silence_limit(&request.route)).min(request.answer_due);
+    }
+    now + Millis(request.answer_due.since(now).0 / 2)
+}
--- /dev/null
+++ b/src/gateway/core/standing.rs
@@ -0,0 +1,250 @@
+//! What stands on each backend server, by all instances.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use crate::clock::Millis;
+use crate::gateway::engine::EngineLoad;
+use crate::gateway::engine::JobKey;
+use crate::gateway::engine::Role;
+use crate::gateway::instances::Placed;
+use crate::gateway::placement;
+use crate::gateway::placement::Prompt;
+use crate::gateway::roster::Roster;
+use crate::gateway::roster::ServerKey;
+use crate::gateway::route::EngineSpec;
+use crate::gateway::route::RouteTable;
+
+/// Time after which a call to a plain server that was never reported as ended
+/// is dropped; no route waits longer.
+const FORGET_CALL: Millis = Millis(5_000);
+/// Weight of the newest observation of an engine's pace.
+const PACE_WEIGHT: f64 = 0.3;
+/// Factor by which a first token has to be later than predicted before the
+/// engine counts as slow: single predictions are that far off.
+const PACE_TOLERANCE: f64 = 1.5;
+/// Lateness in ms below which it says nothing about the engine's pace.
+const PACE_SLACK_MS: f64 = 150.0;
+/// Greatest pace that is assumed.
+const PACE_MAX: f64 = 12.0;
+
+/// Work on all backend servers.
+#[derive(Debug, Default)]
+pub struct Standing {
+    engines: HashMap<ServerKey, EngineLoad>,
+    /// Calls on plain servers, with when they began.
+    calls: HashMap<ServerKey, BTreeMap<JobKey, Millis>>,
+}
+
+impl Standing {
+    /// Takes over the published figures of all engines.
+    pub fn set_specs(&mut self, now: Millis, roster: &Roster, table: &RouteTable) {
+        for (key, server) in roster.listed() {
+            let spec = table
+                .services
+                .get(&server.entry.service)
+                .and_then(|service| service.engine);
+            match spec {
+                Some(spec) => self.set_spec(now, key, spec),
+                None => {
+                    self.engines.remove(&key);
+                }
+            }
+        }
+    }
+
+    fn set_spec(&mut self, now: Millis, key: ServerKey, spec: EngineSpec) {
+        self.engines
+            .entry(key)
+            .and_modify(|load| load.set_spec(spec))
+            .or_insert_with(|| EngineLoad::new(now, spec));
+    }
+
+    /// Returns an engine's load; none: a plain server.
+    #[must_use]
+    pub fn engine(&self, key: ServerKey) -> Option<&EngineLoad> {
+        self.engines.get(&key)
+    }
+
+    /// Returns the calls on a plain server.
+    #[must_use]
+    pub fn calls(&self, key: ServerKey) -> usize {
+        self.calls.get(&key).map_or(0, BTreeMap::len)
+    }
+
+    /// Plays all engines up to `now`.
+    pub fn advance(&mut self, now: Millis) {
+        for load in self.engines.values_mut() {
+            load.advance(now);
+        }
+        for calls in self.calls.values_mut() {
+            calls.retain(|_, since| now.since(*since) < FORGET_CALL);
+        }
+    }
+
+    /// Adds a prompt to the engines that read it.
+    pub fn place_prompt(
+        &mut self,
+        now: Millis,
+        prompt: &Prompt,
+        first: ServerKey,
+        first_reserved: u64,
+        parts: &[(ServerKey, u64)],
+    ) {
+        let part = prompt.prompt_tokens / (parts.len() + 1) as f64;
+        let mut ready_at: f64 = 0.0;
+        for &(key, memory) in parts {
+            let Some(load) = self.engines.get_mut(&key) else {
+                continue;
+            };
+            let job = placement::part_job(now, prompt, part, memory as f64);
+            let done = load.forecast(Some(&job)).helped_at.unwrap_or_default();
+            ready_at = ready_at.max(done);
+            load.place(now, job);
+        }
+        let Some(load) = self.engines.get_mut(&first) else {
+            return;
+        };
+        let held = match first_reserved {
+            0 => prompt.prompt_tokens,
+            reserved => reserved as f64,
+        };
+        load.place(now, placement::first_job(now, prompt, part, ready_at, held));
+    }
+
+    /// Adds a call to a plain server.
+    pub fn place_call(&mut self, now: Millis, key: ServerKey, job: JobKey) {
+        self.calls.entry(key).or_default().insert(job, now);
+    }
+
+    /// Takes over that a request's first output has come.
+    pub fn started(&mut self, now: Millis, key: JobKey, servers: &[ServerKey]) {
+        for server in servers {
+            if let Some(load) = self.engines.get_mut(server) {
+                load.started(now, key);
+            }
+        }
+    }
+
+    /// Takes over that a request is no longer there.
+    pub fn ended(&mut self, now: Millis, key: JobKey, servers: &[ServerKey]) {
+        for server in servers {
+            if let Some(load) = self.engines.get_mut(server) {
+                load.ended(now, key);
+            }
+            if let Some(calls) = self.calls.get_mut(server) {
+                calls.remove(&key);
+            }
+        }
+    }
+
+    /// Learns an engine's pace from a first token.
+    pub fn observe_pace(&mut self, server: ServerKey, predicted_ms: f64, observed_ms: f64) {
+        let Some(load) = self.engines.get_mut(&server) else {
+            return;
+        };
+        let ratio = observed_ms / predicted_ms.max(1.0);
+        let slow = ratio > PACE_TOLERANCE && observed_ms - predicted_ms > PACE_SLACK_MS;
+        let seen = if slow { (ratio * load.pace()).min(PACE_MAX) } else { 1.0 };
+        load.set_pace(load.pace() * (1.0 - PACE_WEIGHT) + seen * PACE_WEIGHT);
+    }
+
+    /// Forgets what stood on a server that has started anew.
+    pub fn restarted(&mut self, key: ServerKey) {
+        if let Some(load) = self.engines.get_mut(&key) {
+            load.clear();
+        }
+        self.calls.remove(&key);
+    }
+
+    /// Takes over another instance's placement.
+    pub fn peer_placed(&mut self, now: Millis, roster: &Roster, placed: &Placed) {
+        let Some(first) = roster.find_hash(placed.server) else {
+            return;
+        };
+        let key = JobKey(placed.job);
+        if placed.prompt_tokens == 0 {
+            self.place_call(now, first, key);
+            return;
+        }
+        let due = now.0 as f64 + placed.due_in_ms as f64;
+        let prompt = Prompt {
+            key,
+            prompt_tokens: placed.prompt_tokens as f64,
+            output_tokens: placed.output_tokens as f64,
+            due,
+            deadline: f64::INFINITY,
+            target: placed.due_in_ms as f64,
+            value: value_of(placed.prompt_tokens),
+            urgency: placed.urgency,
+        };
+        let memory = placed.parts_memory / (placed.parts.len() as u64).max(1);
+        let parts: Vec<(ServerKey, u64)> = placed
+            .parts
+            .iter()
+            .filter_map(|&hash| Some((roster.find_hash(hash)?, memory)))
+            .collect();
+        let reserved = match placed.parts_memory {
+            0 => 0,
+            held => placed.prompt_tokens.saturating_sub(held).max(1),
+        };
+        self.place_prompt(now, &prompt, first, reserved, &parts);
+    }
+
+    /// Takes over that another instance's request has begun to answer.
+    pub fn peer_started(
+        &mut self,
+        now: Millis,
+        roster: &Roster,
+        job: u64,
+        server: u64,
+        parts: &[u64],
+    ) {
+        self.started(now, JobKey(job), &keys(roster, server, parts));
+    }
+
+    /// Takes over that another instance's request is over.
+    pub fn peer_ended(
+        &mut self,
+        now: Millis,
+        roster: &Roster,
+        job: u64,
+        server: u64,
+        parts: &[u64],
+    ) {
+        self.ended(now, JobKey(job), &keys(roster, server, parts));
+    }
+
+    /// Returns a short text on what stands on an engine, for the log.
+    #[must_use]
+    pub fn describe(&self, key: ServerKey) -> String {
+        let Some(load) = self.engines.get(&key) else {
+            return format!("calls={}", self.calls(key));
+        };
+        let unread: f64 = load.jobs().iter().map(|job| job.unread).sum();
+        let helped = load.jobs().iter().filter(|job| job.role == Role::Helper).count();
+        format!(
+            "requests={} parts={helped} unread={unread:.0} memory={:.0} pace={:.2}",
+            load.requests(),
+            load.memory(),
+            load.pace()
+        )
+    }
+}
+
+/// What a prompt that is answered in time is worth, relative to others. Long
+/// prompts take more of the fleet, and their callers have no other way to get
+/// an answer, so their value grows with their length.
+#[must_use]
+pub fn value_of(prompt_tokens: u64) -> f64 {
+    const TOKENS_PER_UNIT: f64 = 10_000.0;
+    1.0 + prompt_tokens as f64 / TOKENS_PER_UNIT
+}
+
+fn keys(roster: &Roster, server: u64, parts: &[u64]) -> Vec<ServerKey> {
+    parts
+        .iter()
+        .chain([&server])
+        .filter_map(|&hash| roster.find_hash(hash))
+        .collect()
+}
--- /dev/null
+++ b/src/gateway/engine.rs
@@ -0,0 +1,405 @@
+//! What stands on one model engine, and when its requests will be answered.
+//!
+//! An engine works in passes. In a pass it reads up to a chunk of waiting
+//! prompts; if any request is writing, the pass also makes a fixed number of
+//! tokens for each of them, which takes several times as long as reading the
+//! chunk does. [`EngineLoad`] plays these passes from the published figures and
+//! from what instances tell each other of placements, first events and ends.
+//! [`EngineLoad::forecast`] answers, for a request that is not there yet, when
+//! each prompt would be read.
+//!
+//! The load it answers: prompts of widely differing lengths on one engine,
+//! where a long one beside writers delays every short one behind it.
+
+use crate::clock::Millis;
+use crate::gateway::route::EngineSpec;
+
+/// Passes that a forecast plays at most; a pass takes 10 ms or more, so that
+/// this covers several seconds.
+const MAX_FORECAST_PASSES: usize = 160;
+/// Part of a token below which a prompt counts as read.
+const READ_EPSILON: f64 = 0.5;
+/// Time after which a request that was never reported as ended is dropped.
+const FORGET_AFTER: Millis = Millis::from_secs(30);
+
+/// Names a request on every instance: a hash of its id and send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct JobKey(pub u64);
+
+/// What an engine does for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// Reads the prompt, or its first part, and writes the answer.
+    Writer,
+    /// Reads a part for another engine, ahead of its own prompts.
+    Helper,
+}
+
+/// A request, or a part of one, on an engine.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Job {
+    /// Its key.
+    pub key: JobKey,
+    /// What the engine does for it.
+    pub role: Role,
+    /// Urgency that the engine orders by, 0 first.
+    pub urgency: u8,
+    /// Prompt tokens still to be read here.
+    pub unread: f64,
+    /// Tokens that come before those, which reading has to look at.
+    pub read: f64,
+    /// Length of the whole prompt that its pairs are counted over.
+    pub attention_span: f64,
+    /// Memory that it takes here once it is read, in tokens.
+    pub memory: f64,
+    /// Tokens still to be written.
+    pub unwritten: f64,
+    /// Earliest time of the first token: when other engines have read their
+    /// parts, in ms.
+    pub ready_at: f64,
+    /// Whether its first event has been seen.
+    pub started: bool,
+    /// When it was placed.
+    pub placed_at: Millis,
+    /// When its first event is due, in ms.
+    pub due: f64,
+    /// What it is worth to its caller in time.
+    pub value: f64,
+}
+
+/// All that stands on one engine.
+#[derive(Debug, Clone)]
+pub struct EngineLoad {
+    spec: EngineSpec,
+    /// Factor by which it is slower than its published figures.
+    pace: f64,
+    /// Time up to which passes have been played, in ms.
+    clock: f64,
+    jobs: Vec<Job>,
+}
+
+/// When prompts will be read.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Forecast {
+    /// Key and time of the first token of each prompt that waits, in ms.
+    pub first_tokens: Vec<(JobKey, f64)>,
+    /// When the part read for another engine is done, in ms.
+    pub helped_at: Option<f64>,
+    /// Time until nothing is written any more, in ms.
+    pub writing_ms: f64,
+    /// Longest pass, in ms.
+    pub longest_pass_ms: f64,
+}
+
+impl EngineLoad {
+    /// Returns an engine on which nothing stands.
+    #[must_use]
+    pub fn new(now: Millis, spec: EngineSpec) -> EngineLoad {
+        EngineLoad {
+            spec,
+            pace: 1.0,
+            clock: now.0 as f64,
+            jobs: Vec::new(),
+        }
+    }
+
+    /// Takes over newly published figures.
+    pub fn set_spec(&mut self, spec: EngineSpec) {
+        self.spec = spec;
+    }
+
+    /// Returns the published figures.
+    #[must_use]
+    pub fn spec(&self) -> &EngineSpec {
+        &self.spec
+    }
+
+    /// Sets the factor by which the engine is slower than published.
+    pub fn set_pace(&mut self, pace: f64) {
+        self.pace = pace.max(1.0);
+    }
+
+    /// Returns the factor by which the engine is slower than published.
+    #[must_use]
+    pub fn pace(&self) -> f64 {
+        self.pace
+    }
+
+    /// Returns the requests and parts on the engine.
+    #[must_use]
+    pub fn jobs(&self) -> &[Job] {
+        &self.jobs
+    }
+
+    /// Returns the memory that all requests on the engine will take, in tokens.
+    #[must_use]
+    pub fn memory(&self) -> f64 {
+        self.jobs.iter().map(|job| job.memory).sum()
+    }
+
+    /// Returns how many requests the engine serves, its parts of others left
+    /// out.
+    #[must_use]
+    pub fn requests(&self) -> usize {
+        self.jobs.iter().filter(|job| job.role == Role::Writer).count()
+    }
+
+    /// Returns how many parts the engine reads for others.
+    #[must_use]
+    pub fn helping(&self) -> usize {
+        self.jobs.len() - self.requests()
+    }
+
+    /// Adds a request or a part.
+    pub fn place(&mut self, now: Millis, job: Job) {
+        self.advance(now);
+        self.jobs.retain(|known| known.key != job.key || known.role != job.role);
+        self.jobs.push(job);
+    }
+
+    /// Takes over that a request's first event has come.
+    pub fn started(&mut self, now: Millis, key: JobKey) {
+        self.advance(now);
+        for job in self.jobs.iter_mut().filter(|job| job.key == key) {
+            job.read += job.unread;
+            job.unread = 0.0;
+            job.ready_at = 0.0;
+            job.started = true;
+        }
+        self.drop_finished_parts();
+    }
+
+    /// Takes over that a request is no longer on the engine.
+    pub fn ended(&mut self, now: Millis, key: JobKey) {
+        self.advance(now);
+        self.jobs.retain(|job| job.key != key);
+    }
+
+    /// Forgets all: the engine has started anew.
+    pub fn clear(&mut self) {
+        self.jobs.clear();
+    }
+
+    /// Plays the passes up to `now`.
+    pub fn advance(&mut self, now: Millis) {
+        let now_ms = now.0 as f64;
+        self.jobs.retain(|job| now.since(job.placed_at) < FORGET_AFTER);
+        while self.clock < now_ms {
+            if self.jobs.is_empty() {
+                self.clock = now_ms;
+                return;
+            }
+            let pass = self.pass();
+            if self.clock + pass.ms > now_ms && !pass.idle {
+                // The pass that runs now ends later.
+                return;
+            }
+            if pass.idle {
+                self.clock = now_ms;
+                return;
+            }
+            self.clock += pass.ms;
+            self.apply(&pass, None);
+        }
+    }
+
+    /// Returns when prompts will be read if `added` is placed here now.
+    #[must_use]
+    pub fn forecast(&self, added: Option<&Job>) -> Forecast {
+        let mut future = self.clone();
+        if future.jobs.is_empty() && added.is_none() {
+            return Forecast::default();
+        }
+        let start = self.clock;
+        future.jobs.extend(added.cloned());
+        let mut forecast = Forecast::default();
+        let mut waiting = future.waiting();
+        for _ in 0..MAX_FORECAST_PASSES {
+            if waiting == 0 {
+                break;
+            }
+            let pass = future.pass();
+            if pass.idle {
+                // Nothing is left but requests that wait for other engines.
+                let next = future.next_ready();
+                future.clock = future.clock.max(next);
+            } else {
+                future.clock += pass.ms;
+                forecast.longest_pass_ms = forecast.longest_pass_ms.max(pass.ms);
+            }
+            waiting -= future.apply(&pass, Some(&mut forecast));
+        }
+        // What was not reached gets the end of the forecast as a lower bound.
+        for job in future.jobs.iter().filter(|job| !job.started) {
+            match job.role {
+                Role::Writer if job.unread > READ_EPSILON || job.ready_at > future.clock => {
+                    forecast.first_tokens.push((job.key, future.clock.max(job.ready_at)));
+                }
+                Role::Helper if added.is_some_and(|added| added.key == job.key) => {
+                    forecast.helped_at = Some(future.clock);
+                }
+                _ => {}
+            }
+        }
+        let unwritten = future.jobs.iter().map(|job| job.unwritten).fold(0.0, f64::max);
+        let steps = f64::from(self.spec.steps_per_pass);
+        forecast.writing_ms =
+            future.clock - start + (unwritten / steps).ceil() * steps * self.spec.step_ms;
+        forecast
+    }
+
+    /// Counts the prompts and parts that are not read yet.
+    fn waiting(&self) -> usize {
+        self.jobs.iter().filter(|job| !job.is_read(self.clock)).count()
+    }
+
+    fn next_ready(&self) -> f64 {
+        self.jobs
+            .iter()
+            .filter(|job| job.ready_at > self.clock)
+            .map(|job| job.ready_at)
+            .fold(f64::INFINITY, f64::min)
+            .min(self.clock + 1000.0)
+    }
+
+    /// Works out the next pass.
+    fn pass(&self) -> Pass {
+        let spec = &self.spec;
+        let mut writers = 0_u32;
+        let mut context = 0.0;
+        for job in &self.jobs {
+            if job.writes(self.clock) {
+                writers += 1;
+                context += job.memory;
+            }
+        }
+        let mut chunk = spec.chunk_tokens as f64;
+        let mut reading_ms = 0.0;
+        let mut reads = Vec::new();
+        for at in self.reading_order() {
+            if chunk < READ_EPSILON {
+                break;
+            }
+            let job = &self.jobs[at];
+            let tokens = job.unread.min(chunk);
+            chunk -= tokens;
+            reading_ms += tokens / spec.read_tokens_per_ms;
+            reading_ms += job.attention_mpairs(tokens) * spec.attention_ms_per_mpair;
+            reads.push((at, tokens));
+        }
+        let step = spec.step_ms
+            + f64::from(writers) * spec.step_per_writer_ms
+            + context / 1000.0 * spec.step_per_kilotoken_ms;
+        let steps = if writers > 0 {
+            f64::from(spec.steps_per_pass)
+        } else {
+            1.0
+        };
+        Pass {
+            ms: (steps * step + reading_ms) * self.pace,
+            idle: writers == 0 && reads.is_empty(),
+            reads,
+        }
+    }
+
+    /// Returns the jobs with unread tokens, in the order in which they are
+    /// read: parts for other engines, then prompts by urgency and arrival.
+    fn reading_order(&self) -> Vec<usize> {
+        let mut free_slots = self.spec.slots as usize;
+        let mut order: Vec<usize> = Vec::new();
+        for (at, job) in self.jobs.iter().enumerate() {
+            if job.role == Role::Writer && job.unread <= READ_EPSILON {
+                free_slots = free_slots.saturating_sub(1);
+            }
+            if job.unread > READ_EPSILON {
+                order.push(at);
+            }
+        }
+        order.sort_by_key(|&at| {
+            let job = &self.jobs[at];
+            (job.role == Role::Writer, job.urgency, job.placed_at, at)
+        });
+        let mut taken = 0;
+        order.retain(|&at| {
+            let writer = self.jobs[at].role == Role::Writer;
+            taken += usize::from(writer);
+            !writer || taken <= free_slots
+        });
+        order
+    }
+
+    /// Applies a pass that has ended; returns how many prompts and parts are
+    /// read now and were not before.
+    fn apply(&mut self, pass: &Pass, mut forecast: Option<&mut Forecast>) -> usize {
+        let steps = f64::from(self.spec.steps_per_pass);
+        let begin = self.clock - pass.ms;
+        let mut finished = 0;
+        let mut unread_before: Vec<bool> = Vec::with_capacity(self.jobs.len());
+        for job in &mut self.jobs {
+            unread_before.push(!job.is_read(begin));
+            if job.writes(begin) {
+                job.unwritten = (job.unwritten - steps).max(0.0);
+            }
+        }
+        for &(at, tokens) in &pass.reads {
+            let job = &mut self.jobs[at];
+            job.unread -= tokens;
+            job.read += tokens;
+        }
+        let clock = self.clock;
+        for (job, was_unread) in self.jobs.iter_mut().zip(unread_before) {
+            if !was_unread || !job.is_read(clock) {
+                continue;
+            }
+            finished += 1;
+            job.unread = 0.0;
+            let Some(forecast) = forecast.as_deref_mut() else {
+                continue;
+            };
+            match job.role {
+                Role::Writer => forecast.first_tokens.push((job.key, clock)),
+                Role::Helper => forecast.helped_at = Some(clock),
+            }
+        }
+        self.drop_finished_parts();
+        finished
+    }
+
+    /// Drops parts that are read, unless they hold memory until the end.
+    fn drop_finished_parts(&mut self) {
+        self.jobs
+            .retain(|job| job.role == Role::Writer || job.unread > 0.0 || job.memory > 0.0);
+    }
+}
+
+/// One pass of an engine.
+#[derive(Debug)]
+struct Pass {
+    ms: f64,
+    /// Whether there is nothing to do.
+    idle: bool,
+    /// Index and tokens of the jobs that it reads.
+    reads: Vec<(usize, f64)>,
+}
+
+impl Job {
+    fn is_read(&self, clock: f64) -> bool {
+        self.started || (self.unread <= READ_EPSILON && self.ready_at <= clock)
+    }
+
+    fn writes(&self, clock: f64) -> bool {
+        self.role == Role::Writer && self.is_read(clock) && self.unwritten > 0.0
+    }
+
+    /// Returns the millions of pairs that reading `tokens` more has to look at.
+    fn attention_mpairs(&self, tokens: f64) -> f64 {
+        // A part has its share of the pairs of the whole prompt, so its tokens
+        // look at half of the prompt on average.
+        let looked_at = if self.attention_span > 0.0 {
+            self.attention_span / 2.0
+        } else {
+            self.read + tokens / 2.0
+        };
+        tokens * looked_at / 1e6
+    }
+}
--- /dev/null
+++ b/src/gateway/instances.rs
@@ -0,0 +1,180 @@
+//! The other instances, and what they tell each other.
+//!
+//! Every placement, first event and end goes to all instances at once in one
+//! small datagram, so that each knows nearly all that stands on every engine
+//! without asking anybody. A lost datagram costs accuracy, never correctness:
+//! limits that must hold are shares that need no message.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::Millis;
+
+/// Period at which each instance says that it lives and how fresh it is.
+pub const HEARTBEAT_PERIOD: Millis = Millis(500);
+/// Time without a heartbeat after which an instance counts as lost; several
+/// periods, as single datagrams get lost.
+pub const LOST_AFTER: Millis = Millis(2_500);
+
+/// Another instance, as its entry in the store names it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Member {
+    /// Its name.
+    pub name: String,
+    /// Address for datagrams, `ip:port`.
+    pub addr: String,
+}
+
+/// A datagram between instances.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// A request was placed on an engine or a plain server.
+    Placed(Placed),
+    /// The first output of a request has come.
+    Started {
+        /// The request's key.
+        job: u64,
+        /// Hash of the backend server's id.
+        server: u64,
+        /// Hashes of the ids of the engines that read parts.
+        parts: Vec<u64>,
+    },
+    /// A request is over.
+    Ended {
+        /// The request's key.
+        job: u64,
+        /// Hash of the backend server's id.
+        server: u64,
+        /// Hashes of the ids of the engines that read parts.
+        parts: Vec<u64>,
+    },
+    /// The sender lives.
+    Alive {
+        /// Its name.
+        name: String,
+        /// Its address for datagrams.
+        addr: String,
+        /// Revision of the newest change by operators that it knows.
+        config_revision: u64,
+        /// How long ago it asked the store that proved this, in ms.
+        proof_age_ms: u64,
+    },
+    /// A request crashed a backend server.
+    Crashed {
+        /// The request's fingerprint.
+        fingerprint: u64,
+        /// Hash of the backend server's id.
+        server: u64,
+    },
+    /// A backend server fails requests; others avoid it for a while.
+    Suspect {
+        /// Hash of the backend server's id.
+        server: u64,
+        /// How long to avoid it, in ms.
+        avoid_ms: u64,
+    },
+}
+
+/// A placement, as all instances get it.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Placed {
+    /// The request's key.
+    pub job: u64,
+    /// Hash of the backend server's id.
+    pub server: u64,
+    /// Hashes of the ids of the engines that read parts.
+    pub parts: Vec<u64>,
+    /// Tokens of the prompt; 0 on a plain server.
+    pub prompt_tokens: u64,
+    /// Expected tokens of the answer.
+    pub output_tokens: u64,
+    /// Memory that the parts hold, in tokens; 0: the first engine holds all.
+    pub parts_memory: u64,
+    /// Urgency at the engine.
+    pub urgency: u8,
+    /// Time left until the first output is due, in ms.
+    pub due_in_ms: u64,
+}
+
+/// The other instances that are known.
+#[derive(Debug, Default)]
+pub struct Instances {
+    known: BTreeMap<String, Known>,
+    addrs: Arc<Vec<String>>,
+}
+
+#[derive(Debug)]
+struct Known {
+    addr: String,
+    heard: Millis,
+    alive: bool,
+}
+
+impl Instances {
+    /// Takes over an entry of the store or a heartbeat; returns whether the
+    /// instance is new or came back.
+    pub fn heard(&mut self, now: Millis, member: &Member) -> bool {
+        let known = self.known.entry(member.name.clone()).or_insert_with(|| Known {
+            addr: String::new(),
+            heard: now,
+            alive: false,
+        });
+        known.heard = now;
+        let changed = !known.alive || known.addr != member.addr;
+        known.alive = true;
+        if known.addr != member.addr {
+            known.addr.clone_from(&member.addr);
+            self.rebuild();
+        }
+        changed
+    }
+
+    /// Forgets an instance whose entry is gone and that is not heard.
+    pub fn remove(&mut self, name: &str) {
+        if self.known.get(name).is_some_and(|known| !known.alive) {
+            self.known.remove(name);
+            self.rebuild();
+        }
+    }
+
+    /// Marks instances that were not heard in time; returns their names.
+    pub fn expire(&mut self, now: Millis) -> Vec<String> {
+        let mut lost = Vec::new();
+        for (name, known) in &mut self.known {
+            if known.alive && now.since(known.heard) >= LOST_AFTER {
+                known.alive = false;
+                lost.push(name.clone());
+            }
+        }
+        lost
+    }
+
+    /// Returns the addresses of all known instances.
+    #[must_use]
+    pub fn addrs(&self) -> Arc<Vec<String>> {
+        Arc::clone(&self.addrs)
+    }
+
+    /// Returns how many instances there are, this one included.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.known.len() + 1
+    }
+
+    /// Returns how many other instances are heard.
+    #[must_use]
+    pub fn alive(&self) -> usize {
+        self.known.values().filter(|known| known.alive).count()
+    }
+
+    fn rebuild(&mut self) {
+        let addrs = self.known.values().map(|known| known.addr.clone()).collect();
+        self.addrs = Arc::new(addrs);
+    }
+}
--- /dev/null
+++ b/src/gateway/placement.rs
@@ -0,0 +1,424 @@
+//! Where a prompt is read and written.
+//!
+//! The choice weighs, for each engine and each number of parts that a prompt
+//! may be split into, what is lost if the prompt goes there: how late its own
+//! first token is predicted to be, and how much later those of the prompts
+//! already there become. The least loss wins; where nothing is lost, engines
+//! that already write are preferred, so that others stay free to read at full
+//! speed.
+//!
+//! The load it answers: short prompts that must not feel long ones, in a mix
+//! that swings within seconds; and prompts larger than one engine's memory.
+
+use crate::clock::Millis;
+use crate::gateway::engine::EngineLoad;
+use crate::gateway::engine::Forecast;
+use crate::gateway::engine::Job;
+use crate::gateway::engine::JobKey;
+use crate::gateway::engine::Role;
+use crate::gateway::roster::ServerKey;
+
+/// Parts that a prompt may be split into, from which one number is chosen; 17
+/// is the first engine and the 16 others that an engine accepts.
+const PART_COUNTS: [usize; 8] = [1, 2, 3, 4, 6, 9, 12, 17];
+/// Part of an engine's memory that placements fill; the rest is for answers
+/// that grow longer than expected.
+const MEMORY_FILL: f64 = 0.95;
+/// Share of a request's value that is lost if its first output is late: what
+/// the deployments' sheets leave of it is about a quarter.
+const LATE_LOSS: f64 = 0.75;
+/// Width of the border between in time and late, as a share of the target:
+/// predictions are that far off.
+const LATE_WIDTH: f64 = 0.06;
+/// Least width of that border, in ms: about half a pass.
+const LATE_WIDTH_MIN_MS: f64 = 20.0;
+/// Loss for each ms that an engine writes longer: it reads at a fifth of its
+/// speed meanwhile.
+const WRITING_LOSS_PER_MS: f64 = 4e-5;
+/// Loss for each ms until the first token, in time or not: less waiting leaves
+/// more room for what comes next.
+const WAITING_LOSS_PER_MS: f64 = 1e-4;
+/// Loss for each additional part: each needs another engine's attention.
+const PART_LOSS: f64 = 0.004;
+/// Loss if the backend server stands in another failure domain: the bytes
+/// between domains cost.
+const FAR_LOSS: f64 = 0.003;
+/// Share of a request's value that is lost if memory does not suffice: some
+/// request on the engine is interrupted and read again.
+const MEMORY_LOSS: f64 = 0.5;
+/// Requests that wait in an engine's own queue at most, beyond its slots; more
+/// are refused there.
+const ENGINE_QUEUE: usize = 16;
+
+/// A prompt that is to be placed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Prompt {
+    /// Its key.
+    pub key: JobKey,
+    /// Tokens of the prompt.
+    pub prompt_tokens: f64,
+    /// Expected tokens of the answer.
+    pub output_tokens: f64,
+    /// When its first output is due, in ms.
+    pub due: f64,
+    /// When its answer is worth nothing any more, in ms.
+    pub deadline: f64,
+    /// Target for the first output, in ms.
+    pub target: f64,
+    /// What it is worth in time.
+    pub value: f64,
+    /// Urgency at the engine.
+    pub urgency: u8,
+}
+
+/// An engine that may be chosen.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate<'a> {
+    /// Its key.
+    pub key: ServerKey,
+    /// What stands on it, played up to now.
+    pub load: &'a EngineLoad,
+    /// Whether it stands in another failure domain.
+    pub far: bool,
+    /// Whether it may take the request itself.
+    pub may_write: bool,
+    /// Whether it may read a part for another.
+    pub may_help: bool,
+}
+
+/// Where a prompt goes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Choice {
+    /// The engine that gets the request.
+    pub first: ServerKey,
+    /// Engines that read parts, with the memory to reserve on each, in tokens.
+    pub parts: Vec<(ServerKey, u64)>,
+    /// Memory to reserve on the first engine, in tokens.
+    pub first_reserved: u64,
+    /// When the first token is predicted, in ms.
+    pub first_token: f64,
+    /// What is lost by this choice, in the unit of a request's value.
+    pub loss: f64,
+}
+
+/// An engine with what it loses already.
+struct Weighed<'a> {
+    candidate: Candidate<'a>,
+    base: Forecast,
+    base_loss: f64,
+    free_memory: f64,
+}
+
+/// A part read by one engine, with what that costs.
+struct PartOffer {
+    at: usize,
+    done: f64,
+    loss: f64,
+}
+
+/// Chooses where a prompt goes; none if no engine may take it.
+#[must_use]
+pub fn place(now: Millis, prompt: &Prompt, candidates: &[Candidate<'_>]) -> Option<Choice> {
+    let engines: Vec<Weighed<'_>> = candidates.iter().map(|c| weigh(*c)).collect();
+    let needed = prompt.prompt_tokens + prompt.output_tokens;
+    let largest = engines
+        .iter()
+        .map(|engine| engine.candidate.load.spec().memory_tokens as f64)
+        .fold(0.0, f64::max);
+    if needed > largest * MEMORY_FILL {
+        return place_over_memory(now, prompt, &engines);
+    }
+    let mut best: Option<Choice> = None;
+    for count in PART_COUNTS {
+        if !is_worth_splitting(prompt, &engines, count) {
+            break;
+        }
+        let choice = place_in_parts(now, prompt, &engines, count);
+        best = better(best, choice);
+    }
+    best
+}
+
+/// Returns what is lost if a prompt's first token comes at `at`, in ms.
+#[must_use]
+pub fn lateness_loss(value: f64, target: f64, due: f64, at: f64) -> f64 {
+    let width = (target * LATE_WIDTH).max(LATE_WIDTH_MIN_MS);
+    let late = 1.0 / (1.0 + (-(at - due) / width).exp());
+    value * LATE_LOSS * late
+}
+
+fn weigh(candidate: Candidate<'_>) -> Weighed<'_> {
+    let base = candidate.load.forecast(None);
+    let base_loss = loss_of_jobs(candidate.load, &base, None);
+    let free_memory =
+        candidate.load.spec().memory_tokens as f64 * MEMORY_FILL - candidate.load.memory();
+    Weighed {
+        candidate,
+        base,
+        base_loss,
+        free_memory,
+    }
+}
+
+/// Sums what the prompts on an engine lose under a forecast, one left out.
+fn loss_of_jobs(load: &EngineLoad, forecast: &Forecast, except: Option<JobKey>) -> f64 {
+    let mut loss = 0.0;
+    for &(key, at) in &forecast.first_tokens {
+        if Some(key) == except {
+            continue;
+        }
+        let known = load.jobs().iter().find(|job| job.key == key && job.role == Role::Writer);
+        if let Some(job) = known {
+            let target = (job.due - job.placed_at.0 as f64).max(1.0);
+            loss += lateness_loss(job.value, target, job.due, at);
+        }
+    }
+    loss
+}
+
+fn better(best: Option<Choice>, other: Option<Choice>) -> Option<Choice> {
+    match (best, other) {
+        (Some(best), Some(other)) if other.loss < best.loss => Some(other),
+        (None, other) => other,
+        (best, _) => best,
+    }
+}
+
+/// A part below half of a chunk is read in the same pass as a whole chunk.
+fn is_worth_splitting(prompt: &Prompt, engines: &[Weighed<'_>], count: usize) -> bool {
+    let Some(engine) = engines.first() else {
+        return false;
+    };
+    let chunk = engine.candidate.load.spec().chunk_tokens as f64;
+    count == 1
+        || (count <= engines.len() && prompt.prompt_tokens > chunk * (count - 1) as f64)
+}
+
+fn place_in_parts(
+    now: Millis,
+    prompt: &Prompt,
+    engines: &[Weighed<'_>],
+    count: usize,
+) -> Option<Choice> {
+    let part = prompt.prompt_tokens / count as f64;
+    let mut offers: Vec<PartOffer> = Vec::new();
+    if count > 1 {
+        offers = part_offers(now, prompt, engines, part, 0.0);
+        if offers.len() < count - 1 {
+            return None;
+        }
+    }
+    let mut best = None;
+    for (at, engine) in engines.iter().enumerate() {
+        if !engine.candidate.may_write || is_full(engine) {
+            continue;
+        }
+        let helpers: Vec<&PartOffer> = offers
+            .iter()
+            .filter(|offer| offer.at != at)
+            .take(count - 1)
+            .collect();
+        if helpers.len() < count - 1 {
+            continue;
+        }
+        let choice = evaluate(now, prompt, engines, at, &helpers, part);
+        best = better(best, Some(choice));
+    }
+    best
+}
+
+fn is_full(engine: &Weighed<'_>) -> bool {
+    let load = engine.candidate.load;
+    load.requests() >= load.spec().slots as usize + ENGINE_QUEUE
+}
+
+/// Returns the engines that could read a part, least loss first.
+fn part_offers(
+    now: Millis,
+    prompt: &Prompt,
+    engines: &[Weighed<'_>],
+    part: f64,
+    memory: f64,
+) -> Vec<PartOffer> {
+    let mut offers = Vec::new();
+    for (at, engine) in engines.iter().enumerate() {
+        let load = engine.candidate.load;
+        if !engine.candidate.may_help || load.helping() >= load.spec().slots as usize {
+            continue;
+        }
+        let job = part_job(now, prompt, part, memory);
+        let forecast = load.forecast(Some(&job));
+        let done = forecast.helped_at.unwrap_or(now.0 as f64);
+        let loss = loss_of_jobs(load, &forecast, Some(prompt.key)) - engine.base_loss;
+        offers.push(PartOffer { at, done, loss });
+    }
+    let weight = |offer: &PartOffer| {
+        let late = lateness_loss(prompt.value, prompt.target, prompt.due, offer.done);
+        offer.loss + late + (offer.done - now.0 as f64) * WAITING_LOSS_PER_MS
+    };
+    offers.sort_by(|a, b| weight(a).total_cmp(&weight(b)));
+    offers
+}
+
+fn evaluate(
+    now: Millis,
+    prompt: &Prompt,
+    engines: &[Weighed<'_>],
+    at: usize,
+    helpers: &[&PartOffer],
+    part: f64,
+) -> Choice {
+    let engine = &engines[at];
+    let load = engine.candidate.load;
+    let ready_at = helpers.iter().map(|offer| offer.done).fold(0.0, f64::max);
+    let job = first_job(now, prompt, part, ready_at, prompt.prompt_tokens);
+    let forecast = load.forecast(Some(&job));
+    let first_token = forecast
+        .first_tokens
+        .iter()
+        .find(|(key, _)| *key == prompt.key)
+        .map_or(now.0 as f64, |(_, at)| *at);
+    let mut loss = lateness_loss(prompt.value, prompt.target, prompt.due, first_token);
+    if first_token >= prompt.deadline {
+        loss = prompt.value;
+    }
+    loss += loss_of_jobs(load, &forecast, Some(prompt.key)) - engine.base_loss;
+    loss += helpers.iter().map(|offer| offer.loss + PART_LOSS).sum::<f64>();
+    loss += (forecast.writing_ms - engine.base.writing_ms).max(0.0) * WRITING_LOSS_PER_MS;
+    loss += (first_token - now.0 as f64) * WAITING_LOSS_PER_MS;
+    if engine.candidate.far {
+        loss += FAR_LOSS;
+    }
+    if engine.free_memory < prompt.prompt_tokens + prompt.output_tokens {
+        loss += prompt.value * MEMORY_LOSS;
+    }
+    if load.requests() >= load.spec().slots as usize {
+        loss += prompt.value * LATE_LOSS;
+    }
+    Choice {
+        first: engine.candidate.key,
+        parts: helpers
+            .iter()
+            .map(|offer| (engines[offer.at].candidate.key, 0))
+            .collect(),
+        first_reserved: 0,
+        first_token,
+        loss,
+    }
+}
+
+/// Places a prompt that no engine can hold: its memory is reserved on the
+/// engines with most room, until they hold it together.
+fn place_over_memory(now: Millis, prompt: &Prompt, engines: &[Weighed<'_>]) -> Option<Choice> {
+    let mut order: Vec<usize> = (0..engines.len())
+        .filter(|&at| engines[at].candidate.may_help && engines[at].candidate.may_write)
+        .filter(|&at| !is_full(&engines[at]))
+        .collect();
+    order.sort_by(|&a, &b| {
+        let key = |at: usize| (engines[at].free_memory, -engines[at].base_loss);
+        key(b).partial_cmp(&key(a)).unwrap_or(std::cmp::Ordering::Equal)
+    });
+    let mut left = prompt.prompt_tokens + prompt.output_tokens;
+    let mut holders: Vec<(usize, u64)> = Vec::new();
+    for &at in &order {
+        if left <= 0.0 {
+            break;
+        }
+        let tokens = engines[at].free_memory.min(left).floor().max(0.0);
+        if tokens > 0.0 {
+            holders.push((at, tokens as u64));
+            left -= tokens;
+        }
+    }
+    if left > 0.0 || holders.len() < 2 {
+        return None;
+    }
+    let (first, first_reserved) = holders[0];
+    let readers: Vec<usize> = order
+        .iter()
+        .copied()
+        .filter(|at| !holders.iter().any(|(held, _)| held == at))
+        .take(PART_COUNTS[PART_COUNTS.len() - 1] - holders.len())
+        .collect();
+    let mut best = None;
+    for extra in [0, 2, 5, 9, 14] {
+        if extra > readers.len() {
+            break;
+        }
+        let mut parts: Vec<(usize, u64)> = holders[1..].to_vec();
+        parts.extend(readers[..extra].iter().map(|&at| (at, 0)));
+        let part = prompt.prompt_tokens / (parts.len() + 1) as f64;
+        let offers: Vec<PartOffer> = parts
+            .iter()
+            .map(|&(at, memory)| part_offer(now, prompt, engines, at, part, memory))
+            .collect();
+        let helpers: Vec<&PartOffer> = offers.iter().collect();
+        let mut choice = evaluate(now, prompt, engines, first, &helpers, part);
+        choice.first_reserved = first_reserved;
+        choice.parts = parts
+            .iter()
+            .map(|&(at, memory)| (engines[at].candidate.key, memory))
+            .collect();
+        best = better(best, Some(choice));
+    }
+    best
+}
+
+fn part_offer(
+    now: Millis,
+    prompt: &Prompt,
+    engines: &[Weighed<'_>],
+    at: usize,
+    part: f64,
+    memory: u64,
+) -> PartOffer {
+    let load = engines[at].candidate.load;
+    let job = part_job(now, prompt, part, memory as f64);
+    let forecast = load.forecast(Some(&job));
+    PartOffer {
+        at,
+        done: forecast.helped_at.unwrap_or(now.0 as f64),
+        loss: loss_of_jobs(load, &forecast, Some(prompt.key)) - engines[at].base_loss,
+    }
+}
+
+/// Returns the job of the engine that gets the request.
+#[must_use]
+pub fn first_job(now: Millis, prompt: &Prompt, part: f64, ready_at: f64, held: f64) -> Job {
+    let split = part < prompt.prompt_tokens;
+    Job {
+        key: prompt.key,
+        role: Role::Writer,
+        urgency: prompt.urgency,
+        unread: part,
+        read: 0.0,
+        attention_span: if split { prompt.prompt_tokens } else { 0.0 },
+        memory: held + prompt.output_tokens,
+        unwritten: prompt.output_tokens,
+        ready_at,
+        started: false,
+        placed_at: now,
+        due: prompt.due,
+        value: prompt.value,
+    }
+}
+
+/// Returns the job of an engine that reads a part.
+#[must_use]
+pub fn part_job(now: Millis, prompt: &Prompt, part: f64, memory: f64) -> Job {
+    Job {
+        key: prompt.key,
+        role: Role::Helper,
+        urgency: 0,
+        unread: part,
+        read: 0.0,
+        attention_span: prompt.prompt_tokens,
+        memory,
+        unwritten: 0.0,
+        ready_at: 0.0,
+        started: false,
+        placed_at: now,
+        due: prompt.due,
+        value: 0.0,
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,8 @@
 //! input and a time and returns outputs. Traffic threads own all sockets and
 //! talk to it over channels.
 
+#[path = "../platform/mod.rs"]
+pub mod adapter;
 pub mod admin;
 pub mod admission;
 pub mod affinity;
@@ -22,9 +24,11 @@
 mod fixture;
 pub mod fleet;
 pub mod gang;
+pub mod gateway;
 pub mod id;
 pub mod job;
 pub mod listener;
+pub mod logging;
 pub mod membership;
 pub mod metrics;
 pub mod once;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -80,6 +80,7 @@
     Homes = "homes", "Backend servers whose home this instance is";
     StaticShares = "static_shares", "Backend servers of which this instance uses its static share as their home is silent";
     MembersLive = "members_live", "Other instances that are known and not suspected, leaving or gone";
+    ConfigAge = "config_proof_age_ms", "Age of the newest proof that the operators' configuration is current, in ms";
     Ready = "ready", "1 when the instance takes callers, else 0";
 }
 
@@ -104,6 +105,8 @@
 timings! {
     FirstToken = "first_token", "length", "Time from admission to the first token, by length class of the prompt",
         [0.05, 0.1, 0.2, 0.4, 0.87, 1.5, 3.0, 6.0, 12.0, 30.0, 60.0, 120.0, 300.0];
+    FirstOutput = "first_output", "route", "Time from a forwarded request's arrival to the first output, by route",
+        [0.01, 0.05, 0.1, 0.15, 0.3, 0.6, 1.0, 1.5, 2.5, 5.0, 10.0];
     Whole = "whole_answer", "kind", "Time from admission to the whole answer, by request kind",
         [0.01, 0.05, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 120.0, 300.0, 900.0];
 }
