--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -59,7 +59,7 @@
     pub ready_at: f64,
     /// Whether its first event has been seen.
     pub started: bool,
-    /// When it was placed.
+    /// When it was placed. A pass that runs by then goes on without it.
     pub placed_at: Millis,
     /// When its first event is due, in ms.
     pub due: f64,
@@ -190,12 +190,12 @@
                 return;
             }
             let pass = self.pass();
-            if self.clock + pass.ms > now_ms && !pass.idle {
-                // The pass that runs now ends later.
-                return;
-            }
             if pass.idle {
-                self.clock = now_ms;
+                self.clock = self.next_event().min(now_ms);
+                continue;
+            }
+            if self.clock + pass.ms > now_ms {
+                // The pass that runs now ends later.
                 return;
             }
             self.clock += pass.ms;
@@ -220,9 +220,7 @@
             }
             let pass = future.pass();
             if pass.idle {
-                // Nothing is left but requests that wait for other engines.
-                let next = future.next_ready();
-                future.clock = future.clock.max(next);
+                future.clock = future.next_event();
             } else {
                 future.clock += pass.ms;
                 forecast.longest_pass_ms = forecast.longest_pass_ms.max(pass.ms);
@@ -253,13 +251,15 @@
         self.jobs.iter().filter(|job| !job.is_read(self.clock)).count()
     }
 
-    fn next_ready(&self) -> f64 {
+    /// Returns when something changes on an engine that is idle: a request
+    /// arrives, or other engines have read their parts.
+    fn next_event(&self) -> f64 {
+        const LOOK_AHEAD_MS: f64 = 1_000.0;
         self.jobs
             .iter()
-            .filter(|job| job.ready_at > self.clock)
-            .map(|job| job.ready_at)
-            .fold(f64::INFINITY, f64::min)
-            .min(self.clock + 1000.0)
+            .flat_map(|job| [job.placed_at.0 as f64, job.ready_at])
+            .filter(|&at| at > self.clock)
+            .fold(self.clock + LOOK_AHEAD_MS, f64::min)
     }
 
     /// Works out the next pass.
@@ -311,7 +311,7 @@
             if job.role == Role::Writer && job.unread <= READ_EPSILON {
                 free_slots = free_slots.saturating_sub(1);
             }
-            if job.unread > READ_EPSILON {
+            if job.unread > READ_EPSILON && job.placed_at.0 as f64 <= self.clock {
                 order.push(at);
             }
         }
