Read a chunk in each step of a pass, and count writers' pauses

Cause: beside writers a prompt of 12 chunks had its first token after 229 ms, one of 1 chunk after 84: 10 ms a chunk, so that a pass of 43 steps reads up to 43 chunks, not one.

--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -64,6 +64,8 @@
 /// Time that memory is reserved beyond the request's deadline; a request whose
 /// memory runs out is cut off.
 const RESERVATION_SLACK: Millis = Millis(1_000);
+/// Longest pause in time where a route names none, in ms.
+const GAP_NEVER: f64 = 60_000.0;
 /// Urgency at engines where nothing else is said; the middle of their scale.
 const URGENCY: u8 = 5;
 
@@ -264,6 +266,7 @@
             due: due.0 as f64,
             deadline: request.answer_due.0 as f64,
             target: target.0 as f64,
+            gap: request.route.target_gap.map_or(GAP_NEVER, |gap| gap.0 as f64),
             value: value_of(shape.prompt_tokens),
             urgency: URGENCY,
         }
@@ -479,6 +482,7 @@
             output_tokens: prompt.map_or(0, |prompt| prompt.output_tokens as u64),
             parts_memory: choice.parts.iter().map(|(_, tokens)| tokens).sum(),
             urgency: prompt.map_or(0, |prompt| prompt.urgency),
+            gap_ms: prompt.map_or(0, |prompt| prompt.gap.min(GAP_NEVER) as u64),
             due_in_ms: prompt.map_or(0, |prompt| (prompt.due - now.0 as f64).max(1.0) as u64),
         };
         self.tell(out, PeerMessage::Placed(placed));
--- a/src/gateway/core/standing.rs
+++ b/src/gateway/core/standing.rs
@@ -175,6 +175,7 @@
             due,
             deadline: f64::INFINITY,
             target: placed.due_in_ms as f64,
+            gap: placed.gap_ms as f64,
             value: value_of(placed.prompt_tokens),
             urgency: placed.urgency,
         };
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -1,21 +1,22 @@
 //! What stands on one model engine, and when its requests will be answered.
 //!
-//! An engine works in passes. In a pass it reads up to a chunk of waiting
-//! prompts; if any request is writing, the pass also makes a fixed number of
-//! tokens for each of them, which takes several times as long as reading the
-//! chunk does. [`EngineLoad`] plays these passes from the published figures and
+//! An engine works in passes of one step, or of many while any request is
+//! writing. In each step it reads up to a chunk of waiting prompts. A pass goes
+//! on until all it reads is read, and only then come its tokens: reading a long
+//! prompt beside writers stalls them, and whoever arrives meanwhile.
+//! [`EngineLoad`] plays these passes from the published figures and
 //! from what instances tell each other of placements, first events and ends.
 //! [`EngineLoad::forecast`] answers, for a request that is not there yet, when
 //! each prompt would be read.
 //!
 //! The load it answers: prompts of widely differing lengths on one engine,
-//! where a long one beside writers delays every short one behind it.
+//! where a long one delays every short one beside it.
 
 use crate::clock::Millis;
 use crate::gateway::route::EngineSpec;
 
-/// Passes that a forecast plays at most; a pass takes 10 ms or more, so that
-/// this covers several seconds.
+/// Passes that a forecast plays at most; one without writers takes 10 ms or
+/// more, so that this covers more than the longest prompt.
 const MAX_FORECAST_PASSES: usize = 160;
 /// Part of a token below which a prompt counts as read.
 const READ_EPSILON: f64 = 0.5;
@@ -63,6 +64,8 @@
     pub placed_at: Millis,
     /// When its first event is due, in ms.
     pub due: f64,
+    /// Longest pause between two events that is in time, in ms.
+    pub gap: f64,
     /// What it is worth to its caller in time.
     pub value: f64,
 }
@@ -85,10 +88,10 @@
     pub first_tokens: Vec<(JobKey, f64)>,
     /// When the part read for another engine is done, in ms.
     pub helped_at: Option<f64>,
+    /// Key and longest pass of each request that writes, in ms.
+    pub pauses: Vec<(JobKey, f64)>,
     /// Time until nothing is written any more, in ms.
     pub writing_ms: f64,
-    /// Longest pass, in ms.
-    pub longest_pass_ms: f64,
 }
 
 impl EngineLoad {
@@ -223,7 +226,6 @@
                 future.clock = future.next_event();
             } else {
                 future.clock += pass.ms;
-                forecast.longest_pass_ms = forecast.longest_pass_ms.max(pass.ms);
             }
             waiting -= future.apply(&pass, Some(&mut forecast));
         }
@@ -273,7 +275,11 @@
                 context += job.memory;
             }
         }
-        let mut chunk = spec.chunk_tokens as f64;
+        let steps = match writers {
+            0 => 1.0,
+            _ => f64::from(spec.steps_per_pass),
+        };
+        let mut chunk = spec.chunk_tokens as f64 * steps;
         let mut reading_ms = 0.0;
         let mut reads = Vec::new();
         for at in self.reading_order() {
@@ -290,11 +296,6 @@
         let step = spec.step_ms
             + f64::from(writers) * spec.step_per_writer_ms
             + context / 1000.0 * spec.step_per_kilotoken_ms;
-        let steps = if writers > 0 {
-            f64::from(spec.steps_per_pass)
-        } else {
-            1.0
-        };
         Pass {
             ms: (steps * step + reading_ms) * self.pace,
             idle: writers == 0 && reads.is_empty(),
@@ -338,6 +339,9 @@
         for job in &mut self.jobs {
             unread_before.push(!job.is_read(begin));
             if job.writes(begin) {
+                if let Some(forecast) = forecast.as_deref_mut() {
+                    forecast.pause(job.key, pass.ms);
+                }
                 job.unwritten = (job.unwritten - steps).max(0.0);
             }
         }
@@ -372,6 +376,15 @@
     }
 }
 
+impl Forecast {
+    fn pause(&mut self, key: JobKey, ms: f64) {
+        match self.pauses.iter_mut().find(|(known, _)| *known == key) {
+            Some((_, longest)) => *longest = longest.max(ms),
+            None => self.pauses.push((key, ms)),
+        }
+    }
+}
+
 /// One pass of an engine.
 #[derive(Debug)]
 struct Pass {
--- a/src/gateway/instances.rs
+++ b/src/gateway/instances.rs
@@ -98,6 +98,8 @@
     pub parts_memory: u64,
     /// Urgency at the engine.
     pub urgency: u8,
+    /// Longest pause between two events that is in time, in ms.
+    pub gap_ms: u64,
     /// Time left until the first output is due, in ms.
     pub due_in_ms: u64,
 }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -32,9 +32,11 @@
 const LATE_WIDTH: f64 = 0.06;
 /// Least width of that border, in ms: about half a pass.
 const LATE_WIDTH_MIN_MS: f64 = 20.0;
-/// Loss for each ms that an engine writes longer: it reads at a fifth of its
-/// speed meanwhile.
-const WRITING_LOSS_PER_MS: f64 = 4e-5;
+/// Loss for each ms that an engine writes longer: it reads less meanwhile.
+const WRITING_LOSS_PER_MS: f64 = 2e-5;
+/// Part of the longest pause in time that passes may take: an event has its
+/// way to the caller as well.
+const GAP_USED: f64 = 0.9;
 /// Loss for each ms until the first token, in time or not: less waiting leaves
 /// more room for what comes next.
 const WAITING_LOSS_PER_MS: f64 = 1e-4;
@@ -65,6 +67,8 @@
     pub deadline: f64,
     /// Target for the first output, in ms.
     pub target: f64,
+    /// Longest pause between two events that is in time, in ms.
+    pub gap: f64,
     /// What it is worth in time.
     pub value: f64,
     /// Urgency at the engine.
@@ -173,9 +177,23 @@
             loss += lateness_loss(job.value, target, job.due, at);
         }
     }
+    for &(key, ms) in &forecast.pauses {
+        if Some(key) == except {
+            continue;
+        }
+        let known = load.jobs().iter().find(|job| job.key == key && job.role == Role::Writer);
+        if let Some(job) = known {
+            loss += pause_loss(job.value, job.gap, ms);
+        }
+    }
     loss
 }
 
+/// Returns what is lost if a request that writes pauses for `ms`.
+fn pause_loss(value: f64, gap: f64, ms: f64) -> f64 {
+    lateness_loss(value, gap, gap * GAP_USED, ms)
+}
+
 fn better(best: Option<Choice>, other: Option<Choice>) -> Option<Choice> {
     match (best, other) {
         (Some(best), Some(other)) if other.loss < best.loss => Some(other),
@@ -399,6 +417,7 @@
         started: false,
         placed_at: now,
         due: prompt.due,
+        gap: prompt.gap,
         value: prompt.value,
     }
 }
@@ -419,6 +438,7 @@
         started: false,
         placed_at: now,
         due: prompt.due,
+        gap: prompt.gap,
         value: 0.0,
     }
 }
