--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -4,7 +4,8 @@
 //! writing. In each step it reads up to a chunk of waiting prompts. A pass goes
 //! on until all it reads is read, and only then come its tokens: reading a long
 //! prompt beside writers stalls them, and whoever arrives meanwhile.
-//! [`EngineLoad`] plays these passes from the published figures and
+//! A request is admitted when its prompt fits into the memory that is left; one
+//! that does not fit holds up all that came after it. [`EngineLoad`] plays these passes from the published figures and
 //! from what instances tell each other of placements, first events and ends.
 //! [`EngineLoad::forecast`] answers, for a request that is not there yet, when
 //! each prompt would be read.
@@ -58,6 +59,8 @@
     /// Earliest time of the first token: when other engines have read their
     /// parts, in ms.
     pub ready_at: f64,
+    /// Whether the engine has admitted it.
+    pub admitted: bool,
     /// Whether its first event has been seen.
     pub started: bool,
     /// When it was placed. A pass that runs by then goes on without it.
@@ -167,6 +170,7 @@
             job.read += job.unread;
             job.unread = 0.0;
             job.ready_at = 0.0;
+            job.admitted = true;
             job.started = true;
         }
         self.drop_finished_parts();
@@ -192,6 +196,7 @@
                 self.clock = now_ms;
                 return;
             }
+            self.admit();
             let pass = self.pass();
             if pass.idle {
                 self.clock = self.next_event().min(now_ms);
@@ -203,6 +208,7 @@
             }
             self.clock += pass.ms;
             self.apply(&pass, None);
+            self.expect_longer_answers();
         }
     }
 
@@ -221,6 +227,7 @@
             if waiting == 0 {
                 break;
             }
+            future.admit();
             let pass = future.pass();
             if pass.idle {
                 future.clock = future.next_event();
@@ -248,6 +255,17 @@
         forecast
     }
 
+    /// Lets answers that are longer than expected go on for a pass.
+    fn expect_longer_answers(&mut self) {
+        for job in self.jobs.iter_mut().filter(|job| job.role == Role::Writer) {
+            if job.unwritten <= 0.0 {
+                let steps = f64::from(self.spec.steps_per_pass);
+                job.unwritten = steps;
+                job.memory += steps;
+            }
+        }
+    }
+
     /// Counts the prompts and parts that are not read yet.
     fn waiting(&self) -> usize {
         self.jobs.iter().filter(|job| !job.is_read(self.clock)).count()
@@ -272,7 +290,7 @@
         for job in &self.jobs {
             if job.writes(self.clock) {
                 writers += 1;
-                context += job.memory;
+                context += job.held();
             }
         }
         let steps = match writers {
@@ -303,29 +321,52 @@
         }
     }
 
-    /// Returns the jobs with unread tokens, in the order in which they are
-    /// read: parts for other engines, then prompts by urgency and arrival.
-    fn reading_order(&self) -> Vec<usize> {
-        let mut free_slots = self.spec.slots as usize;
-        let mut order: Vec<usize> = Vec::new();
+    /// Admits the requests that have come, by urgency and arrival, until one
+    /// does not fit.
+    fn admit(&mut self) {
+        let mut slots = self.spec.slots as usize;
+        let mut memory = self.spec.memory_tokens as f64;
+        let mut waiting: Vec<usize> = Vec::new();
         for (at, job) in self.jobs.iter().enumerate() {
-            if job.role == Role::Writer && job.unread <= READ_EPSILON {
-                free_slots = free_slots.saturating_sub(1);
+            let admitted = job.admitted || job.role == Role::Helper;
+            if admitted {
+                memory -= job.held();
+                slots = slots.saturating_sub(usize::from(job.role == Role::Writer));
+            } else if job.placed_at.0 as f64 <= self.clock {
+                waiting.push(at);
             }
-            if job.unread > READ_EPSILON && job.placed_at.0 as f64 <= self.clock {
-                order.push(at);
+        }
+        waiting.sort_by_key(|&at| (self.jobs[at].urgency, self.jobs[at].placed_at, at));
+        for at in waiting {
+            let job = &mut self.jobs[at];
+            if slots == 0 || job.held() > memory {
+                return;
             }
+            slots -= 1;
+            memory -= job.held();
+            job.admitted = true;
         }
+    }
+
+    /// Returns the jobs with unread tokens, in the order in which they are
+    /// read: parts for other engines, then admitted prompts by urgency and
+    /// arrival.
+    fn reading_order(&self) -> Vec<usize> {
+        let mut order: Vec<usize> = self
+            .jobs
+            .iter()
+            .enumerate()
+            .filter(|(_, job)| job.unread > READ_EPSILON)
+            .filter(|(_, job)| match job.role {
+                Role::Writer => job.admitted,
+                Role::Helper => job.placed_at.0 as f64 <= self.clock,
+            })
+            .map(|(at, _)| at)
+            .collect();
         order.sort_by_key(|&at| {
             let job = &self.jobs[at];
             (job.role == Role::Writer, job.urgency, job.placed_at, at)
         });
-        let mut taken = 0;
-        order.retain(|&at| {
-            let writer = self.jobs[at].role == Role::Writer;
-            taken += usize::from(writer);
-            !writer || taken <= free_slots
-        });
         order
     }
 
@@ -396,12 +437,17 @@
 }
 
 impl Job {
+    /// Returns the memory that it takes now, in tokens.
+    fn held(&self) -> f64 {
+        self.memory - self.unwritten
+    }
+
     fn is_read(&self, clock: f64) -> bool {
         self.started || (self.unread <= READ_EPSILON && self.ready_at <= clock)
     }
 
     fn writes(&self, clock: f64) -> bool {
-        self.role == Role::Writer && self.is_read(clock) && self.unwritten > 0.0
+        self.role == Role::Writer && self.admitted && self.is_read(clock) && self.unwritten > 0.0
     }
 
     /// Returns the millions of pairs that reading `tokens` more has to look at.
