--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -372,6 +372,7 @@
             ),
             None => self.standing.place_call(now, choice.first, job),
         }
+        let parts = self.describe_parts(&choice.parts);
         let predicted_ms = choice.first_token - now.0 as f64;
         let request = self.requests.get_mut(&ticket);
         let Some(request) = request else {
@@ -391,7 +392,7 @@
             request = id.as_str(),
             send = sends,
             server = plan.server_id.as_str(),
-            parts = plan.parts.len(),
+            parts = parts.as_str(),
             predicted_ms = predicted_ms as i64,
             loss = choice.loss,
             prompt_tokens = prompt.map_or(0.0, |prompt| prompt.prompt_tokens),
@@ -465,6 +466,19 @@
         }
     }
 
+    /// Returns the engines that read parts and the tokens reserved there, for
+    /// the log.
+    fn describe_parts(&self, parts: &[(ServerKey, u64)]) -> String {
+        let parts: Vec<String> = parts
+            .iter()
+            .map(|&(key, tokens)| match tokens {
+                0 => self.roster.get(key).entry.id.clone(),
+                tokens => format!("{}:{tokens}", self.roster.get(key).entry.id),
+            })
+            .collect();
+        parts.join(",")
+    }
+
     fn tell_placed(
         &self,
         now: Millis,
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -239,7 +239,7 @@
         if helpers.len() < count - 1 {
             continue;
         }
-        let choice = evaluate(now, prompt, engines, at, &helpers, part);
+        let choice = evaluate(now, prompt, engines, at, &helpers, part, prompt.prompt_tokens);
         best = better(best, Some(choice));
     }
     best
@@ -285,11 +285,12 @@
     at: usize,
     helpers: &[&PartOffer],
     part: f64,
+    held: f64,
 ) -> Choice {
     let engine = &engines[at];
     let load = engine.candidate.load;
     let ready_at = helpers.iter().map(|offer| offer.done).fold(0.0, f64::max);
-    let job = first_job(now, prompt, part, ready_at, prompt.prompt_tokens);
+    let job = first_job(now, prompt, part, ready_at, held);
     let forecast = load.forecast(Some(&job));
     let first_token = forecast
         .first_tokens
@@ -307,7 +308,7 @@
     if engine.candidate.far {
         loss += FAR_LOSS;
     }
-    if engine.free_memory < prompt.prompt_tokens + prompt.output_tokens {
+    if engine.free_memory < held + prompt.output_tokens {
         loss += prompt.value * MEMORY_LOSS;
     }
     if load.requests() >= load.spec().slots as usize {
@@ -371,7 +372,8 @@
             .map(|&(at, memory)| part_offer(now, prompt, engines, at, part, memory))
             .collect();
         let helpers: Vec<&PartOffer> = offers.iter().collect();
-        let mut choice = evaluate(now, prompt, engines, first, &helpers, part);
+        let held = first_reserved as f64 - prompt.output_tokens;
+        let mut choice = evaluate(now, prompt, engines, first, &helpers, part, held);
         choice.first_reserved = first_reserved;
         choice.parts = parts
             .iter()
