--- a/src/gateway/core/standing.rs
+++ b/src/gateway/core/standing.rs
@@ -98,7 +98,7 @@
                 continue;
             };
             let job = placement::part_job(now, prompt, part, memory as f64);
-            let done = load.forecast(Some(&job)).helped_at.unwrap_or_default();
+            let done = load.forecast(Some(&job)).time(prompt.key, Role::Helper).unwrap_or_default();
             ready_at = ready_at.max(done);
             load.place(now, job);
         }
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -87,10 +87,8 @@
 /// When prompts will be read.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Forecast {
-    /// Key and time of the first token of each prompt that waits, in ms.
-    pub first_tokens: Vec<(JobKey, f64)>,
-    /// When the part read for another engine is done, in ms.
-    pub helped_at: Option<f64>,
+    /// When each prompt and part that waits will be read, in ms.
+    pub read_at: Vec<(JobKey, Role, f64)>,
     /// Key and longest pass of each request that writes, in ms.
     pub pauses: Vec<(JobKey, f64)>,
     /// Time until nothing is written any more, in ms.
@@ -238,14 +236,9 @@
         }
         // What was not reached gets the end of the forecast as a lower bound.
         for job in future.jobs.iter().filter(|job| !job.started) {
-            match job.role {
-                Role::Writer if job.unread > READ_EPSILON || job.ready_at > future.clock => {
-                    forecast.first_tokens.push((job.key, future.clock.max(job.ready_at)));
-                }
-                Role::Helper if added.is_some_and(|added| added.key == job.key) => {
-                    forecast.helped_at = Some(future.clock);
-                }
-                _ => {}
+            if job.unread > READ_EPSILON || job.ready_at > future.clock {
+                let at = future.clock.max(job.ready_at);
+                forecast.read_at.push((job.key, job.role, at));
             }
         }
         let unwritten = future.jobs.iter().map(|job| job.unwritten).fold(0.0, f64::max);
@@ -398,12 +391,8 @@
             }
             finished += 1;
             job.unread = 0.0;
-            let Some(forecast) = forecast.as_deref_mut() else {
-                continue;
-            };
-            match job.role {
-                Role::Writer => forecast.first_tokens.push((job.key, clock)),
-                Role::Helper => forecast.helped_at = Some(clock),
+            if let Some(forecast) = forecast.as_deref_mut() {
+                forecast.read_at.push((job.key, job.role, clock));
             }
         }
         self.drop_finished_parts();
@@ -418,6 +407,15 @@
 }
 
 impl Forecast {
+    /// Returns when a prompt or part will be read, in ms.
+    #[must_use]
+    pub fn time(&self, key: JobKey, role: Role) -> Option<f64> {
+        self.read_at
+            .iter()
+            .find(|(known, known_role, _)| *known == key && *known_role == role)
+            .map(|(_, _, at)| *at)
+    }
+
     fn pause(&mut self, key: JobKey, ms: f64) {
         match self.pauses.iter_mut().find(|(known, _)| *known == key) {
             Some((_, longest)) => *longest = longest.max(ms),
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -164,14 +164,15 @@
     }
 }
 
-/// Sums what the prompts on an engine lose under a forecast, one left out.
+/// Sums what the prompts and parts on an engine lose under a forecast, one left
+/// out. A part that is late makes its whole prompt late.
 fn loss_of_jobs(load: &EngineLoad, forecast: &Forecast, except: Option<JobKey>) -> f64 {
     let mut loss = 0.0;
-    for &(key, at) in &forecast.first_tokens {
+    for &(key, role, at) in &forecast.read_at {
         if Some(key) == except {
             continue;
         }
-        let known = load.jobs().iter().find(|job| job.key == key && job.role == Role::Writer);
+        let known = load.jobs().iter().find(|job| job.key == key && job.role == role);
         if let Some(job) = known {
             let target = (job.due - job.placed_at.0 as f64).max(1.0);
             loss += lateness_loss(job.value, target, job.due, at);
@@ -266,7 +267,7 @@
         }
         let job = part_job(now, prompt, part, memory);
         let forecast = load.forecast(Some(&job));
-        let done = forecast.helped_at.unwrap_or(now.0 as f64);
+        let done = forecast.time(prompt.key, Role::Helper).unwrap_or(now.0 as f64);
         let loss = loss_of_jobs(load, &forecast, Some(prompt.key)) - engine.base_loss;
         offers.push(PartOffer { at, done, loss });
     }
@@ -293,10 +294,8 @@
     let job = first_job(now, prompt, part, ready_at, held);
     let forecast = load.forecast(Some(&job));
     let first_token = forecast
-        .first_tokens
-        .iter()
-        .find(|(key, _)| *key == prompt.key)
-        .map_or(now.0 as f64, |(_, at)| *at);
+        .time(prompt.key, Role::Writer)
+        .unwrap_or(now.0 as f64);
     let mut loss = lateness_loss(prompt.value, prompt.target, prompt.due, first_token);
     if first_token >= prompt.deadline {
         loss = prompt.value;
@@ -397,7 +396,7 @@
     let forecast = load.forecast(Some(&job));
     PartOffer {
         at,
-        done: forecast.helped_at.unwrap_or(now.0 as f64),
+        done: forecast.time(prompt.key, Role::Helper).unwrap_or(now.0 as f64),
         loss: loss_of_jobs(load, &forecast, Some(prompt.key)) - engines[at].base_loss,
     }
 }
@@ -443,6 +442,6 @@
         placed_at: now,
         due: prompt.due,
         gap: prompt.gap,
-        value: 0.0,
+        value: prompt.value,
     }
 }
