--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -14,6 +14,7 @@
 pub mod feed;
 pub mod forward;
 pub mod instances;
+pub mod lanes;
 pub mod message;
 pub mod peers;
 pub mod placement;
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -8,6 +8,7 @@
 use crate::gateway::engine::JobKey;
 use crate::gateway::instances::PeerMessage;
 use crate::gateway::instances::Placed;
+use crate::gateway::lanes::Lane;
 use crate::gateway::message::Output;
 use crate::gateway::message::Part;
 use crate::gateway::message::Plan;
@@ -248,11 +249,15 @@
         job: JobKey,
         shape: PromptShape,
     ) -> Prompt {
-        let usual = table
+        let engine = table
             .services
             .get(&request.service)
-            .and_then(|service| service.engine)
-            .map_or(0, |engine| engine.usual_output_tokens);
+            .and_then(|service| service.engine);
+        let usual = engine.map_or(0, |engine| engine.usual_output_tokens);
+        let tokens = shape.prompt_tokens as f64;
+        let lane = engine.map_or(Lane::Short, |engine| {
+            self.standing.lane(&request.service, &engine, tokens)
+        });
         let output = shape
             .expected_output_tokens
             .unwrap_or(usual)
@@ -269,6 +274,7 @@
             gap: request.route.target_gap.map_or(GAP_NEVER, |gap| gap.0 as f64),
             value: value_of(shape.prompt_tokens),
             urgency: URGENCY,
+            lane,
         }
     }
 
@@ -319,11 +325,29 @@
                 far: server.entry.domain != self.me.domain,
                 may_write: warm || self.within_cold_rate(now, table, key),
                 may_help: warm,
+                lane: Lane::Long,
+                short_rate: 0.0,
             });
         }
+        self.assign_lanes(now, &request.service, &mut candidates);
         placement::place(now, prompt, &candidates)
     }
 
+    /// Keeps the first engines, in an order that all instances share, for short
+    /// prompts.
+    fn assign_lanes(&self, now: Millis, service: &str, candidates: &mut [Candidate<'_>]) {
+        candidates.sort_by_key(|candidate| id_hash(&self.roster.get(candidate.key).entry.id));
+        let Some(demand) = self.standing.demand(service) else {
+            return;
+        };
+        let short = demand.short_engines(now, candidates.len());
+        let rate = demand.short_rate(now) / short.max(1) as f64;
+        for candidate in &mut candidates[..short] {
+            candidate.lane = Lane::Short;
+            candidate.short_rate = rate;
+        }
+    }
+
     /// Chooses the plain server with the fewest calls for its slots.
     fn choose_server(&self, now: Millis, table: &RouteTable, request: &Request) -> Option<ServerKey> {
         let fullness = |key: ServerKey| {
@@ -362,9 +386,11 @@
             self.cold.count(now, choice.first);
         }
         let standing = self.standing.describe(choice.first);
+        let service = self.requests[&ticket].service.clone();
         match prompt {
             Some(prompt) => self.standing.place_prompt(
                 now,
+                &service,
                 prompt,
                 choice.first,
                 choice.first_reserved,
--- a/src/gateway/core/standing.rs
+++ b/src/gateway/core/standing.rs
@@ -8,6 +8,8 @@
 use crate::gateway::engine::JobKey;
 use crate::gateway::engine::Role;
 use crate::gateway::instances::Placed;
+use crate::gateway::lanes::Demand;
+use crate::gateway::lanes::Lane;
 use crate::gateway::placement;
 use crate::gateway::placement::Prompt;
 use crate::gateway::roster::Roster;
@@ -25,6 +27,9 @@
 const PACE_TOLERANCE: f64 = 1.5;
 /// Lateness in ms below which it says nothing about the engine's pace.
 const PACE_SLACK_MS: f64 = 150.0;
+/// Share of the shortest wanted pause that reading a short prompt may take, so
+/// that it fits into a pass beside writers.
+const LONG_READ_SHARE: f64 = 0.7;
 /// Greatest pace that is assumed.
 const PACE_MAX: f64 = 12.0;
 
@@ -34,11 +39,19 @@
     engines: HashMap<ServerKey, EngineLoad>,
     /// Calls on plain servers, with when they began.
     calls: HashMap<ServerKey, BTreeMap<JobKey, Millis>>,
+    /// Work that prompts have brought lately, by service.
+    demand: HashMap<String, Demand>,
+    /// Time in ms above which reading a prompt makes it a long one, by service.
+    long_read_ms: HashMap<String, f64>,
 }
 
 impl Standing {
     /// Takes over the published figures of all engines.
     pub fn set_specs(&mut self, now: Millis, roster: &Roster, table: &RouteTable) {
+        for name in table.services.keys() {
+            let gap = table.shortest_gap_ms(name).unwrap_or(f64::INFINITY);
+            self.long_read_ms.insert(name.clone(), gap * LONG_READ_SHARE);
+        }
         for (key, server) in roster.listed() {
             let spec = table
                 .services
@@ -82,15 +95,44 @@
         }
     }
 
+    /// Returns which lane a prompt belongs to.
+    #[must_use]
+    pub fn lane(&self, service: &str, spec: &EngineSpec, prompt_tokens: f64) -> Lane {
+        let limit = self.long_read_ms.get(service).copied().unwrap_or(f64::INFINITY);
+        match spec.read_ms(prompt_tokens) > limit {
+            true => Lane::Long,
+            false => Lane::Short,
+        }
+    }
+
+    /// Returns the work that prompts of a service have brought lately.
+    #[must_use]
+    pub fn demand(&self, service: &str) -> Option<&Demand> {
+        self.demand.get(service)
+    }
+
+    fn count_demand(&mut self, now: Millis, service: &str, prompt: &Prompt, first: ServerKey) {
+        let Some(spec) = self.engines.get(&first).map(|load| *load.spec()) else {
+            return;
+        };
+        let passes = prompt.output_tokens / f64::from(spec.steps_per_pass.max(1));
+        let write_ms = passes * spec.writing_pass_ms();
+        let read_ms = spec.read_ms(prompt.prompt_tokens);
+        let demand = self.demand.entry(service.to_owned()).or_default();
+        demand.count(now, prompt.lane, read_ms, write_ms);
+    }
+
     /// Adds a prompt to the engines that read it.
     pub fn place_prompt(
         &mut self,
         now: Millis,
+        service: &str,
         prompt: &Prompt,
         first: ServerKey,
         first_reserved: u64,
         parts: &[(ServerKey, u64)],
     ) {
+        self.count_demand(now, service, prompt, first);
         let part = prompt.prompt_tokens / (parts.len() + 1) as f64;
         let mut ready_at: f64 = 0.0;
         for &(key, memory) in parts {
@@ -167,6 +209,10 @@
             self.place_call(now, first, key);
             return;
         }
+        let service = roster.get(first).entry.service.clone();
+        let Some(spec) = self.engines.get(&first).map(|load| *load.spec()) else {
+            return;
+        };
         let due = now.0 as f64 + placed.due_in_ms as f64;
         let prompt = Prompt {
             key,
@@ -178,6 +224,7 @@
             gap: placed.gap_ms as f64,
             value: value_of(placed.prompt_tokens),
             urgency: placed.urgency,
+            lane: self.lane(&service, &spec, placed.prompt_tokens as f64),
         };
         let memory = placed.parts_memory / (placed.parts.len() as u64).max(1);
         let parts: Vec<(ServerKey, u64)> = placed
@@ -189,7 +236,7 @@
             0 => 0,
             held => placed.prompt_tokens.saturating_sub(held).max(1),
         };
-        self.place_prompt(now, &prompt, first, reserved, &parts);
+        self.place_prompt(now, &service, &prompt, first, reserved, &parts);
     }
 
     /// Takes over that another instance's request has begun to answer.
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -16,6 +16,7 @@
 use crate::gateway::engine::Job;
 use crate::gateway::engine::JobKey;
 use crate::gateway::engine::Role;
+use crate::gateway::lanes::Lane;
 use crate::gateway::roster::ServerKey;
 
 /// Parts that a prompt may be split into, from which one number is chosen; 17
@@ -45,6 +46,14 @@
 /// Loss if the backend server stands in another failure domain: the bytes
 /// between domains cost.
 const FAR_LOSS: f64 = 0.003;
+/// Share of a short prompt's value that is lost on an engine that is kept for
+/// long ones: the next of these delays it.
+const WRONG_LANE_LOSS: f64 = 0.15;
+/// Time in ms that an engine kept for short prompts may read a long one without
+/// harm: whoever arrives meanwhile is still in time.
+const HARMLESS_READ_MS: f64 = 60.0;
+/// What a short prompt that arrives meanwhile loses, in the unit of value.
+const ARRIVAL_LOSS: f64 = 1.0;
 /// Share of a request's value that is lost if memory does not suffice: some
 /// request on the engine is interrupted and read again.
 const MEMORY_LOSS: f64 = 0.5;
@@ -73,6 +82,8 @@
     pub value: f64,
     /// Urgency at the engine.
     pub urgency: u8,
+    /// Which lane it belongs to.
+    pub lane: Lane,
 }
 
 /// An engine that may be chosen.
@@ -88,6 +99,10 @@
     pub may_write: bool,
     /// Whether it may read a part for another.
     pub may_help: bool,
+    /// Which prompts it is kept for.
+    pub lane: Lane,
+    /// Short prompts that come to it in a ms, if it is kept for them.
+    pub short_rate: f64,
 }
 
 /// Where a prompt goes.
@@ -268,7 +283,8 @@
         let job = part_job(now, prompt, part, memory);
         let forecast = load.forecast(Some(&job));
         let done = forecast.time(prompt.key, Role::Helper).unwrap_or(now.0 as f64);
-        let loss = loss_of_jobs(load, &forecast, Some(prompt.key)) - engine.base_loss;
+        let loss = loss_of_jobs(load, &forecast, Some(prompt.key)) - engine.base_loss
+            + lane_loss(engine, prompt, part);
         offers.push(PartOffer { at, done, loss });
     }
     let weight = |offer: &PartOffer| {
@@ -301,6 +317,7 @@
         loss = prompt.value;
     }
     loss += loss_of_jobs(load, &forecast, Some(prompt.key)) - engine.base_loss;
+    loss += lane_loss(engine, prompt, part);
     loss += helpers.iter().map(|offer| offer.loss + PART_LOSS).sum::<f64>();
     loss += (forecast.writing_ms - engine.base.writing_ms).max(0.0) * WRITING_LOSS_PER_MS;
     loss += (first_token - now.0 as f64) * WAITING_LOSS_PER_MS;
@@ -325,6 +342,23 @@
     }
 }
 
+/// Returns what is lost as an engine is kept for the other lane: by short
+/// prompts that arrive while it reads a long one, or by a short prompt that the
+/// next long one delays.
+fn lane_loss(engine: &Weighed<'_>, prompt: &Prompt, part: f64) -> f64 {
+    match (engine.candidate.lane, prompt.lane) {
+        (Lane::Short, Lane::Long) => {
+            let share = part / prompt.prompt_tokens.max(1.0);
+            let spec = engine.candidate.load.spec();
+            let read_ms = spec.read_ms(prompt.prompt_tokens) * share;
+            let harmful_ms = (read_ms - HARMLESS_READ_MS).max(0.0);
+            engine.candidate.short_rate * harmful_ms * ARRIVAL_LOSS
+        }
+        (Lane::Long, Lane::Short) => prompt.value * WRONG_LANE_LOSS,
+        _ => 0.0,
+    }
+}
+
 /// Places a prompt that no engine can hold: its memory is reserved on the
 /// engines with most room, until they hold it together.
 fn place_over_memory(now: Millis, prompt: &Prompt, engines: &[Weighed<'_>]) -> Option<Choice> {
@@ -397,7 +431,8 @@
     PartOffer {
         at,
         done: forecast.time(prompt.key, Role::Helper).unwrap_or(now.0 as f64),
-        loss: loss_of_jobs(load, &forecast, Some(prompt.key)) - engines[at].base_loss,
+        loss: loss_of_jobs(load, &forecast, Some(prompt.key)) - engines[at].base_loss
+            + lane_loss(&engines[at], prompt, part),
     }
 }
 
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -139,7 +139,35 @@
     }
 }
 
+impl EngineSpec {
+    /// Returns how long an idle engine reads a prompt, in ms.
+    #[must_use]
+    pub fn read_ms(&self, tokens: f64) -> f64 {
+        let mpairs = tokens * tokens / 2.0 / 1e6;
+        tokens / self.read_tokens_per_ms + mpairs * self.attention_ms_per_mpair
+    }
+
+    /// Returns how long an engine takes for a pass in which requests write.
+    #[must_use]
+    pub fn writing_pass_ms(&self) -> f64 {
+        f64::from(self.steps_per_pass) * self.step_ms
+    }
+}
+
 impl RouteTable {
+    /// Returns the shortest pause between events that any stream of a service
+    /// wants, in ms.
+    #[must_use]
+    pub fn shortest_gap_ms(&self, service: &str) -> Option<f64> {
+        self.hosts
+            .values()
+            .flatten()
+            .filter(|route| route.split.iter().any(|(name, _)| name == service))
+            .filter_map(|route| route.target_gap)
+            .min()
+            .map(|gap| gap.0 as f64)
+    }
+
     /// Returns the route with the longest prefix that begins `path`.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
