--- a/src/config/table.rs
+++ b/src/config/table.rs
@@ -128,6 +128,8 @@
     "gateway" "retry_extra" gateway_retry_extra: u64 = Some("100"),
         number(Allowed::Number { min: 0, max: 1_000_000 }),
         "Retries beyond that ratio in its window, over all gateways";
+    "gateway" "memory_free_limit" gateway_memory_free_limit: Millis = Some("4 s"), span(span(SECOND, HOUR)),
+        "Time after which memory reserved on an engine has to be free when nobody uses it";
     "shutdown" "time_limit" shutdown_time_limit: Millis = Some("10 min"), span(span(SECOND, 24 * HOUR)),
         "Time after which a graceful shutdown gives up waiting for admitted requests";
     "control" "tick" tick: Millis = Some("20 ms"), span(span(1, SECOND)),
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -62,9 +62,9 @@
 /// Connections that this instance opens to one backend server, beyond its
 /// share of those accepted.
 const MIN_CONNECTIONS: usize = 2;
-/// Time that memory is reserved beyond the request's deadline; a request whose
-/// memory runs out is cut off.
-const RESERVATION_SLACK: Millis = Millis(1_000);
+/// Time by which a reservation that is not renewed ends before memory counts as
+/// leaked: its order's way, and the engine's timers.
+const RESERVATION_MARGIN: Millis = Millis(600);
 /// Longest pause in time where a route names none, in ms.
 const GAP_NEVER: f64 = 60_000.0;
 /// Urgency at engines where nothing else is said; the middle of their scale.
@@ -451,7 +451,7 @@
             .services
             .get(&request.service)
             .map_or(0, |service| service.max_connections as usize);
-        let hold = request.answer_due.since(now) + RESERVATION_SLACK;
+        let hold = self.bounds.memory_free - RESERVATION_MARGIN;
         let name = format!("{:016x}", job.0);
         let mut parts = Vec::new();
         let mut reservations = Vec::new();
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -102,6 +102,7 @@
         config_apply: cfg.gateway_config_limit,
         retry_ratio: cfg.gateway_retry_ratio as f64 / 1000.0,
         retry_extra: cfg.gateway_retry_extra as f64,
+        memory_free: cfg.gateway_memory_free_limit,
         ..Bounds::default()
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -29,6 +29,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio::time::sleep_until;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
@@ -304,9 +305,11 @@
             Ok(reserved) => reserved,
             Err(end) => return end,
         };
+        let renewing = renew(self.traffic.upstream.clone(), reserved.clone());
         let end = tokio::select! {
             end = self.exchange(plan) => end,
             () = sleep_until(due) => SendEnd::Silent,
+            () = renewing => SendEnd::Silent,
         };
         for reservation in reserved {
             self.release(reservation);
@@ -651,10 +654,35 @@
     }
 }
 
+/// Times that a reservation is renewed before it would end, so that one order
+/// may get lost.
+const RENEWALS_A_HOLD: u64 = 3;
 /// Times that an order which gives memory back is sent; what still holds after
 /// these ends with its own time.
 const RELEASE_TRIES: usize = 3;
 
+/// Renews reservations as long as it is polled: they hold only shortly, so that
+/// an instance that dies leaves no memory set aside.
+async fn renew(upstream: Upstream, reservations: Vec<Reservation>) {
+    let period = reservations.iter().map(|reservation| reservation.hold).min();
+    let Some(hold) = period else {
+        return std::future::pending().await;
+    };
+    loop {
+        sleep(Millis(hold.0 / RENEWALS_A_HOLD).as_duration()).await;
+        for reservation in &reservations {
+            let hold = reservation.hold.0;
+            let order = engine::reserve(&reservation.name, reservation.tokens, hold);
+            match send_order(&upstream, &reservation.addr, order).await {
+                Ok(StatusCode::OK) => {}
+                answer => {
+                    log::info!(engine = reservation.addr.as_str(), reservation = reservation.name.as_str(), answer:? = answer; "memory not renewed");
+                }
+            }
+        }
+    }
+}
+
 async fn send_order(upstream: &Upstream, addr: &str, body: Bytes) -> Result<StatusCode, CallError> {
     let request = Request::post(engine::ORDER_PATH)
         .header(header::HOST, addr)
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -13,6 +13,8 @@
     pub retry_ratio: f64,
     /// Retries beyond that ratio, over all instances.
     pub retry_extra: f64,
+    /// Time after which reserved memory that nobody uses has to be free.
+    pub memory_free: Millis,
     /// Time in which entries that lapsed with the store come back.
     pub store_return: Millis,
 }
@@ -24,6 +26,7 @@
             config_apply: Millis(2_000),
             retry_ratio: 0.2,
             retry_extra: 100.0,
+            memory_free: Millis(4_000),
             store_return: Millis(2_000),
         }
     }
