--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -24,6 +24,7 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::task::spawn_local;
@@ -36,7 +37,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time without acknowledgement after which a connection counts as broken; more
 /// than a lost packet needs to be sent again.
-const ACK_TIMEOUT: Duration = Duration::from_millis(2_000);
+const ACK_TIMEOUT: Duration = Duration::from_millis(1_800);
+/// Time without traffic after which the other side is asked for a sign of life,
+/// and between two such questions; the system counts it in whole seconds.
+const KEEPALIVE_PERIOD: Duration = Duration::from_secs(1);
 /// Time for which an idle connection is kept where its server names none.
 const IDLE_DEFAULT: Duration = Duration::from_secs(4);
 /// Time by which a connection is given up before its server does: one delay
@@ -342,12 +346,19 @@
 }
 
 /// Sets what every connection of the gateway has: no delay for small writes,
-/// and an end if the other side acknowledges nothing.
+/// and an end if the other side acknowledges nothing, also while it is only
+/// waited for.
 pub fn tune(stream: &TcpStream) {
     let socket = SockRef::from(stream);
     if let Err(error) = socket.set_tcp_nodelay(true) {
         log::debug!(error:% = error; "cannot turn off the delay of small writes");
     }
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_PERIOD)
+        .with_interval(KEEPALIVE_PERIOD);
+    if let Err(error) = socket.set_tcp_keepalive(&keepalive) {
+        log::debug!(error:% = error; "cannot ask for signs of life");
+    }
     if let Err(error) = socket.set_tcp_user_timeout(Some(ACK_TIMEOUT)) {
         log::debug!(error:% = error; "cannot limit unacknowledged time");
     }
