--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -71,6 +71,10 @@
     pub gap: f64,
     /// What it is worth to its caller in time.
     pub value: f64,
+    /// Tokens that the pass which runs now reads of it.
+    pub reading: f64,
+    /// Whether the pass which runs now writes for it.
+    pub writing: bool,
 }
 
 /// All that stands on one engine.
@@ -158,7 +162,15 @@
     pub fn place(&mut self, now: Millis, job: Job) {
         self.advance(now);
         self.jobs.retain(|known| known.key != job.key || known.role != job.role);
-        self.jobs.push(job);
+        self.insert(job);
+    }
+
+    /// Adds a job in the order in which jobs are read: parts for other engines,
+    /// then prompts by urgency and arrival.
+    fn insert(&mut self, job: Job) {
+        let order = |job: &Job| (job.role == Role::Writer, job.urgency, job.placed_at);
+        let at = self.jobs.partition_point(|known| order(known) <= order(&job));
+        self.jobs.insert(at, job);
     }
 
     /// Takes over that a request's first event has come.
@@ -194,8 +206,7 @@
                 self.clock = now_ms;
                 return;
             }
-            self.admit();
-            let pass = self.pass();
+            let pass = self.begin();
             if pass.idle {
                 self.clock = self.next_event().min(now_ms);
                 continue;
@@ -204,8 +215,7 @@
                 // The pass that runs now ends later.
                 return;
             }
-            self.clock += pass.ms;
-            self.apply(&pass, None);
+            self.end(&pass, None);
             self.expect_longer_answers();
         }
     }
@@ -218,21 +228,20 @@
             return Forecast::default();
         }
         let start = self.clock;
-        future.jobs.extend(added.cloned());
+        if let Some(job) = added {
+            future.insert(job.clone());
+        }
         let mut forecast = Forecast::default();
         let mut waiting = future.waiting();
         for _ in 0..MAX_FORECAST_PASSES {
             if waiting == 0 {
                 break;
             }
-            future.admit();
-            let pass = future.pass();
+            let pass = future.begin();
             if pass.idle {
                 future.clock = future.next_event();
-            } else {
-                future.clock += pass.ms;
             }
-            waiting -= future.apply(&pass, Some(&mut forecast));
+            waiting -= future.end(&pass, Some(&mut forecast));
         }
         // What was not reached gets the end of the forecast as a lower bound.
         for job in future.jobs.iter().filter(|job| !job.started) {
@@ -275,42 +284,62 @@
             .fold(self.clock + LOOK_AHEAD_MS, f64::min)
     }
 
-    /// Works out the next pass.
-    fn pass(&self) -> Pass {
-        let spec = &self.spec;
+    /// Begins the next pass: admits what fits, and sets what each job reads and
+    /// writes in it. Jobs stand in the order in which they are read.
+    fn begin(&mut self) -> Pass {
+        self.admit();
+        let clock = self.clock;
         let mut writers = 0_u32;
         let mut context = 0.0;
-        for job in &self.jobs {
-            if job.writes(self.clock) {
+        for job in &mut self.jobs {
+            job.reading = 0.0;
+            job.writing = job.writes(clock);
+            if job.writing {
                 writers += 1;
                 context += job.held();
             }
         }
-        let steps = match writers {
-            0 => 1.0,
-            _ => f64::from(spec.steps_per_pass),
-        };
-        let mut chunk = spec.chunk_tokens as f64 * steps;
+        let spec = self.spec;
+        let step = spec.step_ms
+            + f64::from(writers) * spec.step_per_writer_ms
+            + context / 1000.0 * spec.step_per_kilotoken_ms;
+        let chunk = spec.chunk_tokens as f64;
+        if writers == 0 {
+            return self.begin_reading(step, chunk);
+        }
+        let steps = f64::from(spec.steps_per_pass);
+        let mut budget = chunk * steps;
         let mut reading_ms = 0.0;
-        let mut reads = Vec::new();
-        for at in self.reading_order() {
-            if chunk < READ_EPSILON {
+        for job in self.jobs.iter_mut().filter(|job| job.reads(clock)) {
+            job.reading = job.unread.min(budget);
+            budget -= job.reading;
+            reading_ms += job.reading_ms(&spec);
+            if budget < READ_EPSILON {
                 break;
             }
-            let job = &self.jobs[at];
-            let tokens = job.unread.min(chunk);
-            chunk -= tokens;
-            reading_ms += tokens / spec.read_tokens_per_ms;
-            reading_ms += job.attention_mpairs(tokens) * spec.attention_ms_per_mpair;
-            reads.push((at, tokens));
         }
-        let step = spec.step_ms
-            + f64::from(writers) * spec.step_per_writer_ms
-            + context / 1000.0 * spec.step_per_kilotoken_ms;
         Pass {
             ms: (steps * step + reading_ms) * self.pace,
-            idle: writers == 0 && reads.is_empty(),
-            reads,
+            idle: false,
+        }
+    }
+
+    /// Begins passes in which nobody writes: the first prompt is read step by
+    /// step until it is done, or until something else comes.
+    fn begin_reading(&mut self, step: f64, chunk: f64) -> Pass {
+        let (clock, spec, pace) = (self.clock, self.spec, self.pace);
+        let next = self.next_event();
+        let Some(job) = self.jobs.iter_mut().find(|job| job.reads(clock)) else {
+            return Pass { ms: 0.0, idle: true };
+        };
+        job.reading = job.unread.min(chunk);
+        let one = (step + job.reading_ms(&spec)) * pace;
+        let steps_to_event = ((next - clock) / one).ceil().max(1.0);
+        job.reading = job.unread.min(chunk * steps_to_event);
+        let steps = (job.reading / chunk).ceil();
+        Pass {
+            ms: (steps * step + job.reading_ms(&spec)) * pace,
+            idle: false,
         }
     }
 
@@ -319,19 +348,23 @@
     fn admit(&mut self) {
         let mut slots = self.spec.slots as usize;
         let mut memory = self.spec.memory_tokens as f64;
-        let mut waiting: Vec<usize> = Vec::new();
-        for (at, job) in self.jobs.iter().enumerate() {
-            let admitted = job.admitted || job.role == Role::Helper;
-            if admitted {
+        let mut waiting = false;
+        for job in &self.jobs {
+            if job.admitted || job.role == Role::Helper {
                 memory -= job.held();
                 slots = slots.saturating_sub(usize::from(job.role == Role::Writer));
-            } else if job.placed_at.0 as f64 <= self.clock {
-                waiting.push(at);
+            } else {
+                waiting = true;
             }
         }
-        waiting.sort_by_key(|&at| (self.jobs[at].urgency, self.jobs[at].placed_at, at));
-        for at in waiting {
-            let job = &mut self.jobs[at];
+        if !waiting {
+            return;
+        }
+        let clock = self.clock;
+        for job in &mut self.jobs {
+            if job.admitted || job.role == Role::Helper || job.arrives_after(clock) {
+                continue;
+            }
             if slots == 0 || job.held() > memory {
                 return;
             }
@@ -341,61 +374,38 @@
         }
     }
 
-    /// Returns the jobs with unread tokens, in the order in which they are
-    /// read: parts for other engines, then admitted prompts by urgency and
-    /// arrival.
-    fn reading_order(&self) -> Vec<usize> {
-        let mut order: Vec<usize> = self
-            .jobs
-            .iter()
-            .enumerate()
-            .filter(|(_, job)| job.unread > READ_EPSILON)
-            .filter(|(_, job)| match job.role {
-                Role::Writer => job.admitted,
-                Role::Helper => job.placed_at.0 as f64 <= self.clock,
-            })
-            .map(|(at, _)| at)
-            .collect();
-        order.sort_by_key(|&at| {
-            let job = &self.jobs[at];
-            (job.role == Role::Writer, job.urgency, job.placed_at, at)
-        });
-        order
-    }
-
-    /// Applies a pass that has ended; returns how many prompts and parts are
-    /// read now and were not before.
-    fn apply(&mut self, pass: &Pass, mut forecast: Option<&mut Forecast>) -> usize {
+    /// Ends a pass; returns how many prompts and parts are read now and were
+    /// not before.
+    fn end(&mut self, pass: &Pass, mut forecast: Option<&mut Forecast>) -> usize {
         let steps = f64::from(self.spec.steps_per_pass);
-        let begin = self.clock - pass.ms;
+        let begin = self.clock;
+        self.clock += pass.ms;
+        let clock = self.clock;
         let mut finished = 0;
-        let mut unread_before: Vec<bool> = Vec::with_capacity(self.jobs.len());
+        let mut parts_finished = false;
         for job in &mut self.jobs {
-            unread_before.push(!job.is_read(begin));
-            if job.writes(begin) {
+            let was_read = job.is_read(begin);
+            if job.writing {
                 if let Some(forecast) = forecast.as_deref_mut() {
                     forecast.pause(job.key, pass.ms);
                 }
                 job.unwritten = (job.unwritten - steps).max(0.0);
             }
-        }
-        for &(at, tokens) in &pass.reads {
-            let job = &mut self.jobs[at];
-            job.unread -= tokens;
-            job.read += tokens;
-        }
-        let clock = self.clock;
-        for (job, was_unread) in self.jobs.iter_mut().zip(unread_before) {
-            if !was_unread || !job.is_read(clock) {
+            job.unread -= job.reading;
+            job.read += job.reading;
+            if was_read || !job.is_read(clock) {
                 continue;
             }
             finished += 1;
             job.unread = 0.0;
+            parts_finished |= job.role == Role::Helper;
             if let Some(forecast) = forecast.as_deref_mut() {
                 forecast.read_at.push((job.key, job.role, clock));
             }
         }
-        self.drop_finished_parts();
+        if parts_finished {
+            self.drop_finished_parts();
+        }
         finished
     }
 
@@ -424,14 +434,12 @@
     }
 }
 
-/// One pass of an engine.
+/// One pass of an engine, or several in which nobody writes.
 #[derive(Debug)]
 struct Pass {
     ms: f64,
     /// Whether there is nothing to do.
     idle: bool,
-    /// Index and tokens of the jobs that it reads.
-    reads: Vec<(usize, f64)>,
 }
 
 impl Job {
@@ -440,6 +448,27 @@
         self.memory - self.unwritten
     }
 
+    /// Returns whether it comes to the engine after `clock`.
+    fn arrives_after(&self, clock: f64) -> bool {
+        self.placed_at.0 as f64 > clock
+    }
+
+    /// Returns whether it has tokens that can be read now.
+    fn reads(&self, clock: f64) -> bool {
+        let here = match self.role {
+            Role::Writer => self.admitted,
+            Role::Helper => !self.arrives_after(clock),
+        };
+        here && self.unread > READ_EPSILON
+    }
+
+    /// Returns how long it takes to read what the pass reads of it.
+    fn reading_ms(&self, spec: &EngineSpec) -> f64 {
+        let tokens = self.reading;
+        tokens / spec.read_tokens_per_ms
+            + self.attention_mpairs(tokens) * spec.attention_ms_per_mpair
+    }
+
     fn is_read(&self, clock: f64) -> bool {
         self.started || (self.unread <= READ_EPSILON && self.ready_at <= clock)
     }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -57,6 +57,9 @@
 /// Share of a request's value that is lost if memory does not suffice: some
 /// request on the engine is interrupted and read again.
 const MEMORY_LOSS: f64 = 0.5;
+/// Share of a request's value below which a loss ends the search for a better
+/// choice.
+const GOOD_ENOUGH: f64 = 0.02;
 /// Requests that wait in an engine's own queue at most, beyond its slots; more
 /// are refused there.
 const ENGINE_QUEUE: usize = 16;
@@ -154,6 +157,9 @@
         }
         let choice = place_in_parts(now, prompt, &engines, count);
         best = better(best, choice);
+        if best.as_ref().is_some_and(|best| best.loss < prompt.value * GOOD_ENOUGH) {
+            break;
+        }
     }
     best
 }
@@ -456,6 +462,8 @@
         due: prompt.due,
         gap: prompt.gap,
         value: prompt.value,
+        reading: 0.0,
+        writing: false,
     }
 }
 
@@ -478,5 +486,7 @@
         due: prompt.due,
         gap: prompt.gap,
         value: prompt.value,
+        reading: 0.0,
+        writing: false,
     }
 }
