Count a prompt as read when its parts are, also on an idle engine

Cause: a prompt whose first engine had nothing else to do until other engines had read their parts was never counted as read, and predicted at 0 ms.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -61,6 +61,8 @@
     pub ready_at: f64,
     /// Whether the engine has admitted it.
     pub admitted: bool,
+    /// Whether it is read, as far as the passes have been played.
+    pub done: bool,
     /// Whether its first event has been seen.
     pub started: bool,
     /// When it was placed. A pass that runs by then goes on without it.
@@ -181,6 +183,7 @@
             job.unread = 0.0;
             job.ready_at = 0.0;
             job.admitted = true;
+            job.done = true;
             job.started = true;
         }
         self.drop_finished_parts();
@@ -244,11 +247,9 @@
             waiting -= future.end(&pass, Some(&mut forecast));
         }
         // What was not reached gets the end of the forecast as a lower bound.
-        for job in future.jobs.iter().filter(|job| !job.started) {
-            if job.unread > READ_EPSILON || job.ready_at > future.clock {
-                let at = future.clock.max(job.ready_at);
-                forecast.read_at.push((job.key, job.role, at));
-            }
+        for job in future.jobs.iter().filter(|job| !job.done) {
+            let at = future.clock.max(job.ready_at);
+            forecast.read_at.push((job.key, job.role, at));
         }
         let unwritten = future.jobs.iter().map(|job| job.unwritten).fold(0.0, f64::max);
         let steps = f64::from(self.spec.steps_per_pass);
@@ -270,7 +271,7 @@
 
     /// Counts the prompts and parts that are not read yet.
     fn waiting(&self) -> usize {
-        self.jobs.iter().filter(|job| !job.is_read(self.clock)).count()
+        self.jobs.iter().filter(|job| !job.done).count()
     }
 
     /// Returns when something changes on an engine that is idle: a request
@@ -378,13 +379,11 @@
     /// not before.
     fn end(&mut self, pass: &Pass, mut forecast: Option<&mut Forecast>) -> usize {
         let steps = f64::from(self.spec.steps_per_pass);
-        let begin = self.clock;
         self.clock += pass.ms;
         let clock = self.clock;
         let mut finished = 0;
         let mut parts_finished = false;
         for job in &mut self.jobs {
-            let was_read = job.is_read(begin);
             if job.writing {
                 if let Some(forecast) = forecast.as_deref_mut() {
                     forecast.pause(job.key, pass.ms);
@@ -393,10 +392,11 @@
             }
             job.unread -= job.reading;
             job.read += job.reading;
-            if was_read || !job.is_read(clock) {
+            if job.done || !job.is_read(clock) {
                 continue;
             }
             finished += 1;
+            job.done = true;
             job.unread = 0.0;
             parts_finished |= job.role == Role::Helper;
             if let Some(forecast) = forecast.as_deref_mut() {
