--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -58,7 +58,7 @@
 const PATIENCE_GAPS: u64 = 8;
 /// Part of a caller's patience after which a silent send is given up, so that
 /// another has time to answer: in percent.
-const SILENCE_PERCENT: u64 = 60;
+const SILENCE_PERCENT: u64 = 85;
 /// Connections that this instance opens to one backend server, beyond its
 /// share of those accepted.
 const MIN_CONNECTIONS: usize = 2;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -243,7 +243,7 @@
     let part = prompt.prompt_tokens / count as f64;
     let mut offers: Vec<PartOffer> = Vec::new();
     if count > 1 {
-        offers = part_offers(now, prompt, engines, part, 0.0);
+        offers = part_offers(now, prompt, engines, part, 0);
         if offers.len() < count - 1 {
             return None;
         }
@@ -278,7 +278,7 @@
     prompt: &Prompt,
     engines: &[Weighed<'_>],
     part: f64,
-    memory: f64,
+    memory: u64,
 ) -> Vec<PartOffer> {
     let mut offers = Vec::new();
     for (at, engine) in engines.iter().enumerate() {
@@ -286,12 +286,7 @@
         if !engine.candidate.may_help || load.helping() >= load.spec().slots as usize {
             continue;
         }
-        let job = part_job(now, prompt, part, memory);
-        let forecast = load.forecast(Some(&job));
-        let done = forecast.time(prompt.key, Role::Helper).unwrap_or(now.0 as f64);
-        let loss = loss_of_jobs(load, &forecast, Some(prompt.key)) - engine.base_loss
-            + lane_loss(engine, prompt, part);
-        offers.push(PartOffer { at, done, loss });
+        offers.push(part_offer(now, prompt, engines, at, part, memory));
     }
     let weight = |offer: &PartOffer| {
         let late = lateness_loss(prompt.value, prompt.target, prompt.due, offer.done);
@@ -365,62 +360,87 @@
     }
 }
 
-/// Places a prompt that no engine can hold: its memory is reserved on the
-/// engines with most room, until they hold it together.
+/// Places a prompt that no engine can hold: its memory is reserved on several
+/// engines, which read it together. Those whose other prompts lose least are
+/// chosen, as long as their memory suffices.
 fn place_over_memory(now: Millis, prompt: &Prompt, engines: &[Weighed<'_>]) -> Option<Choice> {
-    let mut order: Vec<usize> = (0..engines.len())
-        .filter(|&at| engines[at].candidate.may_help && engines[at].candidate.may_write)
-        .filter(|&at| !is_full(&engines[at]))
-        .collect();
-    order.sort_by(|&a, &b| {
-        let key = |at: usize| (engines[at].free_memory, -engines[at].base_loss);
-        key(b).partial_cmp(&key(a)).unwrap_or(std::cmp::Ordering::Equal)
-    });
-    let mut left = prompt.prompt_tokens + prompt.output_tokens;
-    let mut holders: Vec<(usize, u64)> = Vec::new();
-    for &at in &order {
-        if left <= 0.0 {
-            break;
-        }
-        let tokens = engines[at].free_memory.min(left).floor().max(0.0);
-        if tokens > 0.0 {
-            holders.push((at, tokens as u64));
-            left -= tokens;
+    let mut best = None;
+    for count in PART_COUNTS {
+        if count < 2 || count > engines.len() {
+            continue;
         }
+        let part = prompt.prompt_tokens / count as f64;
+        let offers = part_offers(now, prompt, engines, part, 0);
+        let Some(chosen) = enough_memory(prompt, engines, &offers, count) else {
+            continue;
+        };
+        best = better(best, place_on(now, prompt, engines, &chosen));
     }
-    if left > 0.0 || holders.len() < 2 {
-        return None;
-    }
-    let (first, first_reserved) = holders[0];
-    let readers: Vec<usize> = order
+    best
+}
+
+/// Returns the first `count` engines of `offers`, some of them replaced by later
+/// ones with more memory until they can hold the prompt together; the one with
+/// most memory comes first.
+fn enough_memory(
+    prompt: &Prompt,
+    engines: &[Weighed<'_>],
+    offers: &[PartOffer],
+    count: usize,
+) -> Option<Vec<usize>> {
+    let free = |at: usize| engines[at].free_memory.max(0.0);
+    let usable: Vec<usize> = offers
         .iter()
-        .copied()
-        .filter(|at| !holders.iter().any(|(held, _)| held == at))
-        .take(PART_COUNTS[PART_COUNTS.len() - 1] - holders.len())
+        .map(|offer| offer.at)
+        .filter(|&at| engines[at].candidate.may_write && !is_full(&engines[at]))
         .collect();
-    let mut best = None;
-    for extra in [0, 2, 5, 9, 14] {
-        if extra > readers.len() {
-            break;
+    if usable.len() < count {
+        return None;
+    }
+    let needed = prompt.prompt_tokens + prompt.output_tokens;
+    let (chosen, later) = usable.split_at(count);
+    let mut chosen = chosen.to_vec();
+    let mut later = later.iter();
+    while chosen.iter().map(|&at| free(at)).sum::<f64>() < needed {
+        let &next = later.next()?;
+        let least = chosen.iter_mut().min_by(|a, b| free(**a).total_cmp(&free(**b)))?;
+        if free(next) > free(*least) {
+            *least = next;
         }
-        let mut parts: Vec<(usize, u64)> = holders[1..].to_vec();
-        parts.extend(readers[..extra].iter().map(|&at| (at, 0)));
-        let part = prompt.prompt_tokens / (parts.len() + 1) as f64;
-        let offers: Vec<PartOffer> = parts
-            .iter()
-            .map(|&(at, memory)| part_offer(now, prompt, engines, at, part, memory))
-            .collect();
-        let helpers: Vec<&PartOffer> = offers.iter().collect();
-        let held = first_reserved as f64 - prompt.output_tokens;
-        let mut choice = evaluate(now, prompt, engines, first, &helpers, part, held);
-        choice.first_reserved = first_reserved;
-        choice.parts = parts
-            .iter()
-            .map(|&(at, memory)| (engines[at].candidate.key, memory))
-            .collect();
-        best = better(best, Some(choice));
     }
-    best
+    chosen.sort_by(|&a, &b| free(b).total_cmp(&free(a)));
+    Some(chosen)
+}
+
+/// Weighs a prompt that is held by the first of `chosen` and read by all.
+fn place_on(
+    now: Millis,
+    prompt: &Prompt,
+    engines: &[Weighed<'_>],
+    chosen: &[usize],
+) -> Option<Choice> {
+    let mut left = prompt.prompt_tokens + prompt.output_tokens;
+    let mut parts: Vec<(usize, u64)> = Vec::new();
+    for &at in chosen {
+        let tokens = engines[at].free_memory.min(left).floor().max(0.0);
+        left -= tokens;
+        parts.push((at, tokens as u64));
+    }
+    let part = prompt.prompt_tokens / parts.len() as f64;
+    let (&(first, first_reserved), others) = parts.split_first()?;
+    let offers: Vec<PartOffer> = others
+        .iter()
+        .map(|&(at, memory)| part_offer(now, prompt, engines, at, part, memory))
+        .collect();
+    let helpers: Vec<&PartOffer> = offers.iter().collect();
+    let held = first_reserved as f64 - prompt.output_tokens;
+    let mut choice = evaluate(now, prompt, engines, first, &helpers, part, held);
+    choice.first_reserved = first_reserved;
+    choice.parts = others
+        .iter()
+        .map(|&(at, memory)| (engines[at].candidate.key, memory))
+        .collect();
+    Some(choice)
 }
 
 fn part_offer(
@@ -434,12 +454,10 @@
     let load = engines[at].candidate.load;
     let job = part_job(now, prompt, part, memory as f64);
     let forecast = load.forecast(Some(&job));
-    PartOffer {
-        at,
-        done: forecast.time(prompt.key, Role::Helper).unwrap_or(now.0 as f64),
-        loss: loss_of_jobs(load, &forecast, Some(prompt.key)) - engines[at].base_loss
-            + lane_loss(&engines[at], prompt, part),
-    }
+    let done = forecast.time(prompt.key, Role::Helper).unwrap_or(now.0 as f64);
+    let loss = loss_of_jobs(load, &forecast, Some(prompt.key)) - engines[at].base_loss
+        + lane_loss(&engines[at], prompt, part);
+    PartOffer { at, done, loss }
 }
 
 /// Returns the job of the engine that gets the request.
