--- a/src/gateway/core/health.rs
+++ b/src/gateway/core/health.rs
@@ -1,9 +1,10 @@
 //! Which backend servers to avoid for a while.
 //!
-//! A server that cannot be reached, breaks connections or stays silent gets
-//! nothing for a time that doubles with each failure in a row; the first
-//! success clears it. The load it answers: servers that crash, go dark or fail
-//! part of their requests while their health check is good.
+//! A server that cannot be reached or breaks connections gets nothing for a time
+//! that doubles with each failure in a row; the first success clears it. One
+//! that is silent may only be busy, so that silence counts when it is most of
+//! what the server does. The load it answers: servers that crash, go dark or
+//! fail part of their requests while their health check is good.
 
 use std::collections::HashMap;
 
@@ -19,6 +20,11 @@
 /// Time without failures after which a server counts as sound again.
 const FORGET_AFTER: Millis = Millis(10_000);
 
+/// Ends of sends that are remembered of each server.
+const REMEMBERED: u32 = 8;
+/// Silent ends among these from which on a server is avoided.
+const SILENT_LIMIT: u32 = 4;
+
 /// Health of all backend servers as this instance sees it.
 #[derive(Debug, Default)]
 pub struct Health {
@@ -30,6 +36,8 @@
     failures: u32,
     last_failure: Millis,
     avoid_until: Millis,
+    /// The newest ends, a bit each, the newest lowest: whether it was silent.
+    silent: u32,
 }
 
 impl Health {
@@ -51,9 +59,22 @@
         pause
     }
 
+    /// Takes over that a server did not answer in time; returns how long it is
+    /// avoided, if it is.
+    pub fn silent(&mut self, now: Millis, server: ServerKey) -> Option<Millis> {
+        let state = self.servers.entry(server).or_default();
+        state.remember(true);
+        if state.silent.count_ones() < SILENT_LIMIT {
+            return None;
+        }
+        state.silent = 0;
+        Some(self.failed(now, server))
+    }
+
     /// Takes over a success.
     pub fn succeeded(&mut self, server: ServerKey) {
         if let Some(state) = self.servers.get_mut(&server) {
+            state.remember(false);
             state.failures = state.failures.saturating_sub(1);
             state.avoid_until = Millis::ZERO;
         }
@@ -73,3 +94,10 @@
             .is_some_and(|state| now < state.avoid_until)
     }
 }
+
+impl State {
+    fn remember(&mut self, silent: bool) {
+        let mask = (1 << REMEMBERED) - 1;
+        self.silent = ((self.silent << 1) | u32::from(silent)) & mask;
+    }
+}
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -94,6 +94,19 @@
     output_begun: bool,
 }
 
+/// Why a backend server gets nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Exclusion {
+    /// It is leaving.
+    Draining,
+    /// Operators have taken its failure domain out.
+    DomainOut,
+    /// It failed lately.
+    Avoided,
+    /// It has had this request already.
+    Tried,
+}
+
 /// A send that has not ended.
 #[derive(Debug, Clone)]
 struct Sent {
@@ -278,14 +291,40 @@
         }
     }
 
-    /// Returns whether a backend server may get new work.
-    fn usable(&self, now: Millis, service: &str, key: ServerKey) -> bool {
+    /// Returns why a backend server of the request's service gets nothing, if so.
+    fn exclusion(&self, now: Millis, request: &Request, key: ServerKey) -> Option<Exclusion> {
         let server = self.roster.get(key);
-        server.listed
-            && !server.entry.draining
-            && server.entry.service == service
-            && !self.domains_out.contains(&server.entry.domain)
-            && !self.health.avoided(now, key)
+        if server.entry.draining {
+            return Some(Exclusion::Draining);
+        }
+        if self.domains_out.contains(&server.entry.domain) {
+            return Some(Exclusion::DomainOut);
+        }
+        if self.health.avoided(now, key) {
+            return Some(Exclusion::Avoided);
+        }
+        request.tried.contains(&key).then_some(Exclusion::Tried)
+    }
+
+    /// Returns whether a backend server may get the request.
+    fn usable(&self, now: Millis, request: &Request, key: ServerKey) -> bool {
+        self.roster.get(key).entry.service == request.service
+            && self.exclusion(now, request, key).is_none()
+    }
+
+    /// Returns why each backend server of the request's service gets nothing,
+    /// for the log.
+    fn describe_exclusions(&self, now: Millis, request: &Request) -> String {
+        let texts: Vec<String> = self
+            .roster
+            .listed()
+            .filter(|(_, server)| server.entry.service == request.service)
+            .map(|(key, server)| {
+                let cause = self.exclusion(now, request, key);
+                format!("{}:{cause:?}", server.entry.id)
+            })
+            .collect();
+        texts.join(",")
     }
 
     /// Returns whether a cold server's rate leaves room; warm ones always have.
@@ -315,7 +354,7 @@
             let Some(load) = self.standing.engine(key) else {
                 continue;
             };
-            if !self.usable(now, &request.service, key) || request.tried.contains(&key) {
+            if !self.usable(now, request, key) {
                 continue;
             }
             let warm = now >= server.cold_until;
@@ -359,8 +398,7 @@
         self.roster
             .listed()
             .map(|(key, _)| key)
-            .filter(|&key| self.usable(now, &request.service, key))
-            .filter(|key| !request.tried.contains(key))
+            .filter(|&key| self.usable(now, request, key))
             .filter(|&key| self.within_cold_rate(now, table, key))
             .min_by(|&a, &b| {
                 fullness(a)
@@ -654,7 +692,13 @@
             }
             SendEnd::NotSent | SendEnd::Refused | SendEnd::Silent => {}
         }
-        let pause = self.health.failed(now, server);
+        let pause = match end {
+            SendEnd::Silent => self.health.silent(now, server),
+            _ => Some(self.health.failed(now, server)),
+        };
+        let Some(pause) = pause else {
+            return;
+        };
         log::info!(
             server = self.roster.get(server).entry.id.as_str(),
             end:? = end,
@@ -732,6 +776,9 @@
             return;
         }
         let refusal = failure(request, Reason::NoBackend, "no backend server may take it now");
+        let servers = self.describe_exclusions(now, &self.requests[&ticket]);
+        let id = self.requests[&ticket].submission.head.request_id.as_str();
+        log::info!(request = id, servers = servers.as_str(); "no backend server");
         self.refuse(now, ticket, refusal, out);
     }
 
