Tell every instance each part's own memory; hear an engine's word on it

Cause: others assumed that the parts of a prompt hold equal memory, reserved what was not there, took the refusal for a failing engine and told everybody to avoid it.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -116,6 +116,7 @@
             Input::Submit(ticket, submission) => self.submit(now, ticket, submission, &mut out),
             Input::Started(ticket) => self.started(now, ticket, &mut out),
             Input::ColdSeen(ticket, left) => self.cold_seen(now, ticket, left),
+            Input::MemorySeen { addr, free } => self.memory_seen(now, &addr, free),
             Input::Ended(ticket, end) => self.ended(now, ticket, end, &mut out),
             Input::Facts {
                 asked_at,
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -555,10 +555,10 @@
         let placed = Placed {
             job: job.0,
             server: hash(choice.first),
-            parts: choice.parts.iter().map(|(key, _)| hash(*key)).collect(),
+            parts: choice.parts.iter().map(|&(key, tokens)| (hash(key), tokens)).collect(),
             prompt_tokens: prompt.map_or(0, |prompt| prompt.prompt_tokens as u64),
             output_tokens: prompt.map_or(0, |prompt| prompt.output_tokens as u64),
-            parts_memory: choice.parts.iter().map(|(_, tokens)| tokens).sum(),
+            first_reserved: choice.first_reserved,
             urgency: prompt.map_or(0, |prompt| prompt.urgency),
             gap_ms: prompt.map_or(0, |prompt| prompt.gap.min(GAP_NEVER) as u64),
             due_in_ms: prompt.map_or(0, |prompt| (prompt.due - now.0 as f64).max(1.0) as u64),
@@ -612,6 +612,12 @@
         }
     }
 
+    pub(super) fn memory_seen(&mut self, now: Millis, addr: &str, free: u64) {
+        if let Some(server) = self.roster.find_addr(addr) {
+            self.standing.observe_free_memory(now, server, free);
+        }
+    }
+
     pub(super) fn ended(
         &mut self,
         now: Millis,
@@ -627,7 +633,9 @@
             self.requests.remove(&ticket);
             return;
         };
-        request.tried.push(sent.server);
+        if end != SendEnd::NoMemory {
+            request.tried.push(sent.server);
+        }
         let id = request.submission.head.request_id.clone();
         log::info!(
             request = id.as_str(),
@@ -642,7 +650,7 @@
         match end {
             SendEnd::Whole => self.finish(now, ticket, Count::Done),
             SendEnd::CallerGone => self.finish(now, ticket, Count::CallersGone),
-            SendEnd::NotSent | SendEnd::Misdirected | SendEnd::Refused => {
+            SendEnd::NotSent | SendEnd::NoMemory | SendEnd::Misdirected | SendEnd::Refused => {
                 self.again_not_run(now, ticket, end, out);
             }
             SendEnd::Failed | SendEnd::Broken | SendEnd::Silent => {
@@ -680,7 +688,7 @@
                 self.crashes.clear(fingerprint);
                 return;
             }
-            SendEnd::CallerGone | SendEnd::Failed => return,
+            SendEnd::CallerGone | SendEnd::Failed | SendEnd::NoMemory => return,
             SendEnd::Misdirected => {
                 let id = self.roster.get(server).entry.id.clone();
                 log::warn!(server = id.as_str(); "address belongs to another backend server");
@@ -718,7 +726,7 @@
             return;
         };
         request.free_sends += 1;
-        let arrived = end != SendEnd::NotSent;
+        let arrived = matches!(end, SendEnd::Misdirected | SendEnd::Refused);
         let service = request.service.clone();
         let again = request.free_sends <= FREE_SENDS && (!arrived || self.budgets.spend(&service));
         if again {
--- a/src/gateway/core/standing.rs
+++ b/src/gateway/core/standing.rs
@@ -180,6 +180,13 @@
         }
     }
 
+    /// Takes over how much memory an engine says it has left, in tokens.
+    pub fn observe_free_memory(&mut self, now: Millis, server: ServerKey, free: u64) {
+        if let Some(load) = self.engines.get_mut(&server) {
+            load.observe_free_memory(now, free as f64);
+        }
+    }
+
     /// Learns an engine's pace from a first token.
     pub fn observe_pace(&mut self, server: ServerKey, predicted_ms: f64, observed_ms: f64) {
         let Some(load) = self.engines.get_mut(&server) else {
@@ -226,17 +233,12 @@
             urgency: placed.urgency,
             lane: self.lane(&service, &spec, placed.prompt_tokens as f64),
         };
-        let memory = placed.parts_memory / (placed.parts.len() as u64).max(1);
         let parts: Vec<(ServerKey, u64)> = placed
             .parts
             .iter()
-            .filter_map(|&hash| Some((roster.find_hash(hash)?, memory)))
+            .filter_map(|&(hash, memory)| Some((roster.find_hash(hash)?, memory)))
             .collect();
-        let reserved = match placed.parts_memory {
-            0 => 0,
-            held => placed.prompt_tokens.saturating_sub(held).max(1),
-        };
-        self.place_prompt(now, &service, &prompt, first, reserved, &parts);
+        self.place_prompt(now, &service, &prompt, first, placed.first_reserved, &parts);
     }
 
     /// Takes over that another instance's request has begun to answer.
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -24,6 +24,10 @@
 /// Time after which a request that was never reported as ended is dropped.
 const FORGET_AFTER: Millis = Millis::from_secs(30);
 
+/// Time for which an engine's word on its memory counts beyond what is known:
+/// about as long as a long prompt takes.
+const UNKNOWN_MEMORY_LIFE: Millis = Millis(2_000);
+
 /// Names a request on every instance: a hash of its id and send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct JobKey(pub u64);
@@ -88,6 +92,10 @@
     /// Time up to which passes have been played, in ms.
     clock: f64,
     jobs: Vec<Job>,
+    /// Memory that is taken by what this instance does not know of, in tokens,
+    /// and when the engine said so.
+    unknown_memory: f64,
+    unknown_at: Millis,
 }
 
 /// When prompts will be read.
@@ -110,6 +118,8 @@
             pace: 1.0,
             clock: now.0 as f64,
             jobs: Vec::new(),
+            unknown_memory: 0.0,
+            unknown_at: Millis::ZERO,
         }
     }
 
@@ -144,7 +154,15 @@
     /// Returns the memory that all requests on the engine will take, in tokens.
     #[must_use]
     pub fn memory(&self) -> f64 {
-        self.jobs.iter().map(|job| job.memory).sum()
+        self.unknown_memory + self.jobs.iter().map(|job| job.memory).sum::<f64>()
+    }
+
+    /// Takes over how much memory the engine says it has left, in tokens.
+    pub fn observe_free_memory(&mut self, now: Millis, free: f64) {
+        self.advance(now);
+        let known: f64 = self.jobs.iter().map(Job::held).sum();
+        self.unknown_memory = (self.spec.memory_tokens as f64 - free - known).max(0.0);
+        self.unknown_at = now;
     }
 
     /// Returns how many requests the engine serves, its parts of others left
@@ -203,6 +221,9 @@
     /// Plays the passes up to `now`.
     pub fn advance(&mut self, now: Millis) {
         let now_ms = now.0 as f64;
+        if now.since(self.unknown_at) > UNKNOWN_MEMORY_LIFE {
+            self.unknown_memory = 0.0;
+        }
         self.jobs.retain(|job| now.since(job.placed_at) < FORGET_AFTER);
         while self.clock < now_ms {
             if self.jobs.is_empty() {
@@ -348,7 +369,7 @@
     /// does not fit.
     fn admit(&mut self) {
         let mut slots = self.spec.slots as usize;
-        let mut memory = self.spec.memory_tokens as f64;
+        let mut memory = self.spec.memory_tokens as f64 - self.unknown_memory;
         let mut waiting = false;
         for job in &self.jobs {
             if job.admitted || job.role == Role::Helper {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -622,7 +622,7 @@
                     for made in reserved {
                         self.release(made);
                     }
-                    return Err(SendEnd::NotSent);
+                    return Err(SendEnd::NoMemory);
                 }
             }
         }
@@ -646,7 +646,14 @@
     }
 
     async fn order(&self, addr: &str, body: Bytes) -> Result<StatusCode, CallError> {
-        send_order(&self.traffic.upstream, addr, body).await
+        let answer = send_order(&self.traffic.upstream, addr, body).await?;
+        if let Some(free) = engine::free_tokens(answer.body()) {
+            self.traffic.tell(Input::MemorySeen {
+                addr: addr.to_owned(),
+                free,
+            });
+        }
+        Ok(answer.status())
     }
 
     fn id(&self) -> &str {
@@ -674,8 +681,9 @@
             let hold = reservation.hold.0;
             let order = engine::reserve(&reservation.name, reservation.tokens, hold);
             match send_order(&upstream, &reservation.addr, order).await {
-                Ok(StatusCode::OK) => {}
+                Ok(answer) if answer.status() == StatusCode::OK => {}
                 answer => {
+                    let answer = answer.map(|answer| answer.status());
                     log::info!(engine = reservation.addr.as_str(), reservation = reservation.name.as_str(), answer:? = answer; "memory not renewed");
                 }
             }
@@ -683,14 +691,17 @@
     }
 }
 
-async fn send_order(upstream: &Upstream, addr: &str, body: Bytes) -> Result<StatusCode, CallError> {
+async fn send_order(
+    upstream: &Upstream,
+    addr: &str,
+    body: Bytes,
+) -> Result<Response<Bytes>, CallError> {
     let request = Request::post(engine::ORDER_PATH)
         .header(header::HOST, addr)
         .header(header::CONTENT_TYPE, "application/json")
         .body(Full::new(body))
         .map_err(|error| CallError::NotSent(error.to_string()))?;
-    let answer = upstream.call(addr, request, ORDER_LIMIT).await?;
-    Ok(answer.status())
+    upstream.call(addr, request, ORDER_LIMIT).await
 }
 
 /// Returns the head of a stream; its length is not known, as it may go on from
--- a/src/gateway/instances.rs
+++ b/src/gateway/instances.rs
@@ -88,14 +88,15 @@
     pub job: u64,
     /// Hash of the backend server's id.
     pub server: u64,
-    /// Hashes of the ids of the engines that read parts.
-    pub parts: Vec<u64>,
+    /// Engines that read parts: hashes of their ids, and the tokens of memory
+    /// reserved on each.
+    pub parts: Vec<(u64, u64)>,
     /// Tokens of the prompt; 0 on a plain server.
     pub prompt_tokens: u64,
     /// Expected tokens of the answer.
     pub output_tokens: u64,
-    /// Memory that the parts hold, in tokens; 0: the first engine holds all.
-    pub parts_memory: u64,
+    /// Memory reserved on the first engine, in tokens; 0: it holds all.
+    pub first_reserved: u64,
     /// Urgency at the engine.
     pub urgency: u8,
     /// Longest pause between two events that is in time, in ms.
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -102,6 +102,8 @@
     Failed,
     /// Nothing was written: no connection.
     NotSent,
+    /// Nothing was written: an engine had no memory to reserve.
+    NoMemory,
     /// The backend server refused it before it ran.
     Refused,
     /// The address belongs to another backend server now.
@@ -189,6 +191,13 @@
     Started(Ticket),
     /// A backend server's answer said how long it stays cold.
     ColdSeen(Ticket, Millis),
+    /// An engine said how much memory it has left, in tokens.
+    MemorySeen {
+        /// Its address, `ip:port`.
+        addr: String,
+        /// Memory left, in tokens.
+        free: u64,
+    },
     /// A send has ended.
     Ended(Ticket, SendEnd),
     /// Facts from the store, true as of `asked_at` or later.
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -138,6 +138,14 @@
         self.by_hash.get(&hash).copied()
     }
 
+    /// Returns the listed server with this address.
+    #[must_use]
+    pub fn find_addr(&self, addr: &str) -> Option<ServerKey> {
+        self.listed()
+            .find(|(_, server)| server.entry.addr == addr)
+            .map(|(key, _)| key)
+    }
+
     /// Returns all servers that the registry names.
     pub fn listed(&self) -> impl Iterator<Item = (ServerKey, &Server)> {
         self.servers.iter().filter(|(_, server)| server.listed)
