--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -24,3 +24,5 @@
 pub mod settings;
 pub mod shares;
 pub mod upstream;
+#[cfg(test)]
+mod tests;
