--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -34,7 +34,7 @@
 /// Least width of that border, in ms: about half a pass.
 const LATE_WIDTH_MIN_MS: f64 = 20.0;
 /// Loss for each ms that an engine writes longer: it reads less meanwhile.
-const WRITING_LOSS_PER_MS: f64 = 2e-5;
+const WRITING_LOSS_PER_MS: f64 = 2e-4;
 /// Part of the longest pause in time that passes may take: an event has its
 /// way to the caller as well.
 const GAP_USED: f64 = 0.9;
@@ -48,7 +48,7 @@
 const FAR_LOSS: f64 = 0.003;
 /// Share of a short prompt's value that is lost on an engine that is kept for
 /// long ones: the next of these delays it.
-const WRONG_LANE_LOSS: f64 = 0.15;
+const WRONG_LANE_LOSS: f64 = 0.4;
 /// Time in ms that an engine kept for short prompts may read a long one without
 /// harm: whoever arrives meanwhile is still in time.
 const HARMLESS_READ_MS: f64 = 60.0;
@@ -59,7 +59,7 @@
 const MEMORY_LOSS: f64 = 0.5;
 /// Share of a request's value below which a loss ends the search for a better
 /// choice.
-const GOOD_ENOUGH: f64 = 0.02;
+const GOOD_ENOUGH: f64 = 0.001;
 /// Requests that wait in an engine's own queue at most, beyond its slots; more
 /// are refused there.
 const ENGINE_QUEUE: usize = 16;
