--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -31,6 +31,7 @@
 use crate::gateway::message::Input;
 use crate::gateway::message::Output;
 use crate::gateway::message::Ticket;
+use crate::gateway::message::Watching;
 use crate::gateway::roster::Roster;
 use crate::gateway::route::RouteTable;
 use crate::gateway::settings::Bounds;
@@ -43,6 +44,16 @@
 /// covers instances that are not known yet.
 const RETRY_LIMIT_USED: f64 = 0.7;
 
+/// Instances that watch the store closely: one, and one more in case that it is
+/// cut off.
+const CLOSE_WATCHERS: usize = 2;
+/// Age of the newest proof from which on an instance watches closely itself;
+/// with two others at work it stays below two seconds.
+const PROOF_MISSED: Millis = Millis(2_500);
+
+/// Time from the start in which others are heard for the first time.
+const FIRST_HEARTBEATS: Millis = Millis(1_500);
+
 /// Who this instance is.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Me {
@@ -73,6 +84,7 @@
     budgets: Budgets,
     cold: ColdShares,
     requests: BTreeMap<Ticket, Request>,
+    watching: Watching,
     leaving: bool,
     ready: bool,
     next_heartbeat: Millis,
@@ -102,6 +114,7 @@
             budgets,
             cold: ColdShares::default(),
             requests: BTreeMap::new(),
+            watching: Watching::Loosely,
             leaving: false,
             ready: false,
             next_heartbeat: Millis::ZERO,
@@ -119,16 +132,16 @@
             Input::MemorySeen { addr, free } => self.memory_seen(now, &addr, free),
             Input::Ended(ticket, end) => self.ended(now, ticket, end, &mut out),
             Input::Facts {
-                asked_at,
-                complete,
+                proved_at,
                 config_revision,
                 facts,
             } => {
                 self.freshness
-                    .store_answered(now, asked_at, config_revision);
-                self.take_facts(now, complete, facts, &mut out);
+                    .store_answered(now, proved_at, config_revision);
+                self.take_facts(now, facts, &mut out);
                 self.retry_waiting(now, &mut out);
             }
+            Input::PassOn(item) => self.tell(&mut out, PeerMessage::Item(item)),
             Input::StoreLost => self.freshness.store_lost(now),
             Input::Peer(message) => self.peer(now, message),
             Input::Tick => self.tick(now, &mut out),
@@ -153,6 +166,7 @@
         if now >= self.next_heartbeat {
             self.next_heartbeat = now + HEARTBEAT_PERIOD;
             self.heartbeat(now, out);
+            self.update_watching(now, out);
             self.measure(now);
         }
     }
@@ -170,6 +184,31 @@
             .set_reserve((self.bounds.retry_extra * RETRY_LIMIT_USED / instances).max(1.0));
     }
 
+    /// Has the first instances watch the store closely, and this one as long as
+    /// it is behind others or hears of no proof.
+    fn update_watching(&mut self, now: Millis, out: &mut Vec<Output>) {
+        if now < FIRST_HEARTBEATS {
+            return;
+        }
+        let closely = self.instances.rank(&self.me.name) < CLOSE_WATCHERS
+            || self.freshness.is_behind()
+            || self.freshness.proof_age(now) > PROOF_MISSED;
+        let watching = match closely {
+            true => Watching::Closely,
+            false => Watching::Loosely,
+        };
+        if watching != self.watching {
+            self.watching = watching;
+            log::info!(
+                watching:? = watching,
+                instances = self.instances.alive(),
+                config_age_ms = self.freshness.proof_age(now).0;
+                "watch of the store changed"
+            );
+            out.push(Output::Watch(watching));
+        }
+    }
+
     fn measure(&mut self, now: Millis) {
         let level = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
         self.metrics
@@ -222,6 +261,8 @@
             } => {
                 self.crashes.record(now, fingerprint, server);
             }
+            // The ledger of the store's items takes these over.
+            PeerMessage::Item(_) => {}
             PeerMessage::Suspect { server, avoid_ms } => {
                 if let Some(key) = self.roster.find_hash(server) {
                     self.health.avoid(key, now + Millis(avoid_ms));
--- a/src/gateway/core/facts.rs
+++ b/src/gateway/core/facts.rs
@@ -1,6 +1,5 @@
 //! Taking over facts from the platform's store.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 
 use super::Core;
@@ -12,16 +11,7 @@
 use crate::gateway::route::RouteTable;
 
 impl Core {
-    pub(super) fn take_facts(
-        &mut self,
-        now: Millis,
-        complete: bool,
-        facts: Vec<Fact>,
-        out: &mut Vec<Output>,
-    ) {
-        if complete {
-            self.drop_absent(now, &facts);
-        }
+    pub(super) fn take_facts(&mut self, now: Millis, facts: Vec<Fact>, out: &mut Vec<Output>) {
         for fact in facts {
             self.take_fact(now, fact, out);
         }
@@ -126,32 +116,4 @@
             log::info!(server = id, cause = cause; "backend server gone");
         }
     }
-
-    /// Drops what a complete reading of the store does not name any more.
-    fn drop_absent(&mut self, now: Millis, facts: &[Fact]) {
-        let mut servers = HashSet::new();
-        let mut domains = HashSet::new();
-        for fact in facts {
-            match fact {
-                Fact::Server(entry) => {
-                    servers.insert(entry.id.as_str());
-                }
-                Fact::DomainOut(domain) => {
-                    domains.insert(domain.as_str());
-                }
-                _ => {}
-            }
-        }
-        self.domains_out
-            .retain(|domain| domains.contains(domain.as_str()));
-        let absent: Vec<String> = self
-            .roster
-            .listed()
-            .map(|(_, server)| server.entry.id.clone())
-            .filter(|id| !servers.contains(id.as_str()) && !self.missing.contains_key(id))
-            .collect();
-        for id in absent {
-            self.server_gone(now, &id);
-        }
-    }
 }
--- a/src/gateway/core/freshness.rs
+++ b/src/gateway/core/freshness.rs
@@ -23,6 +23,8 @@
     /// When the store was asked for the newest proof.
     proved_at: Option<Millis>,
     config_revision: u64,
+    /// Newest change by operators that another instance has told of.
+    heard_revision: u64,
     /// When the store was last lost, and when it came back.
     lost_at: Option<Millis>,
     back_at: Option<Millis>,
@@ -37,19 +39,23 @@
             route_limit: bounds.config_apply,
             proved_at: None,
             config_revision: 0,
+            heard_revision: 0,
             lost_at: None,
             back_at: None,
         }
     }
 
-    /// Takes over an answer of the store.
-    pub fn store_answered(&mut self, now: Millis, asked_at: Millis, config_revision: u64) {
+    /// Takes over facts, and the store's proof if they come from there.
+    pub fn store_answered(&mut self, now: Millis, proved_at: Option<Millis>, config_revision: u64) {
+        self.config_revision = self.config_revision.max(config_revision);
+        if proved_at.is_none() {
+            return;
+        }
         if let Some(lost_at) = self.lost_at.take() {
             log::info!(away_ms = now.since(lost_at).0; "store regained");
             self.back_at = Some(now);
         }
-        self.proved_at = self.proved_at.max(Some(asked_at));
-        self.config_revision = self.config_revision.max(config_revision);
+        self.proved_at = self.proved_at.max(proved_at);
     }
 
     /// Takes over that the store did not answer.
@@ -62,6 +68,7 @@
 
     /// Takes over another instance's proof.
     pub fn peer_proof(&mut self, now: Millis, config_revision: u64, age: Millis) {
+        self.heard_revision = self.heard_revision.max(config_revision);
         if config_revision > self.config_revision || self.proved_at.is_none() {
             return;
         }
@@ -77,6 +84,12 @@
         self.config_revision
     }
 
+    /// Returns whether others know a change by operators that is not known here.
+    #[must_use]
+    pub fn is_behind(&self) -> bool {
+        self.heard_revision > self.config_revision
+    }
+
     /// Returns the age of the newest proof.
     #[must_use]
     pub fn proof_age(&self, now: Millis) -> Millis {
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -38,10 +38,12 @@
 use crate::gateway::core::Me;
 use crate::gateway::feed;
 use crate::gateway::feed::Feed;
+use crate::gateway::feed::Ledger;
 use crate::gateway::forward::Traffic;
 use crate::gateway::instances::Member;
 use crate::gateway::message::Input;
 use crate::gateway::message::Output;
+use crate::gateway::message::Watching;
 use crate::gateway::peers::Peers;
 use crate::gateway::route::CallerLimits;
 use crate::gateway::server;
@@ -196,22 +198,32 @@
         let (ready, metrics) = (ready.clone(), Arc::clone(&metrics));
         spawn_local(server::serve_status(listener, ready, metrics));
     }
-    spawn_local(peers.clone().receive(inputs.clone()));
+    let ledger = Ledger::new(inputs.clone());
+    spawn_local(peers.clone().receive(inputs.clone(), ledger.clone()));
+    let (watching_tx, watching) = watch::channel(Watching::Loosely);
     let store = cfg.gateway_store.clone();
-    spawn_local(Feed::new(store.clone(), upstream.clone(), clock, inputs.clone()).run());
+    let feed = Feed::new(
+        store.clone(),
+        upstream.clone(),
+        clock,
+        inputs.clone(),
+        ledger,
+        watching,
+    );
+    spawn_local(feed.clone().watch_operators());
+    spawn_local(feed.watch_entries());
     let member = Member {
         name: cfg.name.clone(),
         addr: peer_addr,
     };
     spawn_local(feed::keep_entry(Rc::new(store), upstream.clone(), member));
     spawn_local(expire(upstream));
-    spawn_local(carry(
-        outputs,
-        Rc::clone(&traffic),
-        peers,
-        ready_tx,
-        limits_tx,
-    ));
+    let states = States {
+        ready: ready_tx,
+        limits: limits_tx,
+        watching: watching_tx,
+    };
+    spawn_local(carry(outputs, Rc::clone(&traffic), peers, states));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -257,22 +269,31 @@
     open == 0
 }
 
+/// What the core has decided for the tasks of the traffic thread.
+struct States {
+    ready: watch::Sender<bool>,
+    limits: watch::Sender<CallerLimits>,
+    watching: watch::Sender<Watching>,
+}
+
 /// Carries out what the core wants done.
 async fn carry(
     mut outputs: UnboundedReceiver<Output>,
     traffic: Rc<Traffic>,
     peers: Peers,
-    ready: watch::Sender<bool>,
-    limits: watch::Sender<CallerLimits>,
+    states: States,
 ) {
     while let Some(output) = outputs.recv().await {
         match output {
             Output::Tell(addrs, message) => peers.tell(&addrs, &message),
             Output::Ready(value) => {
-                ready.send_replace(value);
+                states.ready.send_replace(value);
             }
             Output::Limits(value) => {
-                limits.send_replace(value);
+                states.limits.send_replace(value);
+            }
+            Output::Watch(value) => {
+                states.watching.send_replace(value);
             }
             Output::Send(ticket, _) | Output::Refuse(ticket, _) | Output::PassFailure(ticket) => {
                 traffic.direct(ticket, output);
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -1,11 +1,18 @@
-//! Reading the platform's store: all items once, then each change.
+//! Reading the platform's store.
 //!
-//! A watch waits only shortly, as each answer also proves how fresh the
-//! configuration is: what is known is true as of the time at which the store
-//! was asked. When the store has dropped the history that a watch needs, all
-//! items are read again.
+//! Every instance watches what operators write, so that changes arrive at once.
+//! A few of them, those that are [`Watching::Closely`], ask again after a short
+//! wait, as each answer also proves how fresh the configuration is, and watch
+//! the backend servers' entries; they pass on what they learn to all others,
+//! which read the entries themselves only now and then. So the store's load
+//! grows little with the number of instances.
+//!
+//! [`Ledger`] keeps the newest revision of each key, from whoever it comes, and
+//! lets no older state pass.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,22 +22,30 @@
 use http::StatusCode;
 use http::header;
 use http_body_util::Full;
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::adapter::store;
 use crate::adapter::store::Call;
 use crate::adapter::store::Change;
+use crate::adapter::store::Part;
 use crate::clock::Clock;
 use crate::clock::Millis;
+use crate::gateway::instances::Item;
 use crate::gateway::instances::Member;
-use crate::gateway::message::Fact;
 use crate::gateway::message::Input;
+use crate::gateway::message::Watching;
 use crate::gateway::upstream::CallError;
 use crate::gateway::upstream::Upstream;
 
-/// Time that a watch waits in the store: two of them fit into the time within
-/// which a change of the configuration has to be in force.
-const WATCH_WAIT: Millis = Millis(900);
+/// Time that a close watch waits in the store: its proof, passed on with a
+/// heartbeat, is still younger than a change of the configuration may take.
+const CLOSE_WAIT: Millis = Millis(600);
+/// Time that any other watch waits; the store allows 30 s.
+const LONG_WAIT: Millis = Millis(20_000);
+/// Period at which entries of servers and instances are read by an instance
+/// that does not watch them, against lost messages of others.
+const REREAD_PERIOD: Duration = Duration::from_secs(10);
 /// Time limit of a call beyond what it waits; the store answers in ms.
 const CALL_LIMIT: Duration = Duration::from_millis(700);
 /// Pause after a failed call; doubles up to [`LONGEST_PAUSE`].
@@ -41,18 +56,113 @@
 const ENTRY_TTL: Millis = Millis(30_000);
 /// Period at which the entry is renewed.
 const ENTRY_RENEWAL: Duration = Duration::from_secs(10);
+/// Greatest item that is passed on in a datagram, in bytes.
+const MAX_ITEM_BYTES: usize = 1_000;
+
+/// Newest revision of each key, and who is told of changes.
+#[derive(Debug, Clone)]
+pub struct Ledger {
+    keys: Rc<RefCell<Keys>>,
+    inputs: Sender<Input>,
+}
+
+#[derive(Debug, Default)]
+struct Keys {
+    /// Revision of each key's newest change, and whether it exists.
+    seen: HashMap<String, (u64, bool)>,
+    config_revision: u64,
+}
+
+impl Ledger {
+    /// Returns a ledger that knows nothing.
+    #[must_use]
+    pub fn new(inputs: Sender<Input>) -> Ledger {
+        Ledger {
+            keys: Rc::default(),
+            inputs,
+        }
+    }
+
+    /// Takes over changes, and passes on those that are new. `proved_at` is when
+    /// the store was asked, if the changes prove that the operators' part is
+    /// known as of then. Returns the changes that were new.
+    pub fn take(&self, changes: Vec<Change>, proved_at: Option<Millis>) -> Vec<Change> {
+        let mut facts = Vec::new();
+        let mut fresh = Vec::new();
+        let mut keys = self.keys.borrow_mut();
+        for change in changes {
+            let known = keys
+                .seen
+                .get(&change.key)
+                .map_or(0, |(revision, _)| *revision);
+            if change.revision <= known {
+                continue;
+            }
+            let exists = change.value.is_some();
+            keys.seen
+                .insert(change.key.clone(), (change.revision, exists));
+            if Part::Operators.holds(&change.key) {
+                keys.config_revision = keys.config_revision.max(change.revision);
+            }
+            match store::fact(&change) {
+                Ok(Some(fact)) => facts.push(fact),
+                Ok(None) => {}
+                Err(error) => {
+                    log::warn!(error:% = error, revision = change.revision; "item ignored");
+                }
+            }
+            fresh.push(change);
+        }
+        if !facts.is_empty() || proved_at.is_some() {
+            let input = Input::Facts {
+                proved_at,
+                config_revision: keys.config_revision,
+                facts,
+            };
+            // The control thread ends only with the process.
+            let _ = self.inputs.send(input);
+        }
+        fresh
+    }
+
+    /// Takes over another instance's word.
+    pub fn take_item(&self, item: Item) {
+        let change = Change {
+            key: item.key,
+            revision: item.revision,
+            value: item.value.map(Bytes::from),
+        };
+        self.take(vec![change], None);
+    }
 
-/// Reads the store and tells the control thread.
-#[derive(Debug)]
+    /// Returns removals of the keys of a part that a reading as of `revision`
+    /// does not name any more.
+    fn absent(&self, part: Part, named: &[Change], revision: u64) -> Vec<Change> {
+        let named: HashSet<&str> = named.iter().map(|change| change.key.as_str()).collect();
+        let keys = self.keys.borrow();
+        keys.seen
+            .iter()
+            .filter(|(key, (seen, exists))| {
+                *exists && *seen < revision && part.holds(key) && !named.contains(key.as_str())
+            })
+            .map(|(key, _)| Change {
+                key: key.clone(),
+                revision,
+                value: None,
+            })
+            .collect()
+    }
+}
+
+/// Reads the store and tells the ledger.
+#[derive(Debug, Clone)]
 pub struct Feed {
     addr: String,
     upstream: Upstream,
     clock: Clock,
     inputs: Sender<Input>,
-    /// Revision of the newest change of each key, so that an older state never
-    /// replaces a newer one.
-    seen: HashMap<String, u64>,
-    config_revision: u64,
+    ledger: Ledger,
+    watching: watch::Receiver<Watching>,
 }
 
 /// Why the store gave nothing.
@@ -65,77 +175,157 @@
 impl Feed {
     /// Returns a feed that has read nothing.
     #[must_use]
-    pub fn new(addr: String, upstream: Upstream, clock: Clock, inputs: Sender<Input>) -> Feed {
+    pub fn new(
+        addr: String,
+        upstream: Upstream,
+        clock: Clock,
+        inputs: Sender<Input>,
+        ledger: Ledger,
+        watching: watch::Receiver<Watching>,
+    ) -> Feed {
         Feed {
             addr,
             upstream,
             clock,
             inputs,
-            seen: HashMap::new(),
-            config_revision: 0,
+            ledger,
+            watching,
         }
     }
 
-    /// Reads until the process ends.
-    pub async fn run(mut self) {
+    /// Watches what operators write until the process ends.
+    pub async fn watch_operators(mut self) {
         let mut revision = None;
         let mut pause = FIRST_PAUSE;
         loop {
-            let result = match revision {
-                None => self.read_all().await,
-                Some(after) => self.watch(after).await,
-            };
-            match result {
-                Ok(next) => {
-                    revision = Some(next);
-                    pause = FIRST_PAUSE;
-                }
-                Err(FeedError::Compacted) => {
-                    log::warn!(revision = revision.unwrap_or_default(); "store dropped its history; all items are read again");
-                    revision = None;
-                }
-                Err(FeedError::Call(cause)) => {
-                    log::warn!(cause = cause.as_str(), pause_ms = pause.as_millis() as u64; "store call failed");
-                    self.tell(Input::StoreLost);
-                    sleep(pause).await;
-                    pause = (pause * 2).min(LONGEST_PAUSE);
+            let watching = *self.watching.borrow_and_update();
+            let feed = self.clone();
+            let result = match (revision, watching) {
+                (None, _) => feed.read(Part::Operators, false).await,
+                (Some(after), Watching::Closely) => {
+                    feed.watch(Part::Operators, after, CLOSE_WAIT).await
                 }
+                (Some(after), Watching::Loosely) => tokio::select! {
+                    result = feed.watch(Part::Operators, after, LONG_WAIT) => result,
+                    _ = self.watching.changed() => Ok(after),
+                },
+            };
+            revision = self.next(result, revision, &mut pause).await;
+        }
+    }
+
+    /// Follows the entries of servers and instances until the process ends.
+    pub async fn watch_entries(mut self) {
+        let mut revision = None;
+        let mut pause = FIRST_PAUSE;
+        loop {
+            let watching = *self.watching.borrow_and_update();
+            let feed = self.clone();
+            let result = match (revision, watching) {
+                (None, _) => feed.read_entries(false).await,
+                (Some(after), Watching::Closely) => tokio::select! {
+                    result = feed.watch(Part::Servers, after, LONG_WAIT) => result,
+                    _ = self.watching.changed() => Ok(after),
+                },
+                (Some(_), Watching::Loosely) => tokio::select! {
+                    () = sleep(REREAD_PERIOD) => feed.read_entries(true).await,
+                    // Now it watches, from what is there now.
+                    _ = self.watching.changed() => feed.read_entries(false).await,
+                },
+            };
+            revision = self.next(result, revision, &mut pause).await;
+        }
+    }
+
+    /// Returns the revision to go on from, after a pause if a call failed.
+    async fn next(
+        &self,
+        result: Result<u64, FeedError>,
+        before: Option<u64>,
+        pause: &mut Duration,
+    ) -> Option<u64> {
+        match result {
+            Ok(next) => {
+                *pause = FIRST_PAUSE;
+                Some(next)
+            }
+            Err(FeedError::Compacted) => {
+                log::warn!(revision = before.unwrap_or_default(); "store dropped its history; its items are read again");
+                None
+            }
+            Err(FeedError::Call(cause)) => {
+                log::warn!(cause = cause.as_str(), pause_ms = pause.as_millis() as u64; "store call failed");
+                // The control thread ends only with the process.
+                let _ = self.inputs.send(Input::StoreLost);
+                sleep(*pause).await;
+                *pause = (*pause * 2).min(LONGEST_PAUSE);
+                before
             }
         }
     }
 
-    async fn read_all(&mut self) -> Result<u64, FeedError> {
+    async fn read_entries(&self, stale: bool) -> Result<u64, FeedError> {
+        let revision = self.read(Part::Servers, stale).await?;
+        self.read(Part::Instances, true).await?;
+        Ok(revision)
+    }
+
+    /// Reads a part whole; returns the revision from which on it can be watched.
+    async fn read(&self, part: Part, stale: bool) -> Result<u64, FeedError> {
         let asked_at = self.clock.now();
         let mut changes = Vec::new();
         let mut first_revision = None;
         let mut after: Option<String> = None;
         loop {
-            let bytes = self
-                .call(&store::read_all(after.as_deref()), CALL_LIMIT)
-                .await?;
-            let page = decode(&bytes)?;
+            let call = store::read(part, after.as_deref(), stale);
+            let page = decode(&self.call(&call, CALL_LIMIT).await?)?;
             // Pages are no snapshot: what changes between them is watched.
             let revision = *first_revision.get_or_insert(page.revision);
             after = page.changes.last().map(|change| change.key.clone());
             changes.extend(page.changes);
-            if !page.more || after.is_none() {
-                self.pass_on(asked_at, true, changes);
-                return Ok(revision);
+            if page.more && after.is_some() {
+                continue;
+            }
+            changes.extend(self.ledger.absent(part, &changes, revision));
+            let fresh = self.ledger.take(changes, proof(part, asked_at));
+            if part == Part::Servers && *self.watching.borrow() == Watching::Closely {
+                self.pass_on(fresh);
             }
+            return Ok(revision);
         }
     }
 
-    async fn watch(&mut self, after: u64) -> Result<u64, FeedError> {
+    async fn watch(&self, part: Part, after: u64, wait: Millis) -> Result<u64, FeedError> {
         let asked_at = self.clock.now();
-        let limit = CALL_LIMIT + WATCH_WAIT.as_duration();
-        let bytes = self
-            .call(&store::watch_all(after, WATCH_WAIT), limit)
-            .await?;
-        let page = decode(&bytes)?;
-        self.pass_on(asked_at, false, page.changes);
+        let limit = CALL_LIMIT + wait.as_duration();
+        let page = decode(&self.call(&store::watch(part, after, wait), limit).await?)?;
+        let fresh = self.ledger.take(page.changes, proof(part, asked_at));
+        if part == Part::Servers {
+            self.pass_on(fresh);
+        }
         Ok(page.revision.max(after))
     }
 
+    /// Has changes told to all other instances.
+    fn pass_on(&self, changes: Vec<Change>) {
+        for change in changes {
+            if change
+                .value
+                .as_ref()
+                .is_some_and(|value| value.len() > MAX_ITEM_BYTES)
+            {
+                continue;
+            }
+            let item = Item {
+                key: change.key,
+                revision: change.revision,
+                value: change.value.map(|value| value.to_vec()),
+            };
+            // The control thread ends only with the process.
+            let _ = self.inputs.send(Input::PassOn(item));
+        }
+    }
+
     async fn call(&self, call: &Call, limit: Duration) -> Result<Bytes, FeedError> {
         let answer = call_store(&self.upstream, &self.addr, call, limit).await;
         let answer = answer.map_err(|error| FeedError::Call(error.to_string()))?;
@@ -145,38 +335,11 @@
             status => Err(FeedError::Call(format!("status {status}"))),
         }
     }
+}
 
-    fn pass_on(&mut self, asked_at: Millis, complete: bool, changes: Vec<Change>) {
-        let mut facts: Vec<Fact> = Vec::new();
-        for change in changes {
-            let known = self.seen.get(&change.key).copied().unwrap_or_default();
-            if change.revision < known {
-                continue;
-            }
-            self.seen.insert(change.key.clone(), change.revision);
-            if store::is_operators(&change.key) {
-                self.config_revision = self.config_revision.max(change.revision);
-            }
-            match store::fact(&change) {
-                Ok(Some(fact)) => facts.push(fact),
-                Ok(None) => {}
-                Err(error) => {
-                    log::warn!(error:% = error, revision = change.revision; "item ignored")
-                }
-            }
-        }
-        self.tell(Input::Facts {
-            asked_at,
-            complete,
-            config_revision: self.config_revision,
-            facts,
-        });
-    }
-
-    fn tell(&self, input: Input) {
-        // The control thread ends only with the process.
-        let _ = self.inputs.send(input);
-    }
+/// Only the operators' part says how fresh the configuration is.
+fn proof(part: Part, asked_at: Millis) -> Option<Millis> {
+    (part == Part::Operators).then_some(asked_at)
 }
 
 /// Keeps this instance's entry in the store until the process ends.
--- a/src/gateway/instances.rs
+++ b/src/gateway/instances.rs
@@ -10,6 +10,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Millis;
 
@@ -71,6 +72,8 @@
         /// Hash of the backend server's id.
         server: u64,
     },
+    /// An item of the store has changed.
+    Item(Item),
     /// A backend server fails requests; others avoid it for a while.
     Suspect {
         /// Hash of the backend server's id.
@@ -80,6 +83,18 @@
     },
 }
 
+/// An item of the store, as it was written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Item {
+    /// Its key.
+    pub key: String,
+    /// The revision of the change.
+    pub revision: u64,
+    /// What it holds; none: it was removed.
+    pub value: Option<Vec<u8>>,
+}
+
 /// A placement, as all instances get it.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -173,6 +188,18 @@
         self.known.len() + 1
     }
 
+    /// Returns how many instances that are heard come before `name`, in an order
+    /// by hash that all share.
+    #[must_use]
+    pub fn rank(&self, name: &str) -> usize {
+        let hash = |name: &str| xxh3_64(name.as_bytes());
+        let mine = hash(name);
+        self.known
+            .iter()
+            .filter(|(other, known)| known.alive && hash(other) < mine)
+            .count()
+    }
+
     /// Returns how many other instances are heard.
     #[must_use]
     pub fn alive(&self) -> usize {
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::clock::Millis;
+use crate::gateway::instances::Item;
 use crate::gateway::instances::Member;
 use crate::gateway::instances::PeerMessage;
 use crate::gateway::roster::ServerEntry;
@@ -182,6 +183,15 @@
     InstanceGone(String),
 }
 
+/// How an instance watches the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Watching {
+    /// Asks often, watches everything and passes it on.
+    Closely,
+    /// Only waits for changes by operators; the rest comes from others.
+    Loosely,
+}
+
 /// What comes to the core.
 #[derive(Debug)]
 pub enum Input {
@@ -200,17 +210,18 @@
     },
     /// A send has ended.
     Ended(Ticket, SendEnd),
-    /// Facts from the store, true as of `asked_at` or later.
+    /// Facts from the store, in order.
     Facts {
-        /// When the store was asked.
-        asked_at: Millis,
-        /// Whether these are all facts that there are.
-        complete: bool,
+        /// When the store was asked, if its answer proves that the operators'
+        /// configuration is known as of then.
+        proved_at: Option<Millis>,
         /// Revision of the newest change by operators that is known.
         config_revision: u64,
-        /// The facts, in order.
+        /// The facts.
         facts: Vec<Fact>,
     },
+    /// A change that the other instances are to be told.
+    PassOn(Item),
     /// The store did not answer.
     StoreLost,
     /// Another instance's message.
@@ -232,6 +243,8 @@
     PassFailure(Ticket),
     /// Tell all other instances.
     Tell(Arc<Vec<String>>, PeerMessage),
+    /// How the store is to be watched has changed.
+    Watch(Watching),
     /// Readiness has changed.
     Ready(bool),
     /// What callers may send has changed.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -8,6 +8,7 @@
 use flume::Sender;
 use tokio::net::UdpSocket;
 
+use crate::gateway::feed::Ledger;
 use crate::gateway::instances::PeerMessage;
 use crate::gateway::message::Input;
 use crate::metrics::Count;
@@ -66,7 +67,7 @@
     }
 
     /// Passes others' messages on until the process ends.
-    pub async fn receive(self, inputs: Sender<Input>) {
+    pub async fn receive(self, inputs: Sender<Input>, ledger: Ledger) {
         let mut buf = [0; MAX_BYTES];
         loop {
             let len = match self.socket.recv_from(&mut buf).await {
@@ -79,6 +80,7 @@
             self.metrics.add(Count::PeerFramesReceived, 1);
             let config = bincode::config::standard().with_limit::<MAX_BYTES>();
             match bincode::serde::decode_from_slice(&buf[..len], config) {
+                Ok((PeerMessage::Item(item), _)) => ledger.take_item(item),
                 Ok((message, _)) => {
                     // The control thread ends only with the process.
                     let _ = inputs.send(Input::Peer(message));
--- a/src/gateway/tests/core.rs
+++ b/src/gateway/tests/core.rs
@@ -114,7 +114,7 @@
             facts.push(Fact::Server(entry(&format!("p{at}"), "plain")));
             facts.push(Fact::Server(entry(&format!("e{at}"), "engines")));
         }
-        harness.facts(true, facts);
+        harness.facts(facts);
         harness
     }
 
@@ -122,10 +122,9 @@
         self.core.handle(Millis(self.now), input)
     }
 
-    fn facts(&mut self, complete: bool, facts: Vec<Fact>) {
+    fn facts(&mut self, facts: Vec<Fact>) {
         let input = Input::Facts {
-            asked_at: Millis(self.now),
-            complete,
+            proved_at: Some(Millis(self.now)),
             config_revision: 5,
             facts,
         };
@@ -259,11 +258,8 @@
 #[test]
 fn an_older_configuration_never_replaces_a_newer_one() {
     let mut harness = Harness::new();
-    harness.facts(
-        false,
-        vec![Fact::Routes(Arc::new(keyed_table(9, &["new"])))],
-    );
-    harness.facts(false, vec![Fact::Routes(Arc::new(keyed_table(4, &["k"])))]);
+    harness.facts(vec![Fact::Routes(Arc::new(keyed_table(9, &["new"])))]);
+    harness.facts(vec![Fact::Routes(Arc::new(keyed_table(4, &["k"])))]);
     let (_, out) = harness.submit("/once/1", "k");
     assert_eq!(refusal(&out).unwrap().reason, Reason::Unauthorized);
 }
@@ -276,19 +272,19 @@
         draining: true,
         ..entry("p1", "plain")
     };
-    harness.facts(
-        false,
-        vec![Fact::Server(draining), Fact::ServerGone("p2".to_owned())],
-    );
+    harness.facts(vec![
+        Fact::Server(draining),
+        Fact::ServerGone("p2".to_owned()),
+    ]);
     assert_eq!(harness.targets("/once/1"), ["p0", "p3"]);
 }
 
 #[test]
 fn a_domain_taken_out_gets_nothing_until_it_is_back() {
     let mut harness = Harness::new();
-    harness.facts(false, vec![Fact::DomainOut("b".to_owned())]);
+    harness.facts(vec![Fact::DomainOut("b".to_owned())]);
     assert_eq!(harness.targets("/once/1"), ["p0"]);
-    harness.facts(false, vec![Fact::DomainBack("b".to_owned())]);
+    harness.facts(vec![Fact::DomainBack("b".to_owned())]);
     assert_eq!(harness.targets("/once/1").len(), SERVERS);
 }
 
@@ -298,12 +294,12 @@
     let _ = harness.handle(Input::StoreLost);
     harness.now += 1_000;
     let gone = |at: usize| Fact::ServerGone(format!("p{at}"));
-    harness.facts(false, (0..SERVERS).map(gone).collect());
+    harness.facts((0..SERVERS).map(gone).collect());
     assert_eq!(harness.targets("/once/1").len(), SERVERS);
     harness.now += 1_500;
-    harness.facts(false, vec![Fact::Server(entry("p0", "plain"))]);
+    harness.facts(vec![Fact::Server(entry("p0", "plain"))]);
     harness.now += 700;
-    harness.facts(false, Vec::new());
+    harness.facts(Vec::new());
     let _ = harness.handle(Input::Tick);
     assert_eq!(harness.targets("/once/1"), ["p0"]);
 }
@@ -315,7 +311,7 @@
         started_unix_ms: 2,
         ..entry("p0", "plain")
     };
-    harness.facts(false, vec![Fact::Server(restarted)]);
+    harness.facts(vec![Fact::Server(restarted)]);
     assert_eq!(harness.targets("/once/1").len(), SERVERS);
 }
 
@@ -412,7 +408,7 @@
     };
     let mut facts = vec![Fact::Routes(Arc::new(table))];
     facts.extend((0..SERVERS).map(cold));
-    harness.facts(false, facts);
+    harness.facts(facts);
     let sent = (0..40)
         .filter(|_| plan(&harness.submit("/short/1", "k").1).is_some())
         .count();
@@ -423,7 +419,7 @@
 fn the_final_answer_comes_at_once_when_no_server_is_left() {
     let mut harness = Harness::new();
     let gone = |at: usize| Fact::ServerGone(format!("p{at}"));
-    harness.facts(false, (0..SERVERS).map(gone).collect());
+    harness.facts((0..SERVERS).map(gone).collect());
     let (_, out) = harness.submit("/once/1", "k");
     let mut refused = refusal(&out).cloned();
     for _ in 0..2 {
--- a/src/gateway/tests/world.rs
+++ b/src/gateway/tests/world.rs
@@ -287,8 +287,7 @@
         }));
         for at in 0..cores {
             let input = Input::Facts {
-                asked_at: Millis::ZERO,
-                complete: true,
+                proved_at: Some(Millis::ZERO),
                 config_revision: 1,
                 facts: facts.clone(),
             };
@@ -392,8 +391,7 @@
                 for core in 0..self.cores.len() {
                     self.input(core, Input::Tick);
                     let input = Input::Facts {
-                        asked_at: Millis(self.now as u64),
-                        complete: false,
+                        proved_at: Some(Millis(self.now as u64)),
                         config_revision: 1,
                         facts: Vec::new(),
                     };
@@ -455,7 +453,10 @@
                         Some(_) => Outcome::Failed,
                     };
                 }
-                Output::PassFailure(_) | Output::Ready(_) | Output::Limits(_) => {}
+                Output::PassFailure(_)
+                | Output::Ready(_)
+                | Output::Limits(_)
+                | Output::Watch(_) => {}
             }
         }
     }
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -71,15 +71,16 @@
             .filter_map(|pair| pair.split_once('='))
             .collect();
         let text = match path.trim_start_matches("/skylarkhook/") {
-            "kv-range" => self.page("items", 0),
+            "kv-range" => self.page("items", 0, query.get("prefix").copied().unwrap_or("")),
             "kv-watch" => {
                 let number = |name| query.get(name).and_then(|n| n.parse().ok()).unwrap_or(0);
                 let until = Instant::now() + Duration::from_millis(number("waitMs"));
                 let after = number("after");
-                while self.state.lock().unwrap().revision <= after && Instant::now() < until {
+                let prefix = query.get("prefix").copied().unwrap_or("");
+                while !self.changed(prefix, after) && Instant::now() < until {
                     thread::sleep(Duration::from_millis(5));
                 }
-                self.page("events", after)
+                self.page("events", after, prefix)
             }
             "kv-lease" => r#"{"lease":1,"ttlMs":30000}"#.to_owned(),
             "kv-txn" => {
@@ -100,11 +101,18 @@
         respond(request, 200, text);
     }
 
-    fn page(&self, name: &str, after: u64) -> String {
+    fn changed(&self, prefix: &str, after: u64) -> bool {
+        let state = self.state.lock().unwrap();
+        let mut items = state.items.iter();
+        items.any(|(key, (_, revision))| key.starts_with(prefix) && *revision > after)
+    }
+
+    fn page(&self, name: &str, after: u64, prefix: &str) -> String {
         let state = self.state.lock().unwrap();
         let mut items: Vec<_> = state
             .items
             .iter()
+            .filter(|(key, _)| key.starts_with(prefix))
             .filter(|(_, (value, revision))| *revision > after && (after > 0 || value.is_some()))
             .collect();
         items.sort_by_key(|(_, (_, revision))| *revision);
