--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -65,6 +65,11 @@
 /// Time by which a reservation that is not renewed ends before memory counts as
 /// leaked: its order's way, and the engine's timers.
 const RESERVATION_MARGIN: Millis = Millis(600);
+/// Share of a request's value by which its engine is chosen at random, for each
+/// instance: the more there are, the more place at the same moment.
+const SCATTER_PER_INSTANCE: f64 = 0.0015;
+/// Greatest share that is left to chance.
+const SCATTER_MAX: f64 = 0.12;
 /// Longest pause in time where a route names none, in ms.
 const GAP_NEVER: f64 = 60_000.0;
 /// Urgency at engines where nothing else is said; the middle of their scale.
@@ -294,6 +299,7 @@
             value: value_of(shape.prompt_tokens),
             urgency: URGENCY,
             lane,
+            scatter: (self.instances.count() as f64 * SCATTER_PER_INSTANCE).min(SCATTER_MAX),
         }
     }
 
--- a/src/gateway/core/standing.rs
+++ b/src/gateway/core/standing.rs
@@ -244,6 +244,7 @@
             value: value_of(placed.prompt_tokens),
             urgency: placed.urgency,
             lane: self.lane(&service, &spec, placed.prompt_tokens as f64),
+            scatter: 0.0,
         };
         let parts: Vec<(ServerKey, u64)> = placed
             .parts
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -10,6 +10,8 @@
 //! The load it answers: short prompts that must not feel long ones, in a mix
 //! that swings within seconds; and prompts larger than one engine's memory.
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::clock::Millis;
 use crate::gateway::engine::EngineLoad;
 use crate::gateway::engine::Forecast;
@@ -21,7 +23,10 @@
 
 /// Parts that a prompt may be split into, from which one number is chosen; 17
 /// is the first engine and the 16 others that an engine accepts.
-const PART_COUNTS: [usize; 8] = [1, 2, 3, 4, 6, 9, 12, 17];
+const PART_COUNTS: [usize; 9] = [1, 2, 3, 4, 6, 9, 12, 16, 17];
+/// Engines that a request may name for its parts. Where memory is reserved, the
+/// first engine is one of them.
+const MAX_NAMED_PARTS: usize = 16;
 /// Part of an engine's memory that placements fill; the rest is for answers
 /// that grow longer than expected.
 const MEMORY_FILL: f64 = 0.95;
@@ -34,7 +39,7 @@
 /// Least width of that border, in ms: about half a pass.
 const LATE_WIDTH_MIN_MS: f64 = 20.0;
 /// Loss for each ms that an engine writes longer: it reads less meanwhile.
-const WRITING_LOSS_PER_MS: f64 = 2e-4;
+const WRITING_LOSS_PER_MS: f64 = 1e-4;
 /// Part of the longest pause in time that passes may take: an event has its
 /// way to the caller as well.
 const GAP_USED: f64 = 0.9;
@@ -87,6 +92,10 @@
     pub urgency: u8,
     /// Which lane it belongs to.
     pub lane: Lane,
+    /// Share of its value by which engines are told apart at random, so that
+    /// instances that do not know of each other's newest placements do not all
+    /// choose the same engine.
+    pub scatter: f64,
 }
 
 /// An engine that may be chosen.
@@ -341,6 +350,7 @@
         .sum::<f64>();
     loss += (forecast.writing_ms - engine.base.writing_ms).max(0.0) * WRITING_LOSS_PER_MS;
     loss += (first_token - now.0 as f64) * WAITING_LOSS_PER_MS;
+    loss += prompt.value * prompt.scatter * draw(prompt.key, at);
     if engine.candidate.far {
         loss += FAR_LOSS;
     }
@@ -362,6 +372,12 @@
     }
 }
 
+/// Returns a number from 0 to 1 that is the same for the same prompt and engine.
+fn draw(key: JobKey, at: usize) -> f64 {
+    let bytes = [key.0.to_le_bytes(), (at as u64).to_le_bytes()].concat();
+    xxh3_64(&bytes) as f64 / u64::MAX as f64
+}
+
 /// Returns what is lost as an engine is kept for the other lane: by short
 /// prompts that arrive while it reads a long one, or by a short prompt that the
 /// next long one delays.
@@ -385,7 +401,7 @@
 fn place_over_memory(now: Millis, prompt: &Prompt, engines: &[Weighed<'_>]) -> Option<Choice> {
     let mut best = None;
     for count in PART_COUNTS {
-        if count < 2 || count > engines.len() {
+        if count < 2 || count > engines.len() || count > MAX_NAMED_PARTS {
             continue;
         }
         let part = prompt.prompt_tokens / count as f64;
--- a/src/gateway/tests/engine.rs
+++ b/src/gateway/tests/engine.rs
@@ -27,6 +27,7 @@
         } else {
             Lane::Short
         },
+        scatter: 0.0,
     }
 }
 
