Watch entries with short waits, and after a failure the configuration too

Cause: connections that go silent held a close watch of the entries, or the first watch after a loss, for 20 s; a leaving server got requests 2.9 s after it had said so.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -39,7 +39,9 @@
 use crate::gateway::upstream::Upstream;
 
 /// Time that a close watch waits in the store: its proof, passed on with a
-/// heartbeat, is still younger than a change of the configuration may take.
+/// heartbeat, is still younger than a change of the configuration may take, and
+/// a connection that has gone silent is noticed before a leaving server must
+/// get nothing more.
 const CLOSE_WAIT: Millis = Millis(600);
 /// Time that any other watch waits; the store allows 30 s.
 const LONG_WAIT: Millis = Millis(20_000);
@@ -202,10 +204,11 @@
             let feed = self.clone();
             let result = match (revision, watching) {
                 (None, _) => feed.read(Part::Operators, false).await,
-                (Some(after), Watching::Closely) => {
+                // After a failure, a short wait shows soon that the store is back.
+                (Some(after), _) if watching == Watching::Closely || pause > FIRST_PAUSE => {
                     feed.watch(Part::Operators, after, CLOSE_WAIT).await
                 }
-                (Some(after), Watching::Loosely) => tokio::select! {
+                (Some(after), _) => tokio::select! {
                     result = feed.watch(Part::Operators, after, LONG_WAIT) => result,
                     _ = self.watching.changed() => Ok(after),
                 },
@@ -223,10 +226,9 @@
             let feed = self.clone();
             let result = match (revision, watching) {
                 (None, _) => feed.read_entries(false).await,
-                (Some(after), Watching::Closely) => tokio::select! {
-                    result = feed.watch(Part::Servers, after, LONG_WAIT) => result,
-                    _ = self.watching.changed() => Ok(after),
-                },
+                (Some(after), Watching::Closely) => {
+                    feed.watch(Part::Servers, after, CLOSE_WAIT).await
+                }
                 (Some(_), Watching::Loosely) => tokio::select! {
                     () = sleep(REREAD_PERIOD) => feed.read_entries(true).await,
                     // Now it watches, from what is there now.
