--- a/tests/gateway/path.rs
+++ b/tests/gateway/path.rs
@@ -175,12 +175,30 @@
         call(addr, "GET", "/again/1", &headers, "").unwrap()
     };
     while status("Token k1").status != 401 {}
+    stage.gateway.wait_line("backend server gone");
     for _ in 0..6 {
         let answer = status("Token k2");
         assert!(answer.body.starts_with("i-2"), "{answer:?}");
     }
 }
 
+/// The store's connections go silent while new ones work, and a server leaves:
+/// the change is seen long before a long watch would end.
+#[test]
+fn silent_watches_hide_no_leaving_server() {
+    let stage = stage();
+    stage.gateway.wait_line("watch of the store changed");
+    stage.store.silence_watches();
+    stage.store.put(
+        "servers/i-1",
+        stage.backends[0].entry("draining").as_bytes(),
+    );
+    let listed = stage
+        .gateway
+        .wait_line_with("backend server listed", "draining", true);
+    assert_eq!(listed["server"], "i-1");
+}
+
 #[test]
 fn a_leaving_gateway_answers_what_it_read_and_exits() {
     let mut stage = stage();
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -21,12 +21,17 @@
 use tiny_http::Response;
 use tiny_http::Server;
 
+/// Time for which a silent connection stays so; longer than any test.
+const SILENCE: Duration = Duration::from_secs(60);
+
 /// The store: items with revisions, and watches that poll them.
 #[derive(Clone, Default)]
 pub struct Store {
     state: Arc<Mutex<Items>>,
     /// Whether it answers 503.
     pub down: Arc<AtomicBool>,
+    /// Watches that wait are never answered once this has changed.
+    silenced: Arc<AtomicU64>,
 }
 
 #[derive(Default)]
@@ -49,6 +54,11 @@
         self.change(key, Some(value.to_vec()));
     }
 
+    /// Lets all connections on which a watch waits go silent.
+    pub fn silence_watches(&self) {
+        self.silenced.fetch_add(1, Ordering::SeqCst);
+    }
+
     pub fn remove(&self, key: &str) {
         self.change(key, None);
     }
@@ -77,8 +87,12 @@
                 let until = Instant::now() + Duration::from_millis(number("waitMs"));
                 let after = number("after");
                 let prefix = query.get("prefix").copied().unwrap_or("");
+                let began = self.silenced.load(Ordering::SeqCst);
                 while !self.changed(prefix, after) && Instant::now() < until {
                     thread::sleep(Duration::from_millis(5));
+                    if self.silenced.load(Ordering::SeqCst) != began {
+                        thread::sleep(SILENCE);
+                    }
                 }
                 self.page("events", after, prefix)
             }
--- a/tests/gateway/process.rs
+++ b/tests/gateway/process.rs
@@ -23,7 +23,7 @@
 use nix::unistd::Pid;
 
 /// Longest time for a process to become ready; far more than it takes.
-const START_LIMIT: Duration = Duration::from_secs(20);
+const START_LIMIT: Duration = Duration::from_secs(15);
 /// Longest time that a caller waits for an answer.
 const ANSWER_LIMIT: Duration = Duration::from_secs(20);
 
@@ -71,9 +71,22 @@
 
     /// Waits for a log line and returns its fields.
     pub fn wait_line(&self, message: &str) -> serde_json::Value {
+        self.wait_for(message, |_| true)
+    }
+
+    /// Waits for a log line in which a field holds `value`.
+    pub fn wait_line_with(&self, message: &str, field: &str, value: bool) -> serde_json::Value {
+        self.wait_for(message, |fields| fields[field] == value)
+    }
+
+    fn wait_for(
+        &self,
+        message: &str,
+        fits: impl Fn(&serde_json::Value) -> bool,
+    ) -> serde_json::Value {
         let until = Instant::now() + START_LIMIT;
         while Instant::now() < until {
-            if let Some(fields) = self.find_line(message) {
+            if let Some(fields) = self.find_line(message, &fits) {
                 return fields;
             }
             thread::sleep(Duration::from_millis(5));
@@ -81,10 +94,14 @@
         panic!("no line `{message}` in {:#?}", self.lines.lock().unwrap());
     }
 
-    fn find_line(&self, message: &str) -> Option<serde_json::Value> {
+    fn find_line(
+        &self,
+        message: &str,
+        fits: impl Fn(&serde_json::Value) -> bool,
+    ) -> Option<serde_json::Value> {
         self.lines.lock().unwrap().iter().find_map(|line| {
             let line: serde_json::Value = serde_json::from_str(line).ok()?;
-            (line["message"] == message).then(|| line["kvs"].clone())
+            (line["message"] == message && fits(&line["kvs"])).then(|| line["kvs"].clone())
         })
     }
 
