--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,6 +7,7 @@
 //! ([`peers`]). What is spoken on the wire with the platform is known to
 //! [`crate::adapter`] alone.
 
+pub mod answer;
 pub mod core;
 pub mod daemon;
 pub mod engine;
@@ -15,6 +16,7 @@
 pub mod forward;
 pub mod instances;
 pub mod lanes;
+pub mod memory;
 pub mod message;
 pub mod peers;
 pub mod placement;
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -5,7 +5,9 @@
 //! the configuration, the backend servers, what stands on each of them as all
 //! instances tell each other, and every request of its own callers.
 
+mod choose;
 mod crashes;
+mod endings;
 mod facts;
 mod freshness;
 mod health;
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -1,8 +1,9 @@
-//! The life of a request: checked, placed, sent, sent again, answered.
+//! The life of a request: checked, placed, sent, answered.
 
 use std::sync::Arc;
 
 use super::Core;
+use super::endings::failure;
 use super::standing::value_of;
 use crate::clock::Millis;
 use crate::gateway::engine::JobKey;
@@ -14,11 +15,8 @@
 use crate::gateway::message::Plan;
 use crate::gateway::message::PromptShape;
 use crate::gateway::message::Reservation;
-use crate::gateway::message::SendEnd;
 use crate::gateway::message::Submission;
 use crate::gateway::message::Ticket;
-use crate::gateway::placement;
-use crate::gateway::placement::Candidate;
 use crate::gateway::placement::Choice;
 use crate::gateway::placement::Prompt;
 use crate::gateway::roster::ServerKey;
@@ -27,7 +25,6 @@
 use crate::gateway::route::Route;
 use crate::gateway::route::RouteTable;
 use crate::gateway::route::Workspace;
-use crate::gateway::shares::cold_share;
 use crate::metrics::Count;
 use crate::metrics::Timing;
 use crate::verdict::Reason;
@@ -37,17 +34,7 @@
 /// Deadline of a request whose caller names none; the longest of any route.
 const DEFAULT_DEADLINE: Millis = Millis(15_000);
 /// Time kept free before a deadline, for the answer's way to the caller.
-const ANSWER_MARGIN: Millis = Millis(30);
-/// Part of a request's target for which it may wait for a backend server; a
-/// caller who is refused later than that has waited in vain.
-const HOLD_DIVISOR: u64 = 8;
-/// Sends that may fail without counting, as no backend server ran the request.
-const FREE_SENDS: u32 = 3;
-/// Part of a caller's time that Retry-After may take; callers do not wait
-/// longer.
-const RETRY_AFTER_DIVISOR: u64 = 3;
-/// Retry-After where nothing tells when a backend server will be free.
-const RETRY_AFTER_DEFAULT: Millis = Millis(500);
+pub(super) const ANSWER_MARGIN: Millis = Millis(30);
 /// Retry-After while the configuration is not known or not fresh; another
 /// instance may know it at once.
 const RETRY_AFTER_UNREADY: Millis = Millis(200);
@@ -78,53 +65,40 @@
 /// A request that is not answered yet.
 #[derive(Debug)]
 pub struct Request {
-    submission: Submission,
-    route: Arc<Route>,
-    service: String,
-    workspace: Workspace,
+    pub(super) submission: Submission,
+    pub(super) route: Arc<Route>,
+    pub(super) service: String,
+    pub(super) workspace: Workspace,
     /// When the final answer is due.
-    answer_due: Millis,
+    pub(super) answer_due: Millis,
     /// Until when it may wait for a backend server, if it waits.
-    waits_until: Option<Millis>,
-    sent: Option<Sent>,
+    pub(super) waits_until: Option<Millis>,
+    pub(super) sent: Option<Sent>,
     /// Sends that a backend server may have run.
-    sends: u32,
+    pub(super) sends: u32,
     /// Sends that none has run.
-    free_sends: u32,
+    pub(super) free_sends: u32,
     /// Servers that are not asked again.
-    tried: Vec<ServerKey>,
+    pub(super) tried: Vec<ServerKey>,
     /// What is known of whether it ran.
-    verdict: Verdict,
+    pub(super) verdict: Verdict,
     /// Whether output has reached the caller.
-    output_begun: bool,
-}
-
-/// Why a backend server gets nothing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Exclusion {
-    /// It is leaving.
-    Draining,
-    /// Operators have taken its failure domain out.
-    DomainOut,
-    /// It failed lately.
-    Avoided,
-    /// It has had this request already.
-    Tried,
+    pub(super) output_begun: bool,
 }
 
 /// A send that has not ended.
 #[derive(Debug, Clone)]
-struct Sent {
-    job: JobKey,
-    server: ServerKey,
-    parts: Vec<ServerKey>,
-    at: Millis,
-    predicted_ms: f64,
-    started: bool,
+pub(super) struct Sent {
+    pub(super) job: JobKey,
+    pub(super) server: ServerKey,
+    pub(super) parts: Vec<ServerKey>,
+    pub(super) at: Millis,
+    pub(super) predicted_ms: f64,
+    pub(super) started: bool,
 }
 
 impl Sent {
-    fn servers(&self) -> Vec<ServerKey> {
+    pub(super) fn servers(&self) -> Vec<ServerKey> {
         let mut servers = self.parts.clone();
         servers.push(self.server);
         servers
@@ -214,7 +188,7 @@
     }
 
     /// Sends a request to a backend server, lets it wait for one, or refuses it.
-    fn place(&mut self, now: Millis, ticket: Ticket, out: &mut Vec<Output>) {
+    pub(super) fn place(&mut self, now: Millis, ticket: Ticket, out: &mut Vec<Output>) {
         let Some(request) = self.requests.get(&ticket) else {
             return;
         };
@@ -303,127 +277,6 @@
         }
     }
 
-    /// Returns why a backend server of the request's service gets nothing, if so.
-    fn exclusion(&self, now: Millis, request: &Request, key: ServerKey) -> Option<Exclusion> {
-        let server = self.roster.get(key);
-        if server.entry.draining {
-            return Some(Exclusion::Draining);
-        }
-        if self.domains_out.contains(&server.entry.domain) {
-            return Some(Exclusion::DomainOut);
-        }
-        if self.health.avoided(now, key) {
-            return Some(Exclusion::Avoided);
-        }
-        request.tried.contains(&key).then_some(Exclusion::Tried)
-    }
-
-    /// Returns whether a backend server may get the request.
-    fn usable(&self, now: Millis, request: &Request, key: ServerKey) -> bool {
-        self.roster.get(key).entry.service == request.service
-            && self.exclusion(now, request, key).is_none()
-    }
-
-    /// Returns why each backend server of the request's service gets nothing,
-    /// for the log.
-    fn describe_exclusions(&self, now: Millis, request: &Request) -> String {
-        let texts: Vec<String> = self
-            .roster
-            .listed()
-            .filter(|(_, server)| server.entry.service == request.service)
-            .map(|(key, server)| {
-                let cause = self.exclusion(now, request, key);
-                format!("{}:{cause:?}", server.entry.id)
-            })
-            .collect();
-        texts.join(",")
-    }
-
-    /// Returns whether a cold server's rate leaves room; warm ones always have.
-    fn within_cold_rate(&self, now: Millis, table: &RouteTable, key: ServerKey) -> bool {
-        let server = self.roster.get(key);
-        let rate = table
-            .services
-            .get(&server.entry.service)
-            .map_or(0.0, |service| service.cold_rate);
-        if rate <= 0.0 || now >= server.cold_until {
-            return true;
-        }
-        let hash = id_hash(&server.entry.id);
-        let share = cold_share(rate, self.instances.count(), &self.me.name, hash);
-        self.cold.allows(now, key, share)
-    }
-
-    fn choose_engines(
-        &self,
-        now: Millis,
-        table: &RouteTable,
-        request: &Request,
-        prompt: &Prompt,
-    ) -> Option<Choice> {
-        let mut candidates = Vec::new();
-        for (key, server) in self.roster.listed() {
-            let Some(load) = self.standing.engine(key) else {
-                continue;
-            };
-            if !self.usable(now, request, key) {
-                continue;
-            }
-            let warm = now >= server.cold_until;
-            candidates.push(Candidate {
-                key,
-                load,
-                far: server.entry.domain != self.me.domain,
-                may_write: warm || self.within_cold_rate(now, table, key),
-                may_help: warm,
-                lane: Lane::Long,
-                short_rate: 0.0,
-            });
-        }
-        self.assign_lanes(now, &request.service, &mut candidates);
-        placement::place(now, prompt, &candidates)
-    }
-
-    /// Keeps the first engines, in an order that all instances share, for short
-    /// prompts.
-    fn assign_lanes(&self, now: Millis, service: &str, candidates: &mut [Candidate<'_>]) {
-        candidates.sort_by_key(|candidate| id_hash(&self.roster.get(candidate.key).entry.id));
-        let Some(demand) = self.standing.demand(service) else {
-            return;
-        };
-        let short = demand.short_engines(now, candidates.len());
-        let rate = demand.short_rate(now) / short.max(1) as f64;
-        for candidate in &mut candidates[..short] {
-            candidate.lane = Lane::Short;
-            candidate.short_rate = rate;
-        }
-    }
-
-    /// Chooses the plain server with the fewest calls for its slots.
-    fn choose_server(
-        &self,
-        now: Millis,
-        table: &RouteTable,
-        request: &Request,
-    ) -> Option<ServerKey> {
-        let fullness = |key: ServerKey| {
-            let server = self.roster.get(key);
-            let far = server.entry.domain != self.me.domain;
-            let calls = self.standing.calls(key) as f64 / f64::from(server.entry.slots.max(1));
-            (calls, far)
-        };
-        self.roster
-            .listed()
-            .map(|(key, _)| key)
-            .filter(|&key| self.usable(now, request, key))
-            .filter(|&key| self.within_cold_rate(now, table, key))
-            .min_by(|&a, &b| {
-                fullness(a)
-                    .partial_cmp(&fullness(b))
-                    .unwrap_or(std::cmp::Ordering::Equal)
-            })
-    }
-
     #[allow(clippy::too_many_arguments)]
     fn send(
         &mut self,
@@ -644,263 +497,6 @@
             self.standing.observe_free_memory(now, server, free);
         }
     }
-
-    pub(super) fn ended(
-        &mut self,
-        now: Millis,
-        ticket: Ticket,
-        end: SendEnd,
-        out: &mut Vec<Output>,
-    ) {
-        let Some(request) = self.requests.get_mut(&ticket) else {
-            return;
-        };
-        let Some(sent) = request.sent.take() else {
-            // It left while it waited for a backend server.
-            self.requests.remove(&ticket);
-            return;
-        };
-        if end != SendEnd::NoMemory {
-            request.tried.push(sent.server);
-        }
-        let id = request.submission.head.request_id.clone();
-        log::info!(
-            request = id.as_str(),
-            server = self.roster.get(sent.server).entry.id.as_str(),
-            end:? = end,
-            started = sent.started,
-            after_ms = now.since(sent.at).0;
-            "send ended"
-        );
-        self.release(now, &sent, out);
-        self.judge_server(now, ticket, &sent, end, out);
-        match end {
-            SendEnd::Whole => self.finish(now, ticket, Count::Done),
-            SendEnd::CallerGone => self.finish(now, ticket, Count::CallersGone),
-            SendEnd::NotSent | SendEnd::NoMemory | SendEnd::Misdirected | SendEnd::Refused => {
-                self.again_not_run(now, ticket, end, out);
-            }
-            SendEnd::Failed | SendEnd::Broken | SendEnd::Silent => {
-                self.again_may_have_run(now, ticket, end, out);
-            }
-        }
-    }
-
-    /// Takes a send off the servers it stood on and tells the others.
-    fn release(&mut self, now: Millis, sent: &Sent, out: &mut Vec<Output>) {
-        self.standing.ended(now, sent.job, &sent.servers());
-        let hash = |key: ServerKey| id_hash(&self.roster.get(key).entry.id);
-        let message = PeerMessage::Ended {
-            job: sent.job.0,
-            server: hash(sent.server),
-            parts: sent.parts.iter().map(|key| hash(*key)).collect(),
-        };
-        self.tell(out, message);
-    }
-
-    /// Draws from a send's end what it says of the backend server.
-    fn judge_server(
-        &mut self,
-        now: Millis,
-        ticket: Ticket,
-        sent: &Sent,
-        end: SendEnd,
-        out: &mut Vec<Output>,
-    ) {
-        let server = sent.server;
-        let fingerprint = self.requests[&ticket].submission.fingerprint;
-        match end {
-            SendEnd::Whole => {
-                self.health.succeeded(server);
-                self.crashes.clear(fingerprint);
-                return;
-            }
-            SendEnd::CallerGone | SendEnd::Failed | SendEnd::NoMemory => return,
-            SendEnd::Misdirected => {
-                let id = self.roster.get(server).entry.id.clone();
-                log::warn!(server = id.as_str(); "address belongs to another backend server");
-            }
-            SendEnd::Broken => {
-                let hash = id_hash(&self.roster.get(server).entry.id);
-                self.crashes.record(now, fingerprint, hash);
-                self.tell(
-                    out,
-                    PeerMessage::Crashed {
-                        fingerprint,
-                        server: hash,
-                    },
-                );
-            }
-            SendEnd::NotSent | SendEnd::Refused | SendEnd::Silent => {}
-        }
-        let pause = match end {
-            SendEnd::Silent => self.health.silent(now, server),
-            _ => Some(self.health.failed(now, server)),
-        };
-        let Some(pause) = pause else {
-            return;
-        };
-        log::info!(
-            server = self.roster.get(server).entry.id.as_str(),
-            end:? = end,
-            pause_ms = pause.0;
-            "backend server avoided"
-        );
-        let message = PeerMessage::Suspect {
-            server: id_hash(&self.roster.get(server).entry.id),
-            avoid_ms: pause.0,
-        };
-        self.tell(out, message);
-    }
-
-    /// Goes on after a send that no backend server has run.
-    fn again_not_run(&mut self, now: Millis, ticket: Ticket, end: SendEnd, out: &mut Vec<Output>) {
-        let Some(request) = self.requests.get_mut(&ticket) else {
-            return;
-        };
-        request.free_sends += 1;
-        let arrived = matches!(end, SendEnd::Misdirected | SendEnd::Refused);
-        let service = request.service.clone();
-        let again = request.free_sends <= FREE_SENDS && (!arrived || self.budgets.spend(&service));
-        if again {
-            return self.place(now, ticket, out);
-        }
-        let request = &self.requests[&ticket];
-        let refusal = failure(request, Reason::NoBackend, "backend servers refused it");
-        self.refuse(now, ticket, refusal, out);
-    }
-
-    /// Goes on after a send that a backend server may have run.
-    fn again_may_have_run(
-        &mut self,
-        now: Millis,
-        ticket: Ticket,
-        end: SendEnd,
-        out: &mut Vec<Output>,
-    ) {
-        let Some(request) = self.requests.get_mut(&ticket) else {
-            return;
-        };
-        request.sends += 1;
-        request.verdict = Verdict::MayHaveRun;
-        let repeatable = match request.route.repeat {
-            Repeat::Idempotent => !request.output_begun,
-            Repeat::Resume => true,
-            Repeat::Never => false,
-        };
-        let service = request.service.clone();
-        let allowed = repeatable
-            && request.sends < request.route.max_sends
-            && now + ANSWER_MARGIN < request.answer_due;
-        if allowed && self.budgets.spend(&service) {
-            return self.place(now, ticket, out);
-        }
-        if end == SendEnd::Failed {
-            out.push(Output::PassFailure(ticket));
-            return self.finish(now, ticket, Count::FailedMayHaveRun);
-        }
-        let request = &self.requests[&ticket];
-        let late = now + ANSWER_MARGIN >= request.answer_due || end == SendEnd::Silent;
-        let reason = if late {
-            Reason::DeadlineExceeded
-        } else {
-            Reason::BackendFailed
-        };
-        let refusal = failure(request, reason, "no backend server gave a whole answer");
-        self.refuse(now, ticket, refusal, out);
-    }
-
-    /// Lets a request wait for a backend server, for a small part of its target.
-    fn wait_or_refuse(&mut self, now: Millis, ticket: Ticket, out: &mut Vec<Output>) {
-        let Some(request) = self.requests.get_mut(&ticket) else {
-            return;
-        };
-        let until =
-            request.submission.arrived + Millis(request.route.target_latency.0 / HOLD_DIVISOR);
-        if now < until {
-            request.waits_until = Some(until);
-            return;
-        }
-        let refusal = failure(
-            request,
-            Reason::NoBackend,
-            "no backend server may take it now",
-        );
-        let servers = self.describe_exclusions(now, &self.requests[&ticket]);
-        let id = self.requests[&ticket].submission.head.request_id.as_str();
-        log::info!(request = id, servers = servers.as_str(); "no backend server");
-        self.refuse(now, ticket, refusal, out);
-    }
-
-    /// Tries again to place requests that wait.
-    pub(super) fn retry_waiting(&mut self, now: Millis, out: &mut Vec<Output>) {
-        let waiting: Vec<Ticket> = self
-            .requests
-            .iter()
-            .filter(|(_, request)| request.waits_until.is_some())
-            .map(|(ticket, _)| *ticket)
-            .collect();
-        for ticket in waiting {
-            self.place(now, ticket, out);
-        }
-    }
-
-    fn refuse_overload(
-        &mut self,
-        now: Millis,
-        ticket: Ticket,
-        wait: Millis,
-        out: &mut Vec<Output>,
-    ) {
-        let request = &self.requests[&ticket];
-        let message = "the answer would begin after the deadline";
-        let refusal = failure(request, Reason::DeadlineUnreachable, message).retry_after(wait);
-        self.refuse(now, ticket, refusal, out);
-    }
-
-    fn refuse(&mut self, now: Millis, ticket: Ticket, refusal: Refusal, out: &mut Vec<Output>) {
-        let Some(request) = self.requests.get(&ticket) else {
-            return;
-        };
-        let id = request.submission.head.request_id.clone();
-        let refusal = with_retry_after(now, request, refusal);
-        self.log_refusal(&id, &refusal, "final");
-        let count = match refusal.verdict {
-            Verdict::NotRun => Count::RefusedNotRun,
-            Verdict::MayHaveRun | Verdict::Done => Count::FailedMayHaveRun,
-        };
-        out.push(Output::Refuse(ticket, refusal));
-        self.finish(now, ticket, count);
-    }
-
-    fn finish(&mut self, now: Millis, ticket: Ticket, count: Count) {
-        self.count(count);
-        if let Some(request) = self.requests.remove(&ticket) {
-            let waited = now.since(request.submission.arrived);
-            log::info!(
-                request = request.submission.head.request_id.as_str(),
-                route = request.route.name.as_str(),
-                outcome:? = count,
-                total_ms = waited.0;
-                "request over"
-            );
-            self.metrics
-                .observe(Timing::Whole, &request.route.name, waited);
-        }
-    }
-
-    fn log_refusal(&self, id: &str, refusal: &Refusal, stage: &str) {
-        log::info!(
-            request = id,
-            stage = stage,
-            reason = refusal.reason.code(),
-            ran = refusal.verdict.as_str(),
-            retry_after_ms = refusal.retry_after.map_or(0, |span| span.0),
-            config_version = self.table.as_ref().map_or(0, |table| table.version),
-            detail = refusal.message.as_str();
-            "refused"
-        );
-    }
 }
 
 impl Request {
@@ -910,31 +506,6 @@
     }
 }
 
-/// Returns the final answer to a request that did not succeed. What has not run
-/// is refused; only then may the caller come back whatever the request is.
-fn failure(request: &Request, reason: Reason, message: &str) -> Refusal {
-    match (request.verdict, reason) {
-        (Verdict::NotRun, Reason::DeadlineExceeded) => {
-            Refusal::not_run(Reason::DeadlineUnreachable, message)
-        }
-        (Verdict::NotRun, reason) => Refusal::not_run(reason, message),
-        (_, Reason::NoBackend | Reason::DeadlineUnreachable) => {
-            Refusal::may_have_run(Reason::BackendFailed, message)
-        }
-        (_, reason) => Refusal::may_have_run(reason, message),
-    }
-}
-
-fn with_retry_after(now: Millis, request: &Request, refusal: Refusal) -> Refusal {
-    if refusal.verdict != Verdict::NotRun {
-        return refusal;
-    }
-    let left = request.answer_due.since(now);
-    let longest = Millis(left.0 / RETRY_AFTER_DIVISOR);
-    let wanted = refusal.retry_after.unwrap_or(RETRY_AFTER_DEFAULT);
-    refusal.retry_after(wanted.min(longest))
-}
-
 /// Returns how long a send may stay silent before it is given up.
 fn silence_limit(route: &Route) -> Millis {
     let targets = route.target_latency * PATIENCE_TARGETS;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -13,10 +13,8 @@
 use bytes::Bytes;
 use flume::Sender;
 use http::HeaderMap;
-use http::HeaderValue;
 use http::Request;
 use http::Response;
-use http::StatusCode;
 use http::header;
 use http::request::Parts;
 use http_body::Frame;
@@ -25,26 +23,29 @@
 use http_body_util::channel::Channel;
 use http_body_util::channel::Sender as BodySender;
 use hyper::body::Incoming;
-use serde::Serialize;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
-use tokio::time::sleep;
 use tokio::time::sleep_until;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 
-use crate::adapter::engine;
 use crate::adapter::headers;
 use crate::adapter::headers::Forwarded;
 use crate::clock::Clock;
 use crate::clock::Millis;
+use crate::gateway::answer::Aborted;
+use crate::gateway::answer::AnswerBody;
+use crate::gateway::answer::closing;
+use crate::gateway::answer::refuse;
+use crate::gateway::answer::refuse_ambiguous;
+use crate::gateway::answer::stream_head;
 use crate::gateway::events::Events;
+use crate::gateway::memory::Memory;
 use crate::gateway::message::CallerHead;
 use crate::gateway::message::Input;
 use crate::gateway::message::Output;
 use crate::gateway::message::Plan;
-use crate::gateway::message::Reservation;
 use crate::gateway::message::SendEnd;
 use crate::gateway::message::Submission;
 use crate::gateway::message::Ticket;
@@ -58,26 +59,11 @@
 
 /// Pieces of an answer that wait for a slow caller, at most.
 const BODY_QUEUE: usize = 16;
-/// Time limit of an order to an engine; it answers in a few ms.
-const ORDER_LIMIT: Duration = Duration::from_millis(300);
+/// Time in which the rest of a refusal has to arrive.
+const DRAIN_LIMIT: Duration = Duration::from_millis(300);
 /// Greatest failure of a backend server that is kept to be passed on, in bytes.
 const MAX_FAILURE_BYTES: usize = 1024 * 1024;
 
-/// An answer's body: pieces as they come, an error breaks it off.
-pub type AnswerBody = http_body_util::Either<Full<Bytes>, Channel<Bytes, Aborted>>;
-
-/// The answer was broken off.
-#[derive(Debug, Clone, Copy)]
-pub struct Aborted;
-
-impl std::fmt::Display for Aborted {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("the answer was broken off")
-    }
-}
-
-impl std::error::Error for Aborted {}
-
 /// What all requests of the process share.
 #[derive(Debug)]
 pub struct Traffic {
@@ -300,18 +286,19 @@
     /// Carries out one send.
     async fn send(&mut self, plan: &Plan) -> SendEnd {
         let due = self.traffic.instant(plan.answer_due);
-        let reserved = match self.reserve(&plan.reservations).await {
+        let memory = Memory::new(&self.traffic, self.id());
+        let reserved = match memory.reserve(&plan.reservations).await {
             Ok(reserved) => reserved,
             Err(end) => return end,
         };
-        let renewing = renew(self.traffic.upstream.clone(), reserved.clone());
+        let renewing = memory.renew(reserved.clone());
         let end = tokio::select! {
             end = self.exchange(plan) => end,
             () = sleep_until(due) => SendEnd::Silent,
             () = renewing => SendEnd::Silent,
         };
         for reservation in reserved {
-            self.release(reservation);
+            memory.release(reservation);
         }
         end
     }
@@ -429,7 +416,7 @@
             return;
         }
         let body = http_body_util::Limited::new(body, MAX_FAILURE_BYTES).collect();
-        if let Ok(Ok(_)) = timeout(ORDER_LIMIT, body).await {
+        if let Ok(Ok(_)) = timeout(DRAIN_LIMIT, body).await {
             lease.keep(idle);
         }
     }
@@ -615,155 +602,7 @@
         self.open(failure.map(|body| AnswerBody::Left(Full::new(body))));
     }
 
-    /// Reserves memory on all engines that are to hold the prompt.
-    async fn reserve(&self, wanted: &[Reservation]) -> Result<Vec<Reservation>, SendEnd> {
-        let mut reserved = Vec::new();
-        for reservation in wanted {
-            let hold = reservation.hold.0;
-            let order = engine::reserve(&reservation.name, reservation.tokens, hold);
-            match self.order(&reservation.addr, order).await {
-                Ok(StatusCode::OK) => reserved.push(reservation.clone()),
-                answer => {
-                    log::info!(request = self.id(), engine = reservation.addr.as_str(), tokens = reservation.tokens, answer:? = answer; "memory not reserved");
-                    // Without an answer the order may have taken effect.
-                    reserved.push(reservation.clone());
-                    for made in reserved {
-                        self.release(made);
-                    }
-                    return Err(SendEnd::NoMemory);
-                }
-            }
-        }
-        Ok(reserved)
-    }
-
-    /// Gives memory back, without making the caller wait for it.
-    fn release(&self, reservation: Reservation) {
-        let upstream = self.traffic.upstream.clone();
-        tokio::task::spawn_local(async move {
-            for _ in 0..RELEASE_TRIES {
-                let order = engine::release(&reservation.name);
-                match send_order(&upstream, &reservation.addr, order).await {
-                    Ok(_) => return,
-                    Err(error) => {
-                        log::info!(engine = reservation.addr.as_str(), error:% = error; "memory not released");
-                    }
-                }
-            }
-        });
-    }
-
-    async fn order(&self, addr: &str, body: Bytes) -> Result<StatusCode, CallError> {
-        let answer = send_order(&self.traffic.upstream, addr, body).await?;
-        if let Some(free) = engine::free_tokens(answer.body()) {
-            self.traffic.tell(Input::MemorySeen {
-                addr: addr.to_owned(),
-                free,
-            });
-        }
-        Ok(answer.status())
-    }
-
     fn id(&self) -> &str {
         &self.caller.head.request_id
     }
 }
-
-/// Times that a reservation is renewed before it would end, so that one order
-/// may get lost.
-const RENEWALS_A_HOLD: u64 = 3;
-/// Times that an order which gives memory back is sent; what still holds after
-/// these ends with its own time.
-const RELEASE_TRIES: usize = 3;
-
-/// Renews reservations as long as it is polled: they hold only shortly, so that
-/// an instance that dies leaves no memory set aside.
-async fn renew(upstream: Upstream, reservations: Vec<Reservation>) {
-    let period = reservations
-        .iter()
-        .map(|reservation| reservation.hold)
-        .min();
-    let Some(hold) = period else {
-        return std::future::pending().await;
-    };
-    loop {
-        sleep(Millis(hold.0 / RENEWALS_A_HOLD).as_duration()).await;
-        for reservation in &reservations {
-            let hold = reservation.hold.0;
-            let order = engine::reserve(&reservation.name, reservation.tokens, hold);
-            match send_order(&upstream, &reservation.addr, order).await {
-                Ok(answer) if answer.status() == StatusCode::OK => {}
-                answer => {
-                    let answer = answer.map(|answer| answer.status());
-                    log::info!(engine = reservation.addr.as_str(), reservation = reservation.name.as_str(), answer:? = answer; "memory not renewed");
-                }
-            }
-        }
-    }
-}
-
-async fn send_order(
-    upstream: &Upstream,
-    addr: &str,
-    body: Bytes,
-) -> Result<Response<Bytes>, CallError> {
-    let request = Request::post(engine::ORDER_PATH)
-        .header(header::HOST, addr)
-        .header(header::CONTENT_TYPE, "application/json")
-        .body(Full::new(body))
-        .map_err(|error| CallError::NotSent(error.to_string()))?;
-    upstream.call(addr, request, ORDER_LIMIT).await
-}
-
-/// Returns the head of a stream; its length is not known, as it may go on from
-/// another backend server.
-fn stream_head(parts: &http::response::Parts, body: AnswerBody) -> Response<AnswerBody> {
-    let mut response = Response::new(body);
-    *response.status_mut() = parts.status;
-    *response.headers_mut() = headers::backward(&parts.headers);
-    response.headers_mut().remove(header::CONTENT_LENGTH);
-    response
-}
-
-#[derive(Debug)]
-#[derive(Serialize)]
-struct ErrorBody<'a> {
-    error: &'static str,
-    ran: &'static str,
-    message: &'a str,
-}
-
-/// Returns the system's own answer to a request that did not succeed.
-fn refuse(request_id: &str, refusal: &Refusal) -> Response<AnswerBody> {
-    let body = ErrorBody {
-        error: refusal.reason.code(),
-        ran: refusal.verdict.as_str(),
-        message: &refusal.message,
-    };
-    // A plain struct of texts always encodes.
-    let body = serde_json::to_vec(&body).unwrap_or_default();
-    let mut response = Response::new(AnswerBody::Left(Full::new(Bytes::from(body))));
-    *response.status_mut() =
-        StatusCode::from_u16(refusal.reason.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    *response.headers_mut() = headers::own_answer(request_id, refusal.retry_after);
-    response.headers_mut().insert(
-        header::CONTENT_TYPE,
-        HeaderValue::from_static("application/json"),
-    );
-    response
-}
-
-/// Returns the answer to a request whose head leaves open where its body ends.
-#[must_use]
-pub fn refuse_ambiguous() -> Response<AnswerBody> {
-    let refusal = Refusal::not_run(Reason::BadRequest, "the length of the body is ambiguous");
-    closing(refuse("", &refusal))
-}
-
-/// Makes an answer the last one of its connection.
-fn closing(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
-    response
-        .headers_mut()
-        .insert(header::CONNECTION, HeaderValue::from_static("close"));
-    response
-}
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -36,6 +36,7 @@
 use tokio::time::sleep;
 
 use crate::adapter::headers::READY_PATH;
+use crate::gateway::answer;
 use crate::gateway::forward;
 use crate::gateway::forward::Traffic;
 use crate::gateway::route::CallerLimits;
@@ -127,7 +128,7 @@
             let traffic = Rc::clone(&front.traffic);
             async move {
                 if ambiguous {
-                    return Ok(forward::refuse_ambiguous());
+                    return Ok(answer::refuse_ambiguous());
                 }
                 let body_time = limits.head_time.as_duration();
                 let answer = forward::forward(traffic, request, limits.body_bytes, body_time).await;
