Tell changes of entries again with three heartbeats

Cause, likely: an instance that does not watch the entries learned of a leaving server by one datagram; a lost one was made up for only after 10 s. The unit test fails without the repeats (told once).

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -28,6 +28,7 @@
 use crate::clock::Millis;
 use crate::gateway::instances::HEARTBEAT_PERIOD;
 use crate::gateway::instances::Instances;
+use crate::gateway::instances::Item;
 use crate::gateway::instances::Member;
 use crate::gateway::instances::PeerMessage;
 use crate::gateway::message::Input;
@@ -53,6 +54,9 @@
 /// with two others at work it stays below two seconds.
 const PROOF_MISSED: Millis = Millis(2_500);
 
+/// Heartbeats with which an item is told again: within the time after which a
+/// leaving server must get nothing more.
+const ITEM_REPEATS: u32 = 3;
 /// Time from the start in which others are heard for the first time.
 const FIRST_HEARTBEATS: Millis = Millis(1_500);
 
@@ -86,6 +90,8 @@
     budgets: Budgets,
     cold: ColdShares,
     requests: BTreeMap<Ticket, Request>,
+    /// Items that others are told again, and how often.
+    told_items: Vec<(u32, Item)>,
     watching: Watching,
     leaving: bool,
     ready: bool,
@@ -116,6 +122,7 @@
             budgets,
             cold: ColdShares::default(),
             requests: BTreeMap::new(),
+            told_items: Vec::new(),
             watching: Watching::Loosely,
             leaving: false,
             ready: false,
@@ -143,7 +150,10 @@
                 self.take_facts(now, facts, &mut out);
                 self.retry_waiting(now, &mut out);
             }
-            Input::PassOn(item) => self.tell(&mut out, PeerMessage::Item(item)),
+            Input::PassOn(item) => {
+                self.tell(&mut out, PeerMessage::Item(item.clone()));
+                self.told_items.push((ITEM_REPEATS, item));
+            }
             Input::StoreLost => self.freshness.store_lost(now),
             Input::Peer(message) => self.peer(now, message),
             Input::Tick => self.tick(now, &mut out),
@@ -181,11 +191,23 @@
             proof_age_ms: self.freshness.proof_age(now).0,
         };
         self.tell(out, message);
+        self.repeat_items(out);
         let instances = self.instances.count() as f64;
         self.budgets
             .set_reserve((self.bounds.retry_extra * RETRY_LIMIT_USED / instances).max(1.0));
     }
 
+    /// Tells the newest items again, as single datagrams get lost.
+    fn repeat_items(&mut self, out: &mut Vec<Output>) {
+        let mut items = std::mem::take(&mut self.told_items);
+        for (left, item) in &mut items {
+            self.tell(out, PeerMessage::Item(item.clone()));
+            *left -= 1;
+        }
+        items.retain(|(left, _)| *left > 0);
+        self.told_items = items;
+    }
+
     /// Has the first instances watch the store closely, and this one as long as
     /// it is behind others or hears of no proof.
     fn update_watching(&mut self, now: Millis, out: &mut Vec<Output>) {
--- a/src/gateway/tests/core.rs
+++ b/src/gateway/tests/core.rs
@@ -9,6 +9,7 @@
 use crate::clock::Millis;
 use crate::gateway::core::Core;
 use crate::gateway::core::Me;
+use crate::gateway::instances::Item;
 use crate::gateway::instances::PeerMessage;
 use crate::gateway::message::CallerHead;
 use crate::gateway::message::Fact;
@@ -255,6 +256,33 @@
     assert!(plan(&out).is_some());
 }
 
+#[test]
+fn an_item_is_told_again_as_datagrams_get_lost() {
+    let mut harness = Harness::new();
+    let _ = harness.handle(Input::Peer(PeerMessage::Alive {
+        name: "other".to_owned(),
+        addr: "10.9.0.2:1".to_owned(),
+        config_revision: 5,
+        proof_age_ms: 0,
+    }));
+    let item = Item {
+        key: "key".to_owned(),
+        revision: 9,
+        value: None,
+    };
+    let mut told = 0;
+    let mut out = harness.handle(Input::PassOn(item));
+    for _ in 0..10 {
+        told += out
+            .iter()
+            .filter(|output| matches!(output, Output::Tell(_, PeerMessage::Item(_))))
+            .count();
+        harness.now += 500;
+        out = harness.handle(Input::Tick);
+    }
+    assert_eq!(told, 4, "at once and with three heartbeats");
+}
+
 #[test]
 fn an_older_configuration_never_replaces_a_newer_one() {
     let mut harness = Harness::new();
