Read the newest part of split prompts first in the forecast

Cause: an engine reads parts of split prompts ahead of everything that waits, the newest first. The forecast had them in order of arrival, so a prompt that was split while others were read was predicted late although it overtook them, and what it did to them was not counted.

The engines of the played load read in the same order now.

--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -4,9 +4,11 @@
 //! writing. In each step it reads up to a chunk of waiting prompts. A pass goes
 //! on until all it reads is read, and only then come its tokens: reading a long
 //! prompt beside writers stalls them, and whoever arrives meanwhile.
+//! Parts of split prompts are read before whole prompts, the newest part first.
 //! A request is admitted when its prompt fits into the memory that is left; one
-//! that does not fit holds up all that came after it. [`EngineLoad`] plays these passes from the published figures and
-//! from what instances tell each other of placements, first events and ends.
+//! that does not fit holds up all that came after it. [`EngineLoad`] plays these
+//! passes from the published figures and from what instances tell each other of
+//! placements, first events and ends.
 //! [`EngineLoad::forecast`] answers, for a request that is not there yet, when
 //! each prompt would be read.
 //!
@@ -189,13 +191,17 @@
         self.insert(job);
     }
 
-    /// Adds a job in the order in which jobs are read: parts for other engines,
-    /// then prompts by urgency and arrival.
+    /// Adds a job in the order in which jobs are read: parts of split prompts,
+    /// the newest first, then whole prompts by urgency and arrival.
     fn insert(&mut self, job: Job) {
-        let order = |job: &Job| (job.role == Role::Writer, job.urgency, job.placed_at);
-        let at = self
-            .jobs
-            .partition_point(|known| order(known) <= order(&job));
+        let at = if job.is_split() {
+            self.jobs
+                .partition_point(|known| known.is_split() && known.placed_at > job.placed_at)
+        } else {
+            self.jobs.partition_point(|known| {
+                known.is_split() || known.admission_order() <= job.admission_order()
+            })
+        };
         self.jobs.insert(at, job);
     }
 
@@ -397,10 +403,13 @@
             return;
         }
         let clock = self.clock;
-        for job in &mut self.jobs {
-            if job.admitted || job.role == Role::Helper || job.arrives_after(clock) {
-                continue;
-            }
+        let mut arrived: Vec<&mut Job> = self
+            .jobs
+            .iter_mut()
+            .filter(|job| job.role == Role::Writer && !job.admitted && !job.arrives_after(clock))
+            .collect();
+        arrived.sort_by_key(|job| job.admission_order());
+        for job in arrived {
             if slots == 0 || job.held() > memory {
                 return;
             }
@@ -483,6 +492,17 @@
         self.memory - self.unwritten
     }
 
+    /// Returns whether other engines read parts of its prompt, or it is such a
+    /// part.
+    fn is_split(&self) -> bool {
+        self.attention_span > 0.0
+    }
+
+    /// Returns by what requests are admitted.
+    fn admission_order(&self) -> (u8, Millis) {
+        (self.urgency, self.placed_at)
+    }
+
     /// Returns whether it comes to the engine after `clock`.
     fn arrives_after(&self, clock: f64) -> bool {
         self.placed_at.0 as f64 > clock
--- a/src/gateway/tests/engine.rs
+++ b/src/gateway/tests/engine.rs
@@ -125,6 +125,22 @@
     assert_eq!(load.helping(), 0);
 }
 
+#[test]
+fn the_newest_part_is_read_first() {
+    let mut load = EngineLoad::new(Millis(0), spec());
+    let older = prompt(1, 100_000.0, 2_500.0);
+    load.place(
+        Millis(0),
+        placement::part_job(Millis(0), &older, 10_000.0, 0.0),
+    );
+    let newer = prompt(2, 100_000.0, 2_500.0);
+    let part = placement::part_job(Millis(5), &newer, 10_000.0, 0.0);
+    let forecast = load.forecast(Some(&part));
+    let older = forecast.time(JobKey(1), Role::Helper).unwrap();
+    let newer = forecast.time(JobKey(2), Role::Helper).unwrap();
+    assert!(newer < older, "{newer} {older}");
+}
+
 #[test]
 fn what_was_never_reported_as_ended_is_forgotten() {
     let mut load = EngineLoad::new(Millis(0), spec());
--- a/src/gateway/tests/world.rs
+++ b/src/gateway/tests/world.rs
@@ -611,23 +611,30 @@
         let mut ms = steps * step;
         let mut budget = steps * spec.chunk_tokens as f64;
         let mut any = writers > 0;
-        for helper in [true, false] {
-            for job in engine.jobs.iter_mut().filter(|job| job.helper == helper) {
-                job.reading = 0.0;
-                if !job.admitted || job.unread <= 0.5 {
-                    continue;
-                }
-                job.reading = job.unread.min(budget);
-                budget -= job.reading;
-                let behind = if job.share < job.whole {
-                    job.whole / 2.0
-                } else {
-                    job.read + job.reading / 2.0
-                };
-                ms += job.reading / spec.read_tokens_per_ms
-                    + job.reading * behind / 1e6 * spec.attention_ms_per_mpair;
-                any |= job.reading > 0.0;
+        // Parts of split prompts go first, the newest of them ahead.
+        let is_split = |job: &Job| job.share < job.whole;
+        let jobs = &mut engine.jobs;
+        let mut order: Vec<usize> = (0..jobs.len())
+            .rev()
+            .filter(|&i| is_split(&jobs[i]))
+            .collect();
+        order.extend((0..jobs.len()).filter(|&i| !is_split(&jobs[i])));
+        for i in order {
+            let job = &mut jobs[i];
+            job.reading = 0.0;
+            if !job.admitted || job.unread <= 0.5 {
+                continue;
             }
+            job.reading = job.unread.min(budget);
+            budget -= job.reading;
+            let behind = if is_split(job) {
+                job.whole / 2.0
+            } else {
+                job.read + job.reading / 2.0
+            };
+            ms += job.reading / spec.read_tokens_per_ms
+                + job.reading * behind / 1e6 * spec.attention_ms_per_mpair;
+            any |= job.reading > 0.0;
         }
         engine.busy_until = any.then_some(self.now + ms);
         if any {
