Time passes by streams' events; sharpen the border of lateness

The forecast of a running pass drifted: half of all events came in the middle of a pass as it was played. Each event now says that a pass has ended. Answers that are late already have no more to lose, which the loss counts too.

The border between in time and late was drawn wider than forecasts are off now that the order of reading is known.

The end of a send logs its longest pause.

--- a/src/gateway/core/endings.rs
+++ b/src/gateway/core/endings.rs
@@ -55,6 +55,7 @@
             server = self.roster.get(sent.server).entry.id.as_str(),
             end:? = end,
             started = sent.started,
+            longest_pause_ms = sent.longest_pause.0,
             after_ms = now.since(sent.at).0;
             "send ended"
         );
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -95,6 +95,10 @@
     pub(super) at: Millis,
     pub(super) predicted_ms: f64,
     pub(super) started: bool,
+    /// When output was last seen.
+    pub(super) last_output: Millis,
+    /// Longest pause between two outputs.
+    pub(super) longest_pause: Millis,
 }
 
 impl Sent {
@@ -320,6 +324,8 @@
             at: now,
             predicted_ms,
             started: false,
+            last_output: now,
+            longest_pause: Millis::ZERO,
         });
         let (id, sends) = (
             request.submission.head.request_id.clone(),
@@ -453,6 +459,7 @@
             return;
         };
         sent.started = true;
+        sent.last_output = now;
         let sent = sent.clone();
         let observed_ms = now.since(sent.at).0;
         let waited = now.since(request.submission.arrived);
@@ -482,6 +489,19 @@
         self.tell(out, message);
     }
 
+    pub(super) fn progressed(&mut self, now: Millis, ticket: Ticket) {
+        let sent = self
+            .requests
+            .get_mut(&ticket)
+            .and_then(|request| request.sent.as_mut());
+        let Some(sent) = sent else {
+            return;
+        };
+        sent.longest_pause = sent.longest_pause.max(now.since(sent.last_output));
+        sent.last_output = now;
+        self.standing.progressed(now, sent.job, sent.server);
+    }
+
     pub(super) fn cold_seen(&mut self, now: Millis, ticket: Ticket, left: Millis) {
         let sent = self
             .requests
--- a/src/gateway/core/standing.rs
+++ b/src/gateway/core/standing.rs
@@ -176,6 +176,13 @@
         }
     }
 
+    /// Takes over that a stream has gone on.
+    pub fn progressed(&mut self, now: Millis, key: JobKey, server: ServerKey) {
+        if let Some(load) = self.engines.get_mut(&server) {
+            load.progressed(now, key);
+        }
+    }
+
     /// Takes over that a request is no longer there.
     pub fn ended(&mut self, now: Millis, key: JobKey, servers: &[ServerKey]) {
         for server in servers {
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -23,6 +23,9 @@
 const MAX_FORECAST_PASSES: usize = 160;
 /// Part of a token below which a prompt counts as read.
 const READ_EPSILON: f64 = 0.5;
+/// Share of a pass after which a sign of its end is taken for that, and not for
+/// the end of the one before.
+const PASS_DONE_SHARE: f64 = 0.5;
 /// Time after which a request that was never reported as ended is dropped.
 const FORGET_AFTER: Millis = Millis::from_secs(30);
 
@@ -71,6 +74,8 @@
     pub done: bool,
     /// Whether its first event has been seen.
     pub started: bool,
+    /// Whether its answer has been late already: its first event, or a pause.
+    pub late: bool,
     /// When it was placed. A pass that runs by then goes on without it.
     pub placed_at: Millis,
     /// When its first event is due, in ms.
@@ -215,10 +220,27 @@
             job.admitted = true;
             job.done = true;
             job.started = true;
+            job.late |= now.0 as f64 > job.due;
         }
         self.drop_finished_parts();
     }
 
+    /// Takes over that a stream has gone on: a pass has just ended, and the next
+    /// one begins.
+    pub fn progressed(&mut self, now: Millis, key: JobKey) {
+        self.advance(now);
+        if !self.jobs.iter().any(|job| job.key == key && job.started) {
+            return;
+        }
+        let pass = self.begin();
+        let elapsed = now.0 as f64 - self.clock;
+        if elapsed > pass.ms * PASS_DONE_SHARE {
+            self.end(&pass, None);
+            self.expect_longer_answers();
+        }
+        self.clock = now.0 as f64;
+    }
+
     /// Takes over that a request is no longer on the engine.
     pub fn ended(&mut self, now: Millis, key: JobKey) {
         self.advance(now);
@@ -429,8 +451,9 @@
         let mut parts_finished = false;
         for job in &mut self.jobs {
             if job.writing {
-                if let Some(forecast) = forecast.as_deref_mut() {
-                    forecast.pause(job.key, pass.ms);
+                match forecast.as_deref_mut() {
+                    Some(forecast) => forecast.pause(job.key, pass.ms),
+                    None => job.late |= pass.ms > job.gap,
                 }
                 job.unwritten = (job.unwritten - steps).max(0.0);
             }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -519,10 +519,11 @@
             let Some(whole) = self.events.push(&data) else {
                 continue;
             };
-            if !started {
-                started = true;
-                self.traffic.tell(Input::Started(self.ticket));
-            }
+            self.traffic.tell(match started {
+                true => Input::Progress(self.ticket),
+                false => Input::Started(self.ticket),
+            });
+            started = true;
             if !self.pass_events(&parts, whole).await {
                 return SendEnd::CallerGone;
             }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -35,14 +35,15 @@
 const LATE_LOSS: f64 = 0.75;
 /// Width of the border between in time and late, as a share of the target:
 /// predictions are that far off.
-const LATE_WIDTH: f64 = 0.06;
-/// Least width of that border, in ms: about half a pass.
-const LATE_WIDTH_MIN_MS: f64 = 20.0;
+const LATE_WIDTH: f64 = 0.03;
+/// Least width of that border, in ms: what the clocks of engine and instance
+/// are apart.
+const LATE_WIDTH_MIN_MS: f64 = 10.0;
 /// Loss for each ms that an engine writes longer: it reads less meanwhile.
-const WRITING_LOSS_PER_MS: f64 = 1e-4;
+const WRITING_LOSS_PER_MS: f64 = 5e-4;
 /// Part of the longest pause in time that passes may take: an event has its
 /// way to the caller as well.
-const GAP_USED: f64 = 0.9;
+const GAP_USED: f64 = 0.95;
 /// Loss for each ms until the first token, in time or not: less waiting leaves
 /// more room for what comes next.
 const WAITING_LOSS_PER_MS: f64 = 1e-4;
@@ -58,7 +59,7 @@
 /// harm: whoever arrives meanwhile is still in time.
 const HARMLESS_READ_MS: f64 = 60.0;
 /// What a short prompt that arrives meanwhile loses, in the unit of value.
-const ARRIVAL_LOSS: f64 = 1.0;
+const ARRIVAL_LOSS: f64 = 0.3;
 /// Share of a request's value that is lost if memory does not suffice: some
 /// request on the engine is interrupted and read again.
 const MEMORY_LOSS: f64 = 0.5;
@@ -212,6 +213,7 @@
         if let Some(job) = known {
             let target = (job.due - job.placed_at.0 as f64).max(1.0);
             loss += lateness_loss(job.value, target, job.due, at);
+            loss += (at - job.placed_at.0 as f64) * WAITING_LOSS_PER_MS;
         }
     }
     for &(key, ms) in &forecast.pauses {
@@ -222,7 +224,9 @@
             .jobs()
             .iter()
             .find(|job| job.key == key && job.role == Role::Writer);
-        if let Some(job) = known {
+        if let Some(job) = known
+            && !job.late
+        {
             loss += pause_loss(job.value, job.gap, ms);
         }
     }
@@ -516,6 +520,7 @@
         admitted: false,
         done: false,
         started: false,
+        late: false,
         placed_at: now,
         due: prompt.due,
         gap: prompt.gap,
@@ -541,6 +546,7 @@
         admitted: false,
         done: false,
         started: false,
+        late: false,
         placed_at: now,
         due: prompt.due,
         gap: prompt.gap,
