Ask and tell less among many instances; repair lost entries by digest

Entries were told four times, 1.7 MB from each of two watchers at the start, which filled their links for seconds.

Heartbeats come less often the more instances there are; calls to plain servers are told among few instances only; a placement says when its parts are read; entries are read once more after a second; only instances that the store answers are its watchers, and a few go on asking when it answers nobody. A watcher's heartbeat carries a digest of the entries: who differs for three of them reads them again, which replaces telling them four times (the test of that is replaced by tests of the digest).

An order that went unanswered may be carried out late: memory is then given back every 500 ms until it would count as leaked.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -28,14 +28,15 @@
 use crate::clock::Millis;
 use crate::gateway::instances::HEARTBEAT_PERIOD;
 use crate::gateway::instances::Instances;
-use crate::gateway::instances::Item;
 use crate::gateway::instances::Member;
 use crate::gateway::instances::PeerMessage;
+use crate::gateway::instances::heartbeat_period;
 use crate::gateway::message::Input;
 use crate::gateway::message::Output;
 use crate::gateway::message::Ticket;
 use crate::gateway::message::Watching;
 use crate::gateway::roster::Roster;
+use crate::gateway::roster::ServerKey;
 use crate::gateway::route::RouteTable;
 use crate::gateway::settings::Bounds;
 use crate::gateway::shares::ColdShares;
@@ -50,13 +51,17 @@
 /// Instances that watch the store closely: one, and one more in case that it is
 /// cut off.
 const CLOSE_WATCHERS: usize = 2;
+/// Instances that go on asking a store that answers nobody; the first of them
+/// that gets an answer tells the others.
+const DARK_WATCHERS: usize = 8;
+/// Instances up to which all tell each other of their calls to plain servers.
+/// More of them send more datagrams than the servers do work, and each server
+/// gets few calls from each.
+const TOLD_CALLS_INSTANCES: usize = 16;
 /// Age of the newest proof from which on an instance watches closely itself;
 /// with two others at work it stays below two seconds.
 const PROOF_MISSED: Millis = Millis(2_500);
 
-/// Heartbeats with which an item is told again: within the time after which a
-/// leaving server must get nothing more.
-const ITEM_REPEATS: u32 = 3;
 /// Time from the start in which others are heard for the first time.
 const FIRST_HEARTBEATS: Millis = Millis(1_500);
 
@@ -90,12 +95,12 @@
     budgets: Budgets,
     cold: ColdShares,
     requests: BTreeMap<Ticket, Request>,
-    /// Items that others are told again, and how often.
-    told_items: Vec<(u32, Item)>,
     watching: Watching,
     leaving: bool,
     ready: bool,
     next_heartbeat: Millis,
+    next_review: Millis,
+    entries_digest: u64,
 }
 
 impl Core {
@@ -122,11 +127,12 @@
             budgets,
             cold: ColdShares::default(),
             requests: BTreeMap::new(),
-            told_items: Vec::new(),
             watching: Watching::Loosely,
             leaving: false,
             ready: false,
             next_heartbeat: Millis::ZERO,
+            next_review: Millis::ZERO,
+            entries_digest: 0,
         }
     }
 
@@ -144,17 +150,16 @@
             Input::Facts {
                 proved_at,
                 config_revision,
+                entries_digest,
                 facts,
             } => {
+                self.entries_digest = entries_digest;
                 self.freshness
                     .store_answered(now, proved_at, config_revision);
                 self.take_facts(now, facts, &mut out);
                 self.retry_waiting(now, &mut out);
             }
-            Input::PassOn(item) => {
-                self.tell(&mut out, PeerMessage::Item(item.clone()));
-                self.told_items.push((ITEM_REPEATS, item));
-            }
+            Input::PassOn(item) => self.tell(&mut out, PeerMessage::Item(item)),
             Input::StoreLost => self.freshness.store_lost(now),
             Input::Peer(message) => self.peer(now, message),
             Input::Tick => self.tick(now, &mut out),
@@ -177,53 +182,59 @@
         self.expire_missing(now);
         self.retry_waiting(now, out);
         if now >= self.next_heartbeat {
-            self.next_heartbeat = now + HEARTBEAT_PERIOD;
             self.heartbeat(now, out);
+        }
+        if now >= self.next_review {
+            self.next_review = now + HEARTBEAT_PERIOD;
             self.update_watching(now, out);
             self.measure(now);
         }
     }
 
     fn heartbeat(&mut self, now: Millis, out: &mut Vec<Output>) {
+        let closely = self.watching == Watching::Closely;
+        let period = match closely {
+            true => HEARTBEAT_PERIOD,
+            false => heartbeat_period(self.instances.count()),
+        };
+        self.next_heartbeat = now + period;
         let message = PeerMessage::Alive {
             name: self.me.name.clone(),
             addr: self.me.addr.clone(),
             config_revision: self.freshness.config_revision(),
             proof_age_ms: self.freshness.proof_age(now).0,
+            store_answers: self.freshness.store_answers(),
+            entries_digest: closely.then_some(self.entries_digest),
+            period_ms: period.0,
         };
         self.tell(out, message);
-        self.repeat_items(out);
         let instances = self.instances.count() as f64;
         self.budgets
             .set_reserve((self.bounds.retry_extra * RETRY_LIMIT_USED / instances).max(1.0));
     }
 
-    /// Tells the newest items again, as single datagrams get lost.
-    fn repeat_items(&mut self, out: &mut Vec<Output>) {
-        let mut items = std::mem::take(&mut self.told_items);
-        for (left, item) in &mut items {
-            self.tell(out, PeerMessage::Item(item.clone()));
-            *left -= 1;
-        }
-        items.retain(|(left, _)| *left > 0);
-        self.told_items = items;
-    }
-
-    /// Has the first instances watch the store closely, and this one as long as
-    /// it is behind others or hears of no proof.
+    /// Has the first instances that the store answers watch it closely, and this
+    /// one as long as it is behind others or hears of no proof. Of a store that
+    /// answers nobody only the first instances go on asking.
     fn update_watching(&mut self, now: Millis, out: &mut Vec<Output>) {
         if now < FIRST_HEARTBEATS {
             return;
         }
-        let closely = self.instances.rank(&self.me.name) < CLOSE_WATCHERS
-            || self.freshness.is_behind()
-            || self.freshness.proof_age(now) > PROOF_MISSED;
+        let answers = self.freshness.store_answers();
+        let is_asker = self.instances.rank(&self.me.name) < DARK_WATCHERS;
+        let is_watcher = match answers {
+            true => self.instances.rank_at_store(&self.me.name) < CLOSE_WATCHERS,
+            false => is_asker && !self.instances.store_answers_any(),
+        };
+        let missed = self.freshness.proof_age(now) > PROOF_MISSED;
+        let closely = is_watcher || self.freshness.is_behind() || (missed && (answers || is_asker));
         let watching = match closely {
             true => Watching::Closely,
             false => Watching::Loosely,
         };
         if watching != self.watching {
             self.watching = watching;
+            self.next_heartbeat = now;
             log::info!(
                 watching:? = watching,
                 instances = self.instances.alive(),
@@ -246,6 +257,11 @@
             .set(Level::ConfigAge, i64::try_from(age).unwrap_or(i64::MAX));
     }
 
+    /// Returns whether others are told of what stands on a server.
+    fn is_told(&self, server: ServerKey) -> bool {
+        self.standing.engine(server).is_some() || self.instances.count() <= TOLD_CALLS_INSTANCES
+    }
+
     fn tell(&self, out: &mut Vec<Output>, message: PeerMessage) {
         let addrs = self.instances.addrs();
         if !addrs.is_empty() {
@@ -269,12 +285,17 @@
                 addr,
                 config_revision,
                 proof_age_ms,
+                store_answers,
+                period_ms,
+                // The ledger of the store's items compares it.
+                entries_digest: _,
             } => {
                 if name == self.me.name {
                     return;
                 }
                 let member = Member { name, addr };
-                if self.instances.heard(now, &member) {
+                let period = Millis(period_ms);
+                if self.instances.heard(now, &member, period, store_answers) {
                     log::info!(instance = member.name.as_str(), addr = member.addr.as_str(); "instance heard");
                 }
                 self.freshness
--- a/src/gateway/core/endings.rs
+++ b/src/gateway/core/endings.rs
@@ -76,6 +76,9 @@
     /// Takes a send off the servers it stood on and tells the others.
     fn release(&mut self, now: Millis, sent: &Sent, out: &mut Vec<Output>) {
         self.standing.ended(now, sent.job, &sent.servers());
+        if !self.is_told(sent.server) {
+            return;
+        }
         let hash = |key: ServerKey| id_hash(&self.roster.get(key).entry.id);
         let message = PeerMessage::Ended {
             job: sent.job.0,
--- a/src/gateway/core/facts.rs
+++ b/src/gateway/core/facts.rs
@@ -37,7 +37,7 @@
             Fact::ServerGone(id) => self.server_gone(now, &id),
             Fact::Instance(member) => {
                 if member.name != self.me.name {
-                    self.instances.heard(now, &member);
+                    self.instances.listed(now, &member);
                 }
             }
             Fact::InstanceGone(name) => self.instances.remove(&name),
--- a/src/gateway/core/freshness.rs
+++ b/src/gateway/core/freshness.rs
@@ -84,6 +84,12 @@
         self.config_revision
     }
 
+    /// Returns whether the store answered last.
+    #[must_use]
+    pub fn store_answers(&self) -> bool {
+        self.lost_at.is_none()
+    }
+
     /// Returns whether others know a change by operators that is not known here.
     #[must_use]
     pub fn is_behind(&self) -> bool {
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -223,6 +223,7 @@
                     parts: Vec::new(),
                     first_reserved: 0,
                     first_token: now.0 as f64,
+                    ready_at: 0.0,
                     loss: 0.0,
                 };
                 (choice, None)
@@ -300,14 +301,7 @@
         let standing = self.standing.describe(choice.first);
         let service = self.requests[&ticket].service.clone();
         match prompt {
-            Some(prompt) => self.standing.place_prompt(
-                now,
-                &service,
-                prompt,
-                choice.first,
-                choice.first_reserved,
-                &choice.parts,
-            ),
+            Some(prompt) => self.standing.place_prompt(now, &service, prompt, choice),
             None => self.standing.place_call(now, choice.first, job),
         }
         let parts = self.describe_parts(&choice.parts);
@@ -349,8 +343,10 @@
         if sends > 0 {
             self.count(Count::Retries);
         }
-        self.tell_placed(now, job, choice, prompt, out);
         out.push(Output::Send(ticket, plan));
+        if self.is_told(choice.first) {
+            self.tell_placed(now, job, choice, prompt, out);
+        }
     }
 
     fn plan(
@@ -381,6 +377,7 @@
                     name: name.clone(),
                     tokens,
                     hold,
+                    free_limit: self.bounds.memory_free,
                 });
             }
             if tokens > 0 || key != choice.first {
@@ -445,6 +442,7 @@
             urgency: prompt.map_or(0, |prompt| prompt.urgency),
             gap_ms: prompt.map_or(0, |prompt| prompt.gap.min(GAP_NEVER) as u64),
             due_in_ms: prompt.map_or(0, |prompt| (prompt.due - now.0 as f64).max(1.0) as u64),
+            ready_in_ms: (choice.ready_at - now.0 as f64).max(0.0) as u64,
         };
         self.tell(out, PeerMessage::Placed(placed));
     }
@@ -480,6 +478,9 @@
             self.standing
                 .observe_pace(sent.server, sent.predicted_ms, observed_ms as f64);
         }
+        if self.standing.engine(sent.server).is_none() {
+            return;
+        }
         let hash = |key: ServerKey| id_hash(&self.roster.get(key).entry.id);
         let message = PeerMessage::Started {
             job: sent.job.0,
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -28,6 +28,7 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
+use tokio::task::yield_now;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -41,6 +42,7 @@
 use crate::gateway::feed::Ledger;
 use crate::gateway::forward::Traffic;
 use crate::gateway::instances::Member;
+use crate::gateway::instances::PeerMessage;
 use crate::gateway::message::Input;
 use crate::gateway::message::Output;
 use crate::gateway::message::Watching;
@@ -80,6 +82,8 @@
     let clock = Clock::start_boot();
     let metrics = Arc::new(Metrics::new());
     let (inputs, input_rx) = flume::unbounded();
+    // Nothing waits on this one: messages are handled with the next input.
+    let (messages, message_rx) = flume::unbounded();
     let (outputs, output_rx) = unbounded_channel();
     let peer_socket = UdpSocket::bind(socket_addr(&cfg.gateway_peer_listen)?)?;
     let me = Me {
@@ -90,11 +94,19 @@
     let core = Core::new(me, bounds(cfg), Arc::clone(&metrics));
     thread::Builder::new()
         .name("control".to_owned())
-        .spawn(move || control(core, clock, &input_rx, &outputs, &left_out))?;
+        .spawn(move || control(core, clock, &input_rx, &message_rx, &outputs, &left_out))?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    let traffic = traffic(cfg, clock, metrics, inputs, output_rx, peer_socket);
+    let traffic = traffic(
+        cfg,
+        clock,
+        metrics,
+        inputs,
+        messages,
+        output_rx,
+        peer_socket,
+    );
     LocalSet::new().block_on(&runtime, traffic)
 }
 
@@ -116,6 +128,7 @@
     mut core: Core,
     clock: Clock,
     inputs: &Receiver<Input>,
+    messages: &Receiver<PeerMessage>,
     outputs: &UnboundedSender<Output>,
     left_out: &LeftOut,
 ) {
@@ -139,9 +152,12 @@
                 log::warn!(lines = lines; "log lines left out: over the budget of lines a second");
             }
         }
-        for output in core.handle(clock.now(), input) {
-            if outputs.send(output).is_err() {
-                return;
+        let messages = messages.try_iter().map(Input::Peer);
+        for input in messages.chain([input]) {
+            for output in core.handle(clock.now(), input) {
+                if outputs.send(output).is_err() {
+                    return;
+                }
             }
         }
     }
@@ -153,6 +169,7 @@
     clock: Clock,
     metrics: Arc<Metrics>,
     inputs: Sender<Input>,
+    messages: Sender<PeerMessage>,
     outputs: UnboundedReceiver<Output>,
     peer_socket: UdpSocket,
 ) -> io::Result<bool> {
@@ -199,7 +216,7 @@
         spawn_local(server::serve_status(listener, ready, metrics));
     }
     let ledger = Ledger::new(inputs.clone());
-    spawn_local(peers.clone().receive(inputs.clone(), ledger.clone()));
+    spawn_local(peers.clone().receive(messages, ledger.clone()));
     let (watching_tx, watching) = watch::channel(Watching::Loosely);
     let store = cfg.gateway_store.clone();
     let feed = Feed::new(
@@ -211,6 +228,7 @@
         watching,
     );
     spawn_local(feed.clone().watch_operators());
+    spawn_local(feed.clone().read_settled_entries());
     spawn_local(feed.watch_entries());
     let member = Member {
         name: cfg.name.clone(),
@@ -283,9 +301,26 @@
     peers: Peers,
     states: States,
 ) {
-    while let Some(output) = outputs.recv().await {
+    let mut untold: Vec<(Arc<Vec<String>>, PeerMessage)> = Vec::new();
+    loop {
+        let output = match outputs.try_recv() {
+            Ok(output) => output,
+            Err(_) => {
+                if !untold.is_empty() {
+                    // Requests go out before others are told of them.
+                    yield_now().await;
+                }
+                for (addrs, message) in untold.drain(..) {
+                    peers.tell(&addrs, &message);
+                }
+                match outputs.recv().await {
+                    Some(output) => output,
+                    None => return,
+                }
+            }
+        };
         match output {
-            Output::Tell(addrs, message) => peers.tell(&addrs, &message),
+            Output::Tell(addrs, message) => untold.push((addrs, message)),
             Output::Ready(value) => {
                 states.ready.send_replace(value);
             }
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -22,8 +22,10 @@
 use http::StatusCode;
 use http::header;
 use http_body_util::Full;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::sleep;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::adapter::store;
 use crate::adapter::store::Call;
@@ -44,7 +46,7 @@
 /// get nothing more.
 const CLOSE_WAIT: Millis = Millis(600);
 /// Time that any other watch waits; the store allows 30 s.
-const LONG_WAIT: Millis = Millis(20_000);
+const LONG_WAIT: Millis = Millis(29_000);
 /// Period at which entries of servers and instances are read by an instance
 /// that does not watch them, against lost messages of others.
 const REREAD_PERIOD: Duration = Duration::from_secs(10);
@@ -54,6 +56,13 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause between calls: a store that is back is seen soon.
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+/// The same of an instance that does not watch closely: others tell it.
+const LONGEST_LOOSE_PAUSE: Duration = Duration::from_secs(2);
+/// Time after the start at which all entries are read once more, when all that
+/// started together have written theirs.
+const ENTRIES_SETTLED: Duration = Duration::from_millis(1_000);
+/// Shortest time between two readings of entries that differ from others'.
+const REPAIR_PERIOD: Millis = Millis(3_000);
 /// Life of an instance's entry without renewal.
 const ENTRY_TTL: Millis = Millis(30_000);
 /// Period at which the entry is renewed.
@@ -66,6 +75,7 @@
 pub struct Ledger {
     keys: Rc<RefCell<Keys>>,
     inputs: Sender<Input>,
+    differs: Rc<Notify>,
 }
 
 #[derive(Debug, Default)]
@@ -73,8 +83,16 @@
     /// Revision of each key's newest change, and whether it exists.
     seen: HashMap<String, (u64, bool)>,
     config_revision: u64,
+    /// Of the backend servers' entries that exist and their revisions.
+    entries_digest: u64,
+    /// Heartbeats in a row that told another digest.
+    differences: u32,
 }
 
+/// Heartbeats that tell another digest before entries are read again. Two
+/// instances watch; a message may still be on its way at the first of each.
+const DIFFERENCES: u32 = 3;
+
 impl Ledger {
     /// Returns a ledger that knows nothing.
     #[must_use]
@@ -82,6 +100,7 @@
         Ledger {
             keys: Rc::default(),
             inputs,
+            differs: Rc::default(),
         }
     }
 
@@ -101,6 +120,14 @@
                 continue;
             }
             let exists = change.value.is_some();
+            if Part::Servers.holds(&change.key) {
+                if let Some(&(before, true)) = keys.seen.get(&change.key) {
+                    keys.entries_digest ^= digest(&change.key, before);
+                }
+                if exists {
+                    keys.entries_digest ^= digest(&change.key, change.revision);
+                }
+            }
             keys.seen
                 .insert(change.key.clone(), (change.revision, exists));
             if Part::Operators.holds(&change.key) {
@@ -119,6 +146,7 @@
             let input = Input::Facts {
                 proved_at,
                 config_revision: keys.config_revision,
+                entries_digest: keys.entries_digest,
                 facts,
             };
             // The control thread ends only with the process.
@@ -137,6 +165,38 @@
         self.take(vec![change], None);
     }
 
+    /// Returns the digest of the backend servers' entries.
+    #[must_use]
+    pub fn entries_digest(&self) -> u64 {
+        self.keys.borrow().entries_digest
+    }
+
+    /// Compares the backend servers' entries with those of an instance that
+    /// watches them. If they differ for longer than a message may be on its way,
+    /// a message was lost, and they have to be read again; returns whether this
+    /// was found now.
+    pub fn compare(&self, theirs: u64) -> bool {
+        let mut keys = self.keys.borrow_mut();
+        if keys.entries_digest == theirs {
+            keys.differences = 0;
+            return false;
+        }
+        keys.differences += 1;
+        let found = keys.differences == DIFFERENCES;
+        if found {
+            log::warn!(
+                "entries of backend servers differ from another instance's; they are read again"
+            );
+            self.differs.notify_one();
+        }
+        found
+    }
+
+    /// Starts comparing anew, after entries have been read.
+    fn forget_differences(&self) {
+        self.keys.borrow_mut().differences = 0;
+    }
+
     /// Returns removals of the keys of a part that a reading as of `revision`
     /// does not name any more.
     fn absent(&self, part: Part, named: &[Change], revision: u64) -> Vec<Change> {
@@ -221,6 +281,7 @@
     pub async fn watch_entries(mut self) {
         let mut revision = None;
         let mut pause = FIRST_PAUSE;
+        let mut repaired_at = Millis::ZERO;
         loop {
             let watching = *self.watching.borrow_and_update();
             let feed = self.clone();
@@ -232,7 +293,14 @@
                 (Some(_), Watching::Loosely) => tokio::select! {
                     () = sleep(REREAD_PERIOD) => feed.read_entries(true).await,
                     // Now it watches, from what is there now.
-                    _ = self.watching.changed() => feed.read_entries(false).await,
+                    _ = self.watching.changed() => feed.read(Part::Servers, false).await,
+                    () = feed.ledger.differs.notified() => {
+                        let since = self.clock.now().since(repaired_at);
+                        sleep((REPAIR_PERIOD - since.min(REPAIR_PERIOD)).as_duration()).await;
+                        repaired_at = self.clock.now();
+                        feed.ledger.forget_differences();
+                        feed.read(Part::Servers, false).await
+                    }
                 },
             };
             revision = self.next(result, revision, &mut pause).await;
@@ -259,13 +327,28 @@
                 log::warn!(cause = cause.as_str(), pause_ms = pause.as_millis() as u64; "store call failed");
                 // The control thread ends only with the process.
                 let _ = self.inputs.send(Input::StoreLost);
+                let watching = *self.watching.borrow();
                 sleep(*pause).await;
-                *pause = (*pause * 2).min(LONGEST_PAUSE);
+                *pause = (*pause * 2).min(match watching {
+                    Watching::Closely => LONGEST_PAUSE,
+                    Watching::Loosely => LONGEST_LOOSE_PAUSE,
+                });
                 before
             }
         }
     }
 
+    /// Reads the entries of servers and instances once all that started together
+    /// are listed.
+    pub async fn read_settled_entries(self) {
+        sleep(ENTRIES_SETTLED).await;
+        for part in [Part::Instances, Part::Servers] {
+            if let Err(FeedError::Call(cause)) = self.read(part, false).await {
+                log::warn!(part:? = part, cause = cause.as_str(); "entries not read; they are read again with the next heartbeats");
+            }
+        }
+    }
+
     async fn read_entries(&self, stale: bool) -> Result<u64, FeedError> {
         let revision = self.read(Part::Servers, stale).await?;
         self.read(Part::Instances, true).await?;
@@ -339,6 +422,11 @@
     }
 }
 
+/// Returns what an entry adds to the digest of all.
+fn digest(key: &str, revision: u64) -> u64 {
+    xxh3_64_with_seed(key.as_bytes(), revision)
+}
+
 /// Only the operators' part says how fresh the configuration is.
 fn proof(part: Part, asked_at: Millis) -> Option<Millis> {
     (part == Part::Operators).then_some(asked_at)
--- a/src/gateway/instances.rs
+++ b/src/gateway/instances.rs
@@ -14,11 +14,17 @@
 
 use crate::clock::Millis;
 
-/// Period at which each instance says that it lives and how fresh it is.
+/// Period at which an instance that watches the store closely says that it
+/// lives and how fresh it is, and the shortest of any.
 pub const HEARTBEAT_PERIOD: Millis = Millis(500);
-/// Time without a heartbeat after which an instance counts as lost; several
-/// periods, as single datagrams get lost.
-pub const LOST_AFTER: Millis = Millis(2_500);
+/// Longest period of heartbeats.
+const LONGEST_PERIOD: Millis = Millis(2_000);
+/// Part of the period of heartbeats that each instance adds: together they send
+/// and receive about as many datagrams as a few dozen requests do.
+const PERIOD_PER_INSTANCE: Millis = Millis(25);
+/// Periods without a heartbeat after which an instance counts as lost; several,
+/// as single datagrams get lost.
+const LOST_PERIODS: u64 = 5;
 
 /// Another instance, as its entry in the store names it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -64,6 +70,12 @@
         config_revision: u64,
         /// How long ago it asked the store that proved this, in ms.
         proof_age_ms: u64,
+        /// Whether the store answered it last.
+        store_answers: bool,
+        /// Digest of the backend servers' entries, if it watches them.
+        entries_digest: Option<u64>,
+        /// Until its next heartbeat, in ms.
+        period_ms: u64,
     },
     /// A request crashed a backend server.
     Crashed {
@@ -118,6 +130,8 @@
     pub gap_ms: u64,
     /// Time left until the first output is due, in ms.
     pub due_in_ms: u64,
+    /// Time until the other engines have read their parts, in ms.
+    pub ready_in_ms: u64,
 }
 
 /// The other instances that are known.
@@ -130,23 +144,47 @@
 #[derive(Debug)]
 struct Known {
     addr: String,
-    heard: Millis,
+    /// When it counts as lost unless it is heard.
+    lost_at: Millis,
     alive: bool,
+    /// Whether the store answered it last.
+    store_answers: bool,
+}
+
+/// Returns the period of heartbeats among so many instances.
+#[must_use]
+pub fn heartbeat_period(instances: usize) -> Millis {
+    (PERIOD_PER_INSTANCE * instances as u64).clamp(HEARTBEAT_PERIOD, LONGEST_PERIOD)
 }
 
 impl Instances {
-    /// Takes over an entry of the store or a heartbeat; returns whether the
+    /// Takes over an entry of the store; returns whether the instance is new or
+    /// came back.
+    pub fn listed(&mut self, now: Millis, member: &Member) -> bool {
+        self.heard(now, member, LONGEST_PERIOD, true)
+    }
+
+    /// Takes over a heartbeat, and when the next one comes; returns whether the
     /// instance is new or came back.
-    pub fn heard(&mut self, now: Millis, member: &Member) -> bool {
+    pub fn heard(
+        &mut self,
+        now: Millis,
+        member: &Member,
+        period: Millis,
+        store_answers: bool,
+    ) -> bool {
+        let period = period.clamp(HEARTBEAT_PERIOD, LONGEST_PERIOD);
         let known = self
             .known
             .entry(member.name.clone())
             .or_insert_with(|| Known {
                 addr: String::new(),
-                heard: now,
+                lost_at: now,
                 alive: false,
+                store_answers,
             });
-        known.heard = now;
+        known.lost_at = now + period * LOST_PERIODS;
+        known.store_answers = store_answers;
         let changed = !known.alive || known.addr != member.addr;
         known.alive = true;
         if known.addr != member.addr {
@@ -168,7 +206,7 @@
     pub fn expire(&mut self, now: Millis) -> Vec<String> {
         let mut lost = Vec::new();
         for (name, known) in &mut self.known {
-            if known.alive && now.since(known.heard) >= LOST_AFTER {
+            if known.alive && now >= known.lost_at {
                 known.alive = false;
                 lost.push(name.clone());
             }
@@ -192,11 +230,30 @@
     /// by hash that all share.
     #[must_use]
     pub fn rank(&self, name: &str) -> usize {
+        self.count_before(name, |_| true)
+    }
+
+    /// Returns how many instances that the store answers come before `name`, in
+    /// the same order.
+    #[must_use]
+    pub fn rank_at_store(&self, name: &str) -> usize {
+        self.count_before(name, |known| known.store_answers)
+    }
+
+    /// Returns whether the store answers any other instance that is heard.
+    #[must_use]
+    pub fn store_answers_any(&self) -> bool {
+        self.known
+            .values()
+            .any(|known| known.alive && known.store_answers)
+    }
+
+    fn count_before(&self, name: &str, counts: impl Fn(&Known) -> bool) -> usize {
         let hash = |name: &str| xxh3_64(name.as_bytes());
         let mine = hash(name);
         self.known
             .iter()
-            .filter(|(other, known)| known.alive && hash(other) < mine)
+            .filter(|(other, known)| known.alive && counts(known) && hash(other) < mine)
             .count()
     }
 
--- a/src/gateway/memory.rs
+++ b/src/gateway/memory.rs
@@ -1,5 +1,6 @@
 //! Memory reserved on engines for one send of a prompt.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -31,12 +32,21 @@
 /// these ends with its own time.
 const RELEASE_TRIES: usize = 3;
 
+/// Period at which memory is given back again after an order went unanswered:
+/// an engine may carry that order out seconds later.
+const LATE_RELEASE_PERIOD: Millis = Millis(500);
+/// Time before memory counts as leaked at which it is given back for the last
+/// time: an order's way to the engine.
+const LATE_RELEASE_MARGIN: Millis = Millis(100);
+
 /// Reserves memory for a request.
 #[derive(Debug)]
 pub struct Memory {
     traffic: Rc<Traffic>,
     /// The request's id, for the log.
     request: String,
+    /// Whether an order went unanswered, so that it may be carried out yet.
+    unanswered: Cell<bool>,
 }
 
 impl Memory {
@@ -46,6 +56,7 @@
         Memory {
             traffic: Rc::clone(traffic),
             request: request.to_owned(),
+            unanswered: Cell::new(false),
         }
     }
 
@@ -58,6 +69,8 @@
             match self.order(&reservation.addr, order).await {
                 Ok(StatusCode::OK) => reserved.push(reservation.clone()),
                 answer => {
+                    self.unanswered
+                        .set(self.unanswered.get() || answer.is_err());
                     log::info!(request = self.request, engine = reservation.addr.as_str(), tokens = reservation.tokens, answer:? = answer; "memory not reserved");
                     // Without an answer the order may have taken effect.
                     reserved.push(reservation.clone());
@@ -89,6 +102,8 @@
                 match send_order(&self.traffic.upstream, &reservation.addr, order).await {
                     Ok(answer) if answer.status() == StatusCode::OK => {}
                     answer => {
+                        self.unanswered
+                            .set(self.unanswered.get() || answer.is_err());
                         let answer = answer.map(|answer| answer.status());
                         log::info!(engine = reservation.addr.as_str(), reservation = reservation.name.as_str(), answer:? = answer; "memory not renewed");
                     }
@@ -100,15 +115,17 @@
     /// Gives memory back, without making the caller wait for it.
     pub fn release(&self, reservation: Reservation) {
         let upstream = self.traffic.upstream.clone();
+        let unanswered = self.unanswered.get();
         tokio::task::spawn_local(async move {
-            for _ in 0..RELEASE_TRIES {
-                let order = engine::release(&reservation.name);
-                match send_order(&upstream, &reservation.addr, order).await {
-                    Ok(_) => return,
-                    Err(error) => {
-                        log::info!(engine = reservation.addr.as_str(), error:% = error; "memory not released");
-                    }
-                }
+            release_now(&upstream, &reservation).await;
+            if !unanswered {
+                return;
+            }
+            let mut waited = Millis::ZERO;
+            for at in late_releases(reservation.free_limit) {
+                sleep(at.since(waited).as_duration()).await;
+                waited = at;
+                release_now(&upstream, &reservation).await;
             }
         });
     }
@@ -125,6 +142,28 @@
     }
 }
 
+/// Returns when memory is given back again where an order may be carried out
+/// late, from the first time on.
+pub(super) fn late_releases(free_limit: Millis) -> impl Iterator<Item = Millis> {
+    let last = free_limit - LATE_RELEASE_MARGIN;
+    (1..)
+        .map(|n| LATE_RELEASE_PERIOD * n)
+        .take_while(move |at| *at < last)
+        .chain([last])
+}
+
+async fn release_now(upstream: &Upstream, reservation: &Reservation) {
+    for _ in 0..RELEASE_TRIES {
+        let order = engine::release(&reservation.name);
+        match send_order(upstream, &reservation.addr, order).await {
+            Ok(_) => return,
+            Err(error) => {
+                log::info!(engine = reservation.addr.as_str(), error:% = error; "memory not released");
+            }
+        }
+    }
+}
+
 async fn send_order(
     upstream: &Upstream,
     addr: &str,
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -162,6 +162,8 @@
     pub tokens: u64,
     /// Time for which it holds unless it is released.
     pub hold: Millis,
+    /// Time after the request's end from which on it counts as leaked.
+    pub free_limit: Millis,
 }
 
 /// A fact that the platform's store holds.
@@ -219,6 +221,8 @@
         proved_at: Option<Millis>,
         /// Revision of the newest change by operators that is known.
         config_revision: u64,
+        /// Digest of the backend servers' entries.
+        entries_digest: u64,
         /// The facts.
         facts: Vec<Fact>,
     },
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -10,7 +10,6 @@
 
 use crate::gateway::feed::Ledger;
 use crate::gateway::instances::PeerMessage;
-use crate::gateway::message::Input;
 use crate::metrics::Count;
 use crate::metrics::Metrics;
 
@@ -67,7 +66,7 @@
     }
 
     /// Passes others' messages on until the process ends.
-    pub async fn receive(self, inputs: Sender<Input>, ledger: Ledger) {
+    pub async fn receive(self, messages: Sender<PeerMessage>, ledger: Ledger) {
         let mut buf = [0; MAX_BYTES];
         loop {
             let len = match self.socket.recv_from(&mut buf).await {
@@ -82,8 +81,15 @@
             match bincode::serde::decode_from_slice(&buf[..len], config) {
                 Ok((PeerMessage::Item(item), _)) => ledger.take_item(item),
                 Ok((message, _)) => {
+                    if let PeerMessage::Alive {
+                        entries_digest: Some(digest),
+                        ..
+                    } = message
+                    {
+                        ledger.compare(digest);
+                    }
                     // The control thread ends only with the process.
-                    let _ = inputs.send(Input::Peer(message));
+                    let _ = messages.send(message);
                 }
                 Err(error) => {
                     self.metrics.add(Count::PeerFramesDropped, 1);
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -129,6 +129,8 @@
     pub first_reserved: u64,
     /// When the first token is predicted, in ms.
     pub first_token: f64,
+    /// When the other engines are predicted to have read their parts, in ms.
+    pub ready_at: f64,
     /// What is lost by this choice, in the unit of a request's value.
     pub loss: f64,
 }
@@ -372,6 +374,7 @@
             .collect(),
         first_reserved: 0,
         first_token,
+        ready_at,
         loss,
     }
 }
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -3,5 +3,7 @@
 
 mod core;
 mod engine;
+mod feed;
 mod load;
+mod memory;
 mod world;
--- a/src/gateway/tests/world.rs
+++ b/src/gateway/tests/world.rs
@@ -289,6 +289,7 @@
             let input = Input::Facts {
                 proved_at: Some(Millis::ZERO),
                 config_revision: 1,
+                entries_digest: 0,
                 facts: facts.clone(),
             };
             world.push(0.0, Event::Input(at, input));
@@ -393,6 +394,7 @@
                     let input = Input::Facts {
                         proved_at: Some(Millis(self.now as u64)),
                         config_revision: 1,
+                        entries_digest: 0,
                         facts: Vec::new(),
                     };
                     self.input(core, input);
