Try fewer engines for each placement

Cause: for each of nine numbers of parts every engine was forecast twice, 1,100 forecasts for one prompt among 60 engines. On a machine with an eighth of a core that is some 70 ms of a short prompt's 300.

Left whole, a prompt is still forecast on every engine, and half of it once on each. Only those that come first are tried further.

--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -21,9 +21,14 @@
 use crate::gateway::lanes::Lane;
 use crate::gateway::roster::ServerKey;
 
-/// Parts that a prompt may be split into, from which one number is chosen; 17
+/// Parts that a prompt may be split into, beside being left whole; 17
 /// is the first engine and the 16 others that an engine accepts.
-const PART_COUNTS: [usize; 9] = [1, 2, 3, 4, 6, 9, 12, 16, 17];
+const PART_COUNTS: [usize; 8] = [2, 3, 4, 6, 9, 12, 16, 17];
+/// Engines that are tried as the writer of a split prompt, of those best for it
+/// whole and of those best for a part.
+const WRITERS_TRIED: usize = 6;
+/// Engines that are tried for its parts beyond those that are needed.
+const HELPERS_TRIED: usize = 6;
 /// Engines that a request may name for its parts. Where memory is reserved, the
 /// first engine is one of them.
 const MAX_NAMED_PARTS: usize = 16;
@@ -162,23 +167,43 @@
     if needed > largest * MEMORY_FILL {
         return place_over_memory(now, prompt, &engines);
     }
-    let mut best: Option<Choice> = None;
+    let whole = place_whole(now, prompt, &engines);
+    let good_enough = prompt.value * GOOD_ENOUGH;
+    if engines.len() < 2 || whole.first().is_some_and(|best| best.loss < good_enough) {
+        return whole.into_iter().next();
+    }
+    let writers: Vec<ServerKey> = whole.iter().take(WRITERS_TRIED).map(|c| c.first).collect();
+    let mut best = whole.into_iter().next();
+    // Engines that are no good for one part are no good for smaller ones either.
+    let tried = prompt.prompt_tokens / 2.0;
+    let helpers: Vec<usize> = part_offers(now, prompt, &engines, tried, 0, None)
+        .iter()
+        .map(|offer| offer.at)
+        .collect();
     for count in PART_COUNTS {
         if !is_worth_splitting(prompt, &engines, count) {
             break;
         }
-        let choice = place_in_parts(now, prompt, &engines, count);
+        let choice = place_in_parts(now, prompt, &engines, count, &helpers, &writers);
         best = better(best, choice);
-        if best
-            .as_ref()
-            .is_some_and(|best| best.loss < prompt.value * GOOD_ENOUGH)
-        {
+        if best.as_ref().is_some_and(|best| best.loss < good_enough) {
             break;
         }
     }
     best
 }
 
+/// Returns the choices that leave a prompt whole, least loss first.
+fn place_whole(now: Millis, prompt: &Prompt, engines: &[Weighed<'_>]) -> Vec<Choice> {
+    let tokens = prompt.prompt_tokens;
+    let mut choices: Vec<Choice> = (0..engines.len())
+        .filter(|&at| engines[at].candidate.may_write && !is_full(&engines[at]))
+        .map(|at| evaluate(now, prompt, engines, at, &[], tokens, tokens))
+        .collect();
+    choices.sort_by(|a, b| a.loss.total_cmp(&b.loss));
+    choices
+}
+
 /// Returns what is lost if a prompt's first token comes at `at`, in ms.
 #[must_use]
 pub fn lateness_loss(value: f64, target: f64, due: f64, at: f64) -> f64 {
@@ -254,26 +279,30 @@
         return false;
     };
     let chunk = engine.candidate.load.spec().chunk_tokens as f64;
-    count == 1 || (count <= engines.len() && prompt.prompt_tokens > chunk * (count - 1) as f64)
+    count <= engines.len() && prompt.prompt_tokens > chunk * (count - 1) as f64
 }
 
+/// Places a prompt in parts: read by the first engines of `helpers`, and written
+/// by one of `writers`, or of the engines that read it.
 fn place_in_parts(
     now: Millis,
     prompt: &Prompt,
     engines: &[Weighed<'_>],
     count: usize,
+    helpers: &[usize],
+    writers: &[ServerKey],
 ) -> Option<Choice> {
     let part = prompt.prompt_tokens / count as f64;
-    let mut offers: Vec<PartOffer> = Vec::new();
-    if count > 1 {
-        offers = part_offers(now, prompt, engines, part, 0);
-        if offers.len() < count - 1 {
-            return None;
-        }
+    let tried = &helpers[..helpers.len().min(count + HELPERS_TRIED)];
+    let offers = part_offers(now, prompt, engines, part, 0, Some(tried));
+    if offers.len() < count - 1 {
+        return None;
     }
     let mut best = None;
     for (at, engine) in engines.iter().enumerate() {
-        if !engine.candidate.may_write || is_full(engine) {
+        let is_tried = writers.contains(&engine.candidate.key)
+            || tried.iter().take(WRITERS_TRIED).any(|&tried| tried == at);
+        if !is_tried || !engine.candidate.may_write || is_full(engine) {
             continue;
         }
         let helpers: Vec<&PartOffer> = offers
@@ -303,17 +332,22 @@
     load.requests() >= load.spec().slots as usize + ENGINE_QUEUE
 }
 
-/// Returns the engines that could read a part, least loss first.
+/// Returns the engines that could read a part, least loss first; of all, or of
+/// some only.
 fn part_offers(
     now: Millis,
     prompt: &Prompt,
     engines: &[Weighed<'_>],
     part: f64,
     memory: u64,
+    among: Option<&[usize]>,
 ) -> Vec<PartOffer> {
     let mut offers = Vec::new();
     for (at, engine) in engines.iter().enumerate() {
         let load = engine.candidate.load;
+        if among.is_some_and(|among| !among.contains(&at)) {
+            continue;
+        }
         if !engine.candidate.may_help || load.helping() >= load.spec().slots as usize {
             continue;
         }
@@ -408,11 +442,11 @@
 fn place_over_memory(now: Millis, prompt: &Prompt, engines: &[Weighed<'_>]) -> Option<Choice> {
     let mut best = None;
     for count in PART_COUNTS {
-        if count < 2 || count > engines.len() || count > MAX_NAMED_PARTS {
+        if count > engines.len() || count > MAX_NAMED_PARTS {
             continue;
         }
         let part = prompt.prompt_tokens / count as f64;
-        let offers = part_offers(now, prompt, engines, part, 0);
+        let offers = part_offers(now, prompt, engines, part, 0, None);
         let Some(chosen) = enough_memory(prompt, engines, &offers, count) else {
             continue;
         };
