--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -143,7 +143,7 @@
         match input {
             Input::Submit(ticket, submission) => self.submit(now, ticket, submission, &mut out),
             Input::Started(ticket) => self.started(now, ticket, &mut out),
-            Input::Progress(ticket) => self.progressed(now, ticket),
+            Input::Progress(ticket, at) => self.progressed(ticket, at),
             Input::ColdSeen(ticket, left) => self.cold_seen(now, ticket, left),
             Input::MemorySeen { addr, free } => self.memory_seen(now, &addr, free),
             Input::Ended(ticket, end) => self.ended(now, ticket, end, &mut out),
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -490,7 +490,7 @@
         self.tell(out, message);
     }
 
-    pub(super) fn progressed(&mut self, now: Millis, ticket: Ticket) {
+    pub(super) fn progressed(&mut self, ticket: Ticket, at: Millis) {
         let sent = self
             .requests
             .get_mut(&ticket)
@@ -498,9 +498,9 @@
         let Some(sent) = sent else {
             return;
         };
-        sent.longest_pause = sent.longest_pause.max(now.since(sent.last_output));
-        sent.last_output = now;
-        self.standing.progressed(now, sent.job, sent.server);
+        sent.longest_pause = sent.longest_pause.max(at.since(sent.last_output));
+        sent.last_output = at;
+        self.standing.progressed(at, sent.job, sent.server);
     }
 
     pub(super) fn cold_seen(&mut self, now: Millis, ticket: Ticket, left: Millis) {
--- a/src/gateway/core/standing.rs
+++ b/src/gateway/core/standing.rs
@@ -163,9 +163,9 @@
     }
 
     /// Takes over that a stream has gone on.
-    pub fn progressed(&mut self, now: Millis, key: JobKey, server: ServerKey) {
+    pub fn progressed(&mut self, at: Millis, key: JobKey, server: ServerKey) {
         if let Some(load) = self.engines.get_mut(&server) {
-            load.progressed(now, key);
+            load.progressed(at, key);
         }
     }
 
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -82,8 +82,8 @@
     let clock = Clock::start_boot();
     let metrics = Arc::new(Metrics::new());
     let (inputs, input_rx) = flume::unbounded();
-    // Nothing waits on this one: messages are handled with the next input.
-    let (messages, message_rx) = flume::unbounded();
+    // Nothing waits on these: they are handled with the next input.
+    let (later_inputs, later_rx) = flume::unbounded();
     let (outputs, output_rx) = unbounded_channel();
     let peer_socket = UdpSocket::bind(socket_addr(&cfg.gateway_peer_listen)?)?;
     let me = Me {
@@ -94,7 +94,7 @@
     let core = Core::new(me, bounds(cfg), Arc::clone(&metrics));
     thread::Builder::new()
         .name("control".to_owned())
-        .spawn(move || control(core, clock, &input_rx, &message_rx, &outputs, &left_out))?;
+        .spawn(move || control(core, clock, &input_rx, &later_rx, &outputs, &left_out))?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
@@ -103,7 +103,7 @@
         clock,
         metrics,
         inputs,
-        messages,
+        later_inputs,
         output_rx,
         peer_socket,
     );
@@ -128,7 +128,7 @@
     mut core: Core,
     clock: Clock,
     inputs: &Receiver<Input>,
-    messages: &Receiver<PeerMessage>,
+    later_inputs: &Receiver<Input>,
     outputs: &UnboundedSender<Output>,
     left_out: &LeftOut,
 ) {
@@ -152,8 +152,7 @@
                 log::warn!(lines = lines; "log lines left out: over the budget of lines a second");
             }
         }
-        let messages = messages.try_iter().map(Input::Peer);
-        for input in messages.chain([input]) {
+        for input in later_inputs.try_iter().chain([input]) {
             for output in core.handle(clock.now(), input) {
                 if outputs.send(output).is_err() {
                     return;
@@ -169,7 +168,7 @@
     clock: Clock,
     metrics: Arc<Metrics>,
     inputs: Sender<Input>,
-    messages: Sender<PeerMessage>,
+    later_inputs: Sender<Input>,
     outputs: UnboundedReceiver<Output>,
     peer_socket: UdpSocket,
 ) -> io::Result<bool> {
@@ -194,6 +193,7 @@
     let traffic = Rc::new(Traffic {
         upstream: upstream.clone(),
         inputs: inputs.clone(),
+        later_inputs: later_inputs.clone(),
         clock,
         metrics: Arc::clone(&metrics),
         directives: RefCell::new(HashMap::new()),
@@ -216,7 +216,7 @@
         spawn_local(server::serve_status(listener, ready, metrics));
     }
     let ledger = Ledger::new(inputs.clone());
-    spawn_local(peers.clone().receive(messages, ledger.clone()));
+    spawn_local(peers.clone().receive(later_inputs, ledger.clone()));
     let (watching_tx, watching) = watch::channel(Watching::Loosely);
     let store = cfg.gateway_store.clone();
     let feed = Feed::new(
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -225,20 +225,23 @@
         self.drop_finished_parts();
     }
 
-    /// Takes over that a stream has gone on: a pass has just ended, and the next
-    /// one begins.
-    pub fn progressed(&mut self, now: Millis, key: JobKey) {
-        self.advance(now);
+    /// Takes over that a stream has gone on: a pass has ended then, and the next
+    /// one has begun.
+    pub fn progressed(&mut self, at: Millis, key: JobKey) {
+        self.advance(at);
+        if at.0 as f64 <= self.clock {
+            return;
+        }
         if !self.jobs.iter().any(|job| job.key == key && job.started) {
             return;
         }
         let pass = self.begin();
-        let elapsed = now.0 as f64 - self.clock;
+        let elapsed = at.0 as f64 - self.clock;
         if elapsed > pass.ms * PASS_DONE_SHARE {
             self.end(&pass, None);
             self.expect_longer_answers();
         }
-        self.clock = now.0 as f64;
+        self.clock = at.0 as f64;
     }
 
     /// Takes over that a request is no longer on the engine.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -71,6 +71,8 @@
     pub upstream: Upstream,
     /// The control thread.
     pub inputs: Sender<Input>,
+    /// The control thread too, which is not woken for these.
+    pub later_inputs: Sender<Input>,
     /// The clock that the control thread uses too.
     pub clock: Clock,
     /// Metrics of the process.
@@ -241,6 +243,12 @@
         let _ = self.inputs.send(input);
     }
 
+    /// Tells the control thread what it may learn with its next input.
+    pub fn tell_later(&self, input: Input) {
+        // The control thread ends only with the process.
+        let _ = self.later_inputs.send(input);
+    }
+
     /// Hands an output to the request that it is for.
     pub fn direct(&self, ticket: Ticket, output: Output) {
         if let Some(tx) = self.directives.borrow().get(&ticket) {
@@ -519,11 +527,13 @@
             let Some(whole) = self.events.push(&data) else {
                 continue;
             };
-            self.traffic.tell(match started {
-                true => Input::Progress(self.ticket),
-                false => Input::Started(self.ticket),
-            });
-            started = true;
+            if started {
+                let at = self.traffic.clock.now();
+                self.traffic.tell_later(Input::Progress(self.ticket, at));
+            } else {
+                started = true;
+                self.traffic.tell(Input::Started(self.ticket));
+            }
             if !self.pass_events(&parts, whole).await {
                 return SendEnd::CallerGone;
             }
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -201,8 +201,8 @@
     Submit(Ticket, Submission),
     /// The first output of a send has come.
     Started(Ticket),
-    /// A stream that has begun went on.
-    Progress(Ticket),
+    /// A stream that has begun went on at this time.
+    Progress(Ticket, Millis),
     /// A backend server's answer said how long it stays cold.
     ColdSeen(Ticket, Millis),
     /// An engine said how much memory it has left, in tokens.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -10,6 +10,7 @@
 
 use crate::gateway::feed::Ledger;
 use crate::gateway::instances::PeerMessage;
+use crate::gateway::message::Input;
 use crate::metrics::Count;
 use crate::metrics::Metrics;
 
@@ -66,7 +67,7 @@
     }
 
     /// Passes others' messages on until the process ends.
-    pub async fn receive(self, messages: Sender<PeerMessage>, ledger: Ledger) {
+    pub async fn receive(self, later_inputs: Sender<Input>, ledger: Ledger) {
         let mut buf = [0; MAX_BYTES];
         loop {
             let len = match self.socket.recv_from(&mut buf).await {
@@ -89,7 +90,7 @@
                         ledger.compare(digest);
                     }
                     // The control thread ends only with the process.
-                    let _ = messages.send(message);
+                    let _ = later_inputs.send(Input::Peer(message));
                 }
                 Err(error) => {
                     self.metrics.add(Count::PeerFramesDropped, 1);
