Give engines no more than their slots; learn their pace from passes

Up to 16 requests beyond its slots were put into an engine's queue where all were full. Now the request waits a moment for a slot, then is refused with the time that engines take to write what fills them.

--- a/src/gateway/core/endings.rs
+++ b/src/gateway/core/endings.rs
@@ -27,8 +27,9 @@
 /// Part of a caller's time that Retry-After may take; callers do not wait
 /// longer.
 const RETRY_AFTER_DIVISOR: u64 = 3;
-/// Retry-After where nothing tells when a backend server will be free.
-const RETRY_AFTER_DEFAULT: Millis = Millis(500);
+/// Retry-After where no backend server has room: about as long as engines take
+/// to write the answers that fill them.
+const RETRY_AFTER_DEFAULT: Millis = Millis(3_000);
 
 impl Core {
     pub(super) fn ended(
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -474,10 +474,6 @@
         );
         self.metrics.observe(Timing::FirstOutput, &route, waited);
         self.standing.started(now, sent.job, &sent.servers());
-        if sent.parts.is_empty() {
-            self.standing
-                .observe_pace(sent.server, sent.predicted_ms, observed_ms as f64);
-        }
         if self.standing.engine(sent.server).is_none() {
             return;
         }
--- a/src/gateway/core/standing.rs
+++ b/src/gateway/core/standing.rs
@@ -21,18 +21,9 @@
 /// Time after which a call to a plain server that was never reported as ended
 /// is dropped; no route waits longer.
 const FORGET_CALL: Millis = Millis(5_000);
-/// Weight of the newest observation of an engine's pace.
-const PACE_WEIGHT: f64 = 0.3;
-/// Factor by which a first token has to be later than predicted before the
-/// engine counts as slow: single predictions are that far off.
-const PACE_TOLERANCE: f64 = 1.5;
-/// Lateness in ms below which it says nothing about the engine's pace.
-const PACE_SLACK_MS: f64 = 150.0;
 /// Share of the shortest wanted pause that reading a short prompt may take, so
 /// that it fits into a pass beside writers.
 const LONG_READ_SHARE: f64 = 0.7;
-/// Greatest pace that is assumed.
-const PACE_MAX: f64 = 12.0;
 
 /// Work on all backend servers.
 #[derive(Debug, Default)]
@@ -188,21 +179,6 @@
         }
     }
 
-    /// Learns an engine's pace from a first token.
-    pub fn observe_pace(&mut self, server: ServerKey, predicted_ms: f64, observed_ms: f64) {
-        let Some(load) = self.engines.get_mut(&server) else {
-            return;
-        };
-        let ratio = observed_ms / predicted_ms.max(1.0);
-        let slow = ratio > PACE_TOLERANCE && observed_ms - predicted_ms > PACE_SLACK_MS;
-        let seen = if slow {
-            (ratio * load.pace()).min(PACE_MAX)
-        } else {
-            1.0
-        };
-        load.set_pace(load.pace() * (1.0 - PACE_WEIGHT) + seen * PACE_WEIGHT);
-    }
-
     /// Forgets what stood on a server that has started anew.
     pub fn restarted(&mut self, key: ServerKey) {
         if let Some(load) = self.engines.get_mut(&key) {
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -26,6 +26,14 @@
 /// Share of a pass after which a sign of its end is taken for that, and not for
 /// the end of the one before.
 const PASS_DONE_SHARE: f64 = 0.5;
+/// Passes that are remembered of an engine.
+const PACE_PASSES: usize = 6;
+/// Factor up to which a pass that is too long says nothing: events have their
+/// way, and their times are in whole ms.
+const PACE_TOLERANCE: f64 = 1.25;
+/// Time without a pass that was seen whole after which an engine counts as sound
+/// again.
+const PACE_LIFE: Millis = Millis(5_000);
 /// Time after which a request that was never reported as ended is dropped.
 const FORGET_AFTER: Millis = Millis::from_secs(30);
 
@@ -94,8 +102,7 @@
 #[derive(Debug, Clone)]
 pub struct EngineLoad {
     spec: EngineSpec,
-    /// Factor by which it is slower than its published figures.
-    pace: f64,
+    pace: Pace,
     /// Time up to which passes have been played, in ms.
     clock: f64,
     jobs: Vec<Job>,
@@ -105,6 +112,59 @@
     unknown_at: Millis,
 }
 
+/// How much slower an engine is than its published figures, by the passes that
+/// were seen whole: from events of a stream to the next ones. A pass may also
+/// take longer as it reads what this instance does not know of, so the quickest
+/// of the last passes counts.
+#[derive(Debug, Clone, Default)]
+struct Pace {
+    /// When the pass that runs began, and how long it should take, in ms.
+    began: Option<(Millis, f64)>,
+    /// The last passes: time taken by time published.
+    recent: [f64; PACE_PASSES],
+    seen: usize,
+    seen_at: Millis,
+}
+
+impl Pace {
+    fn factor(&self) -> f64 {
+        if self.seen < PACE_PASSES {
+            return 1.0;
+        }
+        let quickest = self.recent.iter().copied().fold(f64::INFINITY, f64::min);
+        match quickest > PACE_TOLERANCE {
+            true => quickest,
+            false => 1.0,
+        }
+    }
+
+    fn pass_ended(&mut self, at: Millis) {
+        if at.since(self.seen_at) > PACE_LIFE {
+            self.seen = 0;
+        }
+        let Some((began, published_ms)) = self.began else {
+            return;
+        };
+        let ratio = at.since(began).0 as f64 / published_ms.max(1.0);
+        // Other streams of the same pass.
+        if ratio < PASS_DONE_SHARE {
+            return;
+        }
+        self.recent[self.seen % PACE_PASSES] = ratio;
+        self.seen += 1;
+        self.seen_at = at;
+    }
+
+    fn pass_began(&mut self, at: Millis, published_ms: f64) {
+        let same_pass = self
+            .began
+            .is_some_and(|(began, ms)| (at.since(began).0 as f64) < ms * PASS_DONE_SHARE);
+        if !same_pass {
+            self.began = Some((at, published_ms));
+        }
+    }
+}
+
 /// When prompts will be read.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Forecast {
@@ -122,7 +182,7 @@
     pub fn new(now: Millis, spec: EngineSpec) -> EngineLoad {
         EngineLoad {
             spec,
-            pace: 1.0,
+            pace: Pace::default(),
             clock: now.0 as f64,
             jobs: Vec::new(),
             unknown_memory: 0.0,
@@ -141,15 +201,10 @@
         &self.spec
     }
 
-    /// Sets the factor by which the engine is slower than published.
-    pub fn set_pace(&mut self, pace: f64) {
-        self.pace = pace.max(1.0);
-    }
-
     /// Returns the factor by which the engine is slower than published.
     #[must_use]
     pub fn pace(&self) -> f64 {
-        self.pace
+        self.pace.factor()
     }
 
     /// Returns the requests and parts on the engine.
@@ -235,6 +290,7 @@
         if !self.jobs.iter().any(|job| job.key == key && job.started) {
             return;
         }
+        self.pace.pass_ended(at);
         let pass = self.begin();
         let elapsed = at.0 as f64 - self.clock;
         if elapsed > pass.ms * PASS_DONE_SHARE {
@@ -242,6 +298,8 @@
             self.expect_longer_answers();
         }
         self.clock = at.0 as f64;
+        let published_ms = self.begin().ms / self.pace();
+        self.pace.pass_began(at, published_ms);
     }
 
     /// Takes over that a request is no longer on the engine.
@@ -253,6 +311,7 @@
     /// Forgets all: the engine has started anew.
     pub fn clear(&mut self) {
         self.jobs.clear();
+        self.pace = Pace::default();
     }
 
     /// Plays the passes up to `now`.
@@ -383,7 +442,7 @@
             }
         }
         Pass {
-            ms: (steps * step + reading_ms) * self.pace,
+            ms: (steps * step + reading_ms) * self.pace(),
             idle: false,
         }
     }
@@ -391,7 +450,7 @@
     /// Begins passes in which nobody writes: the first prompt is read step by
     /// step until it is done, or until something else comes.
     fn begin_reading(&mut self, step: f64, chunk: f64) -> Pass {
-        let (clock, spec, pace) = (self.clock, self.spec, self.pace);
+        let (clock, spec, pace) = (self.clock, self.spec, self.pace());
         let next = self.next_event();
         let Some(job) = self.jobs.iter_mut().find(|job| job.reads(clock)) else {
             return Pass {
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -71,9 +71,6 @@
 /// Share of a request's value below which a loss ends the search for a better
 /// choice.
 const GOOD_ENOUGH: f64 = 0.001;
-/// Requests that wait in an engine's own queue at most, beyond its slots; more
-/// are refused there.
-const ENGINE_QUEUE: usize = 16;
 
 /// A prompt that is to be placed.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -329,7 +326,7 @@
 
 fn is_full(engine: &Weighed<'_>) -> bool {
     let load = engine.candidate.load;
-    load.requests() >= load.spec().slots as usize + ENGINE_QUEUE
+    load.requests() >= load.spec().slots as usize
 }
 
 /// Returns the engines that could read a part, least loss first; of all, or of
@@ -397,9 +394,6 @@
     if engine.free_memory < held + prompt.output_tokens {
         loss += prompt.value * MEMORY_LOSS;
     }
-    if load.requests() >= load.spec().slots as usize {
-        loss += prompt.value * LATE_LOSS;
-    }
     Choice {
         first: engine.candidate.key,
         parts: helpers
--- a/src/gateway/tests/engine.rs
+++ b/src/gateway/tests/engine.rs
@@ -141,6 +141,31 @@
     assert!(newer < older, "{newer} {older}");
 }
 
+#[test]
+fn the_pace_is_learnt_from_whole_passes() {
+    let mut load = EngineLoad::new(Millis(0), spec());
+    load.place(Millis(0), whole(0, 1, 1_000.0));
+    load.started(Millis(10), JobKey(1));
+    let pass_ms = 44;
+    for pass in 1..10 {
+        load.progressed(Millis(10 + pass * pass_ms), JobKey(1));
+    }
+    assert!((load.pace() - 1.0).abs() < 1e-9, "{}", load.pace());
+    for pass in 1..10 {
+        load.progressed(Millis(406 + pass * pass_ms * 3), JobKey(1));
+    }
+    assert!((2.5..3.5).contains(&load.pace()), "{}", load.pace());
+    // One long pass is no slow engine.
+    let mut load = EngineLoad::new(Millis(0), spec());
+    load.place(Millis(0), whole(0, 1, 1_000.0));
+    load.started(Millis(10), JobKey(1));
+    for pass in 1..10 {
+        let late = if pass == 9 { 400 } else { 0 };
+        load.progressed(Millis(10 + pass * pass_ms + late), JobKey(1));
+    }
+    assert!((load.pace() - 1.0).abs() < 1e-9, "{}", load.pace());
+}
+
 #[test]
 fn what_was_never_reported_as_ended_is_forgotten() {
     let mut load = EngineLoad::new(Millis(0), spec());
