--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -18,6 +18,7 @@
 pub mod lanes;
 pub mod memory;
 pub mod message;
+pub mod pace;
 pub mod peers;
 pub mod placement;
 pub mod roster;
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -16,6 +16,8 @@
 //! where a long one delays every short one beside it.
 
 use crate::clock::Millis;
+use crate::gateway::pace::PASS_DONE_SHARE;
+use crate::gateway::pace::Pace;
 use crate::gateway::route::EngineSpec;
 
 /// Passes that a forecast plays at most; one without writers takes 10 ms or
@@ -23,17 +25,6 @@
 const MAX_FORECAST_PASSES: usize = 160;
 /// Part of a token below which a prompt counts as read.
 const READ_EPSILON: f64 = 0.5;
-/// Share of a pass after which a sign of its end is taken for that, and not for
-/// the end of the one before.
-const PASS_DONE_SHARE: f64 = 0.5;
-/// Passes that are remembered of an engine.
-const PACE_PASSES: usize = 6;
-/// Factor up to which a pass that is too long says nothing: events have their
-/// way, and their times are in whole ms.
-const PACE_TOLERANCE: f64 = 1.25;
-/// Time without a pass that was seen whole after which an engine counts as sound
-/// again.
-const PACE_LIFE: Millis = Millis(5_000);
 /// Time after which a request that was never reported as ended is dropped.
 const FORGET_AFTER: Millis = Millis::from_secs(30);
 
@@ -112,59 +103,6 @@
     unknown_at: Millis,
 }
 
-/// How much slower an engine is than its published figures, by the passes that
-/// were seen whole: from events of a stream to the next ones. A pass may also
-/// take longer as it reads what this instance does not know of, so the quickest
-/// of the last passes counts.
-#[derive(Debug, Clone, Default)]
-struct Pace {
-    /// When the pass that runs began, and how long it should take, in ms.
-    began: Option<(Millis, f64)>,
-    /// The last passes: time taken by time published.
-    recent: [f64; PACE_PASSES],
-    seen: usize,
-    seen_at: Millis,
-}
-
-impl Pace {
-    fn factor(&self) -> f64 {
-        if self.seen < PACE_PASSES {
-            return 1.0;
-        }
-        let quickest = self.recent.iter().copied().fold(f64::INFINITY, f64::min);
-        match quickest > PACE_TOLERANCE {
-            true => quickest,
-            false => 1.0,
-        }
-    }
-
-    fn pass_ended(&mut self, at: Millis) {
-        if at.since(self.seen_at) > PACE_LIFE {
-            self.seen = 0;
-        }
-        let Some((began, published_ms)) = self.began else {
-            return;
-        };
-        let ratio = at.since(began).0 as f64 / published_ms.max(1.0);
-        // Other streams of the same pass.
-        if ratio < PASS_DONE_SHARE {
-            return;
-        }
-        self.recent[self.seen % PACE_PASSES] = ratio;
-        self.seen += 1;
-        self.seen_at = at;
-    }
-
-    fn pass_began(&mut self, at: Millis, published_ms: f64) {
-        let same_pass = self
-            .began
-            .is_some_and(|(began, ms)| (at.since(began).0 as f64) < ms * PASS_DONE_SHARE);
-        if !same_pass {
-            self.began = Some((at, published_ms));
-        }
-    }
-}
-
 /// When prompts will be read.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Forecast {
