Give reserved memory back before it is idle for too long

A prompt over one engine's memory waited behind others while its reservations were renewed; a send without output was given up only at its forecast plus what callers wait for, which is later than the 9 s after which unused memory is a breach.

A send with reservations that has no output 8 s after it was placed ends now. The played load checks the bound of every plan.

--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -53,6 +53,9 @@
 /// without renewal. The rest is for the last order of an instance that has died,
 /// which may be carried out late.
 const HOLD_DIVISOR: u64 = 2;
+/// Time before reserved memory counts as idle for too long at which a send
+/// without output gives it back: the orders' way, and one that gets lost.
+const IDLE_MARGIN: Millis = Millis(1_000);
 /// Share of a request's value by which its engine is chosen at random, for each
 /// instance: the more there are, the more place at the same moment.
 const SCATTER_PER_INSTANCE: f64 = 0.0015;
@@ -388,6 +391,10 @@
                 });
             }
         }
+        let mut output_due = output_due(now, request, choice.first_token);
+        if !reservations.is_empty() {
+            output_due = output_due.min(now + self.bounds.memory_idle - IDLE_MARGIN);
+        }
         Plan {
             send: request.total_sends(),
             addr: server.entry.addr.clone(),
@@ -399,7 +406,7 @@
             workspace: request.workspace.name.clone(),
             answer_due: request.answer_due,
             silence: silence_limit(&request.route),
-            output_due: output_due(now, request, choice.first_token),
+            output_due,
             resumable: request.route.repeat == Repeat::Resume,
             streaming: request.route.streaming,
             retry_failures: request.route.repeat != Repeat::Never
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -15,6 +15,9 @@
     pub retry_extra: f64,
     /// Time after which reserved memory that nobody uses has to be free.
     pub memory_free: Millis,
+    /// Time after which memory that is reserved and not used counts as idle for
+    /// too long.
+    pub memory_idle: Millis,
     /// Time in which entries that lapsed with the store come back.
     pub store_return: Millis,
 }
@@ -27,6 +30,7 @@
             retry_ratio: 0.2,
             retry_extra: 100.0,
             memory_free: Millis(4_000),
+            memory_idle: Millis(9_000),
             store_return: Millis(2_000),
         }
     }
--- a/src/gateway/tests/world.rs
+++ b/src/gateway/tests/world.rs
@@ -513,6 +513,9 @@
 
     fn reserve(&mut self, at: usize, plan: &Plan) -> bool {
         for reservation in &plan.reservations {
+            // A send that an engine does not begin gives its memory back before it
+            // counts as idle for too long: after 9 s.
+            assert!((plan.output_due.0 as f64) < self.now + 9_000.0);
             // Should the instance die now, and its order be carried out late, the
             // memory is free again before it counts as leaked.
             assert!(reservation.hold + LATE_ORDER < reservation.free_limit);
