Log which time limit ended an attempt and why it is not retried

So they cannot tell whether a configuration change or an engine's pause cut the streams.

New lines: 'time limit reached' (limit), 'not retried' (cause) and 'caller's connection is closed after its response'.

--- a/src/gateway/core/endings.rs
+++ b/src/gateway/core/endings.rs
@@ -193,18 +193,21 @@
         };
         request.attempts_maybe_run += 1;
         request.verdict = Verdict::MayHaveRun;
-        let is_repeatable = match request.route.run_policy {
-            RunPolicy::Idempotent => !request.output_begun,
-            RunPolicy::Resumable => true,
-            RunPolicy::AtMostOnce => false,
-        };
         let service = request.service.clone();
-        let may_retry = is_repeatable
-            && request.attempts_maybe_run < request.route.max_attempts
-            && now + ANSWER_MARGIN < request.response_deadline;
-        if may_retry && self.budgets.try_withdraw(&service) {
-            return self.place_request(now, ticket, out);
-        }
+        let blocker = match retry_blocker(now, request) {
+            None if self.budgets.try_withdraw(&service) => {
+                return self.place_request(now, ticket, out);
+            }
+            None => RetryBlocker::Budget,
+            Some(blocker) => blocker,
+        };
+        log::info!(
+            request = self.requests[&ticket].submission.head.request_id.as_str(),
+            cause:? = blocker,
+            attempts = self.requests[&ticket].attempts_maybe_run,
+            left_ms = self.requests[&ticket].response_deadline.since(now).0;
+            "not retried"
+        );
         if end == AttemptEnd::Failed {
             out.push(Output::ForwardFailure(ticket));
             return self.finish(now, ticket, Count::FailedMayHaveRun);
@@ -327,6 +330,36 @@
     }
 }
 
+/// Reason why a request that may have run is not sent again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RetryBlocker {
+    /// The request may run only once, or its output cannot be resumed.
+    RunPolicy,
+    /// The route's maximum number of attempts is reached.
+    AttemptLimit,
+    /// The time left is too short to deliver an answer.
+    Deadline,
+    /// The retry budget of the service is used up.
+    Budget,
+}
+
+/// Returns why a request must not be sent again, or `None` if only the retry
+/// budget can forbid it.
+pub(super) fn retry_blocker(now: Millis, request: &Request) -> Option<RetryBlocker> {
+    let is_repeatable = match request.route.run_policy {
+        RunPolicy::Idempotent => !request.output_begun,
+        RunPolicy::Resumable => true,
+        RunPolicy::AtMostOnce => false,
+    };
+    if !is_repeatable {
+        return Some(RetryBlocker::RunPolicy);
+    }
+    if request.attempts_maybe_run >= request.route.max_attempts {
+        return Some(RetryBlocker::AttemptLimit);
+    }
+    (now + ANSWER_MARGIN >= request.response_deadline).then_some(RetryBlocker::Deadline)
+}
+
 /// Returns the final answer to a failed request. Only a request that has not
 /// run gets a refusal that permits any caller to retry, whether or not the
 /// request is idempotent.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -203,6 +203,17 @@
     hash.digest()
 }
 
+/// Logs that a time limit ended an attempt, and which one.
+fn log_time_limit(request_id: &str, plan: &AttemptPlan, limit: &str) {
+    log::info!(
+        request = request_id,
+        server = plan.server_id.as_str(),
+        limit = limit,
+        max_gap_ms = plan.max_output_gap.0;
+        "time limit reached"
+    );
+}
+
 /// Runs a request through all its attempts.
 async fn run_request(
     traffic: Rc<Traffic>,
@@ -317,9 +328,13 @@
             Err(end) => return end,
         };
         let renewal = memory.renew(reservations.clone());
+        let request_id = self.caller_request.head.request_id.clone();
         let end = tokio::select! {
             end = self.send_and_forward(plan) => end,
-            () = sleep_until(due) => AttemptEnd::Silent,
+            () = sleep_until(due) => {
+                log_time_limit(&request_id, plan, "response");
+                AttemptEnd::Silent
+            }
             () = renewal => AttemptEnd::Silent,
         };
         for reservation in reservations {
@@ -352,7 +367,10 @@
             }
         };
         match sent {
-            Err(_) => AttemptEnd::Silent,
+            Err(_) => {
+                log_time_limit(self.request_id(), plan, "first_output");
+                AttemptEnd::Silent
+            }
             Ok(Err(CallError::NotSent(cause))) => {
                 log::info!(request = self.request_id(), server = plan.server_id.as_str(), cause = cause.as_str(); "not sent");
                 AttemptEnd::NotSent
@@ -447,8 +465,15 @@
                 )
                 .await;
         }
-        self.forward_complete(parts, body, connection, idle_timeout, first_output_deadline)
-            .await
+        self.forward_complete(
+            plan,
+            parts,
+            body,
+            connection,
+            idle_timeout,
+            first_output_deadline,
+        )
+        .await
     }
 
     /// Reads the rest of a refusal, so that its connection can be reused.
@@ -497,6 +522,7 @@
     /// Forwards a non-streaming response after it has been received completely.
     async fn forward_complete(
         &mut self,
+        plan: &AttemptPlan,
         parts: http::response::Parts,
         body: Incoming,
         connection: PooledConnection,
@@ -513,7 +539,10 @@
                 log::info!(request = self.request_id(), cause:% = error; "answer broke off");
                 return AttemptEnd::Broken;
             }
-            Err(_) => return AttemptEnd::Silent,
+            Err(_) => {
+                log_time_limit(self.request_id(), plan, "first_output");
+                return AttemptEnd::Silent;
+            }
         };
         connection.return_to_pool(idle_timeout);
         self.traffic.send_input(Input::FirstOutput(self.ticket));
@@ -546,7 +575,14 @@
                 () = self.response.caller_disconnected() => return AttemptEnd::CallerGone,
             };
             let data = match frame {
-                Err(_) => return AttemptEnd::Silent,
+                Err(_) => {
+                    let limit = match first_output_seen {
+                        true => "output_gap",
+                        false => "first_output",
+                    };
+                    log_time_limit(self.request_id(), plan, limit);
+                    return AttemptEnd::Silent;
+                }
                 Ok(Some(Err(error))) => {
                     log::info!(request = self.request_id(), cause:% = error; "stream broke off");
                     return AttemptEnd::Broken;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -163,6 +163,12 @@
         }
         if should_close(&context, state.get()) && !closing {
             closing = true;
+            log::info!(
+                state:? = state.get(),
+                phase:? = *context.phase.borrow(),
+                idle_timeout_ms = context.limits.borrow().idle_timeout.0;
+                "caller's connection is closed after its response"
+            );
             connection.as_mut().graceful_shutdown();
         }
     }
