Reproduce answers that are cut while their backend server pauses

Two process tests that fail on the present code: a stream whose only server pauses for 2.2 s is cut after 1.7 s, and an idempotent call whose only server needs 2.4 s of the 4 s allowed gets 502 after 2 s.

--- a/tests/gateway/path.rs
+++ b/tests/gateway/path.rs
@@ -1,5 +1,8 @@
 //! The whole path of a request, from the store to the last event of a stream.
 
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
 use nix::sys::signal::Signal;
 use tempfile::TempDir;
 
@@ -8,6 +11,7 @@
 use crate::platform::Runs;
 use crate::platform::Store;
 use crate::platform::configuration;
+use crate::process::Answer;
 use crate::process::Gateway;
 use crate::process::call;
 use crate::process::raw;
@@ -94,12 +98,10 @@
 fn a_stream_that_breaks_off_goes_on_elsewhere_without_a_gap() {
     let stage = stage();
     for backend in &stage.backends {
-        backend.broken.store(1, std::sync::atomic::Ordering::SeqCst);
+        backend.broken.store(1, Ordering::SeqCst);
     }
     // Only one of the two may break off, as two sends are allowed.
-    stage.backends[1]
-        .broken
-        .store(0, std::sync::atomic::Ordering::SeqCst);
+    stage.backends[1].broken.store(0, Ordering::SeqCst);
     for id in ["a", "b"] {
         let answer = call(
             stage.gateway.callers,
@@ -118,7 +120,7 @@
 fn a_call_whose_answer_breaks_off_may_have_run_and_is_not_repeated() {
     let stage = stage();
     for backend in &stage.backends {
-        backend.broken.store(1, std::sync::atomic::Ordering::SeqCst);
+        backend.broken.store(1, Ordering::SeqCst);
     }
     let answer = call(stage.gateway.callers, "POST", "/once/1", &headers("a"), "x").unwrap();
     // The server may leave the connection open, so that only time tells.
@@ -126,6 +128,34 @@
     assert_eq!(stage.runs.of("a"), 1);
 }
 
+/// Sends a request with a time limit of 4 s to a stage on which only one server
+/// is listed, and which pauses for that time.
+fn call_one_pausing_server(path: &str, pause: Duration) -> Answer {
+    let stage = stage();
+    stage.store.remove("servers/i-2");
+    stage.gateway.wait_line("backend server gone");
+    let pause_ms = u64::try_from(pause.as_millis()).unwrap();
+    stage.backends[0].pauses.store(pause_ms, Ordering::SeqCst);
+    let mut headers = headers("a");
+    headers[1].1 = "4000";
+    let answer = call(stage.gateway.callers, "POST", path, &headers, "x").unwrap();
+    assert_eq!(stage.runs.of("a"), 1);
+    answer
+}
+
+#[test]
+fn a_stream_is_not_cut_during_a_pause_that_no_other_server_can_bridge() {
+    let answer = call_one_pausing_server("/stream/1", Duration::from_millis(2_200));
+    assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+    assert_eq!(answer.body, whole_stream());
+}
+
+#[test]
+fn a_slow_call_is_not_refused_while_no_other_server_can_answer_it() {
+    let answer = call_one_pausing_server("/again/1", Duration::from_millis(2_400));
+    assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+}
+
 #[test]
 fn what_is_not_allowed_is_refused() {
     let stage = stage();
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -164,6 +164,9 @@
     pub addr: SocketAddr,
     /// Answers left that it breaks off in the middle.
     pub broken: Arc<AtomicU64>,
+    /// Time in ms for which it pauses in the middle of a stream, and before any
+    /// other answer.
+    pub pauses: Arc<AtomicU64>,
 }
 
 /// Events of a stream.
@@ -172,12 +175,14 @@
 impl Backend {
     pub fn start(id: &str, runs: Runs) -> io::Result<Backend> {
         let broken = Arc::new(AtomicU64::new(0));
-        let (name, breaks) = (id.to_owned(), Arc::clone(&broken));
-        let addr = serve(move |request| answer(&name, &runs, &breaks, request))?;
+        let pauses = Arc::new(AtomicU64::new(0));
+        let (name, breaks, pause) = (id.to_owned(), Arc::clone(&broken), Arc::clone(&pauses));
+        let addr = serve(move |request| answer(&name, &runs, &breaks, &pause, request))?;
         Ok(Backend {
             id: id.to_owned(),
             addr,
             broken,
+            pauses,
         })
     }
 
@@ -190,7 +195,7 @@
     }
 }
 
-fn answer(name: &str, runs: &Runs, broken: &AtomicU64, request: Request) {
+fn answer(name: &str, runs: &Runs, broken: &AtomicU64, pauses: &AtomicU64, request: Request) {
     let header = |wanted: &str| {
         let found = request
             .headers()
@@ -225,10 +230,24 @@
     }
     head += &format!("Content-Length: {}\r\n\r\n", text.len());
     let mut writer = request.into_writer();
-    // Half an answer, as a server that dies gives it: in the middle of an event.
-    let end = if breaks { text.len() / 2 } else { text.len() };
+    let pause = Duration::from_millis(pauses.load(Ordering::SeqCst));
+    let (first_half, second_half) = text.as_bytes().split_at(text.len() / 2);
+    if !streams {
+        thread::sleep(pause);
+    }
+    // A caller that has left needs no answer.
     let _ = writer.write_all(head.as_bytes());
-    let _ = writer.write_all(&text.as_bytes()[..end]);
+    let _ = writer.write_all(first_half);
+    let _ = writer.flush();
+    if breaks {
+        // Half an answer, as a server that dies gives it: in the middle of an
+        // event.
+        return;
+    }
+    if streams {
+        thread::sleep(pause);
+    }
+    let _ = writer.write_all(second_half);
     let _ = writer.flush();
 }
 
