End attempts without output only when another server takes over

What callers saw: streams and idempotent calls ended without their answer, although their backend server was sound and time was left.

Cause: the forwarder cancelled an attempt at 85% of the caller's patience, or at half of a call's time limit, and asked the core afterwards whether the request may be sent again. Where it may not (attempt limit, retry budget, no server in time), the answer was lost.

The core now watches for stalled attempts on its ticks. It replaces one only if the attempt limit and the retry budget allow it and another server is expected to answer before the caller disconnects; the first attempt runs until then. Otherwise the attempt goes on and ends with its answer, with the caller or at the deadline. Reports of attempts carry the attempt's number, because one that was replaced may still report its end.

--- a/src/attempt/budget.rs
+++ b/src/attempt/budget.rs
@@ -51,13 +51,18 @@
         *balance = (*balance + earned_per_try).min(max_saved);
     }
 
+    /// Returns whether the budget allows one retry.
+    #[must_use]
+    pub fn can_withdraw(&mut self, model: &str) -> bool {
+        *self.balance(model) >= 1.0
+    }
+
     /// Spends one retry; returns whether the budget allowed it.
     pub fn try_withdraw(&mut self, model: &str) -> bool {
-        let balance = self.balance(model);
-        if *balance < 1.0 {
+        if !self.can_withdraw(model) {
             return false;
         }
-        *balance -= 1.0;
+        *self.balance(model) -= 1.0;
         true
     }
 
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -12,6 +12,7 @@
 mod freshness;
 mod health;
 mod requests;
+mod stalls;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -146,11 +147,15 @@
         let mut out = Vec::new();
         match input {
             Input::Submit(ticket, submission) => self.submit(now, ticket, submission, &mut out),
-            Input::FirstOutput(ticket) => self.on_first_output(now, ticket, &mut out),
-            Input::Progress(ticket, at) => self.on_progress(ticket, at),
+            Input::FirstOutput(ticket, attempt) => {
+                self.on_first_output(now, ticket, attempt, &mut out);
+            }
+            Input::Progress(ticket, attempt, at) => self.on_progress(ticket, attempt, at),
             Input::ColdReported(ticket, left) => self.on_cold_reported(now, ticket, left),
             Input::FreeMemoryReported { addr, free } => self.on_memory_reported(now, &addr, free),
-            Input::AttemptEnded(ticket, end) => self.on_attempt_ended(now, ticket, end, &mut out),
+            Input::AttemptEnded(ticket, attempt, end) => {
+                self.on_attempt_ended(now, ticket, attempt, end, &mut out);
+            }
             Input::StoreUpdates {
                 proved_at,
                 config_revision,
@@ -185,6 +190,7 @@
         }
         self.drop_lapsed_servers(now);
         self.retry_waiting(now, out);
+        self.move_stalled_attempts(now, out);
         if now >= self.next_heartbeat {
             self.send_heartbeat(now, out);
         }
--- a/src/gateway/core/endings.rs
+++ b/src/gateway/core/endings.rs
@@ -8,6 +8,7 @@
 use crate::clock::Millis;
 use crate::gateway::instances::PeerMessage;
 use crate::gateway::message::AttemptEnd;
+use crate::gateway::message::AttemptNumber;
 use crate::gateway::message::Output;
 use crate::gateway::message::Ticket;
 use crate::gateway::route::RunPolicy;
@@ -38,18 +39,59 @@
         &mut self,
         now: Millis,
         ticket: Ticket,
+        number: AttemptNumber,
         end: AttemptEnd,
         out: &mut Vec<Output>,
     ) {
-        let Some(request) = self.requests.get_mut(&ticket) else {
+        let Some(request) = self.requests.get(&ticket) else {
             return;
         };
-        let Some(attempt) = request.active_attempt.take() else {
+        // After these ends the request is over, whichever attempt they report.
+        let is_final = matches!(end, AttemptEnd::Whole | AttemptEnd::CallerGone);
+        let is_current = request
+            .active_attempt
+            .as_ref()
+            .is_none_or(|attempt| attempt.number == number);
+        if !is_final && !is_current {
+            return;
+        }
+        if request.active_attempt.is_none() {
             // The caller left while the request waited for a backend server.
             self.requests.remove(&ticket);
             return;
+        }
+        self.end_active_attempt(now, ticket, end, out);
+        match end {
+            AttemptEnd::Whole => self.finish(now, ticket, Count::Done),
+            AttemptEnd::CallerGone => self.finish(now, ticket, Count::CallersGone),
+            AttemptEnd::NotSent
+            | AttemptEnd::NoMemory
+            | AttemptEnd::Misdirected
+            | AttemptEnd::Refused => {
+                self.retry_not_run(now, ticket, end, out);
+            }
+            AttemptEnd::Failed | AttemptEnd::Broken | AttemptEnd::Silent => {
+                self.retry_may_have_run(now, ticket, end, out);
+            }
+        }
+    }
+
+    /// Ends the attempt in progress: logs it, removes its load and updates the
+    /// server's health.
+    pub(super) fn end_active_attempt(
+        &mut self,
+        now: Millis,
+        ticket: Ticket,
+        end: AttemptEnd,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(request) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        let Some(attempt) = request.active_attempt.take() else {
+            return;
         };
-        if end != AttemptEnd::NoMemory {
+        if end != AttemptEnd::NoMemory && !request.tried_servers.contains(&attempt.server) {
             request.tried_servers.push(attempt.server);
         }
         let id = request.submission.head.request_id.clone();
@@ -64,19 +106,6 @@
         );
         self.release_attempt(now, &attempt, out);
         self.update_server_health(now, ticket, &attempt, end, out);
-        match end {
-            AttemptEnd::Whole => self.finish(now, ticket, Count::Done),
-            AttemptEnd::CallerGone => self.finish(now, ticket, Count::CallersGone),
-            AttemptEnd::NotSent
-            | AttemptEnd::NoMemory
-            | AttemptEnd::Misdirected
-            | AttemptEnd::Refused => {
-                self.retry_not_run(now, ticket, end, out);
-            }
-            AttemptEnd::Failed | AttemptEnd::Broken | AttemptEnd::Silent => {
-                self.retry_may_have_run(now, ticket, end, out);
-            }
-        }
     }
 
     /// Removes an attempt from the load of its servers and notifies the other
@@ -132,9 +161,23 @@
             AttemptEnd::NotSent | AttemptEnd::Refused | AttemptEnd::Silent => {}
         }
         let avoid_for = match end {
+            // Recorded when the attempt stalled.
+            AttemptEnd::Silent if attempt.stall_checked_at.is_some() => None,
             AttemptEnd::Silent => self.health.record_timeout(now, server),
             _ => Some(self.health.record_failure(now, server)),
         };
+        self.avoid_server(server, end, avoid_for, out);
+    }
+
+    /// Logs that a server is avoided and notifies the other instances, if
+    /// `avoid_for` is not `None`.
+    pub(super) fn avoid_server(
+        &self,
+        server: ServerKey,
+        end: AttemptEnd,
+        avoid_for: Option<Millis>,
+        out: &mut Vec<Output>,
+    ) {
         let Some(avoid_for) = avoid_for else {
             return;
         };
@@ -191,10 +234,9 @@
         let Some(request) = self.requests.get_mut(&ticket) else {
             return;
         };
-        request.attempts_maybe_run += 1;
-        request.verdict = Verdict::MayHaveRun;
+        request.record_maybe_run();
         let service = request.service.clone();
-        let blocker = match retry_blocker(now, request) {
+        let blocker = match retry_blocker(now, request, request.attempts_maybe_run) {
             None if self.budgets.try_withdraw(&service) => {
                 return self.place_request(now, ticket, out);
             }
@@ -343,9 +385,9 @@
     Budget,
 }
 
-/// Returns why a request must not be sent again, or `None` if only the retry
-/// budget can forbid it.
-pub(super) fn retry_blocker(now: Millis, request: &Request) -> Option<RetryBlocker> {
+/// Returns why a request must not be sent again after `attempts` that servers
+/// may have run, or `None` if only the retry budget can forbid it.
+pub(super) fn retry_blocker(now: Millis, request: &Request, attempts: u32) -> Option<RetryBlocker> {
     let is_repeatable = match request.route.run_policy {
         RunPolicy::Idempotent => !request.output_begun,
         RunPolicy::Resumable => true,
@@ -354,7 +396,7 @@
     if !is_repeatable {
         return Some(RetryBlocker::RunPolicy);
     }
-    if request.attempts_maybe_run >= request.route.max_attempts {
+    if attempts >= request.route.max_attempts {
         return Some(RetryBlocker::AttemptLimit);
     }
     (now + ANSWER_MARGIN >= request.response_deadline).then_some(RetryBlocker::Deadline)
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -5,11 +5,13 @@
 use super::Core;
 use super::endings::final_refusal;
 use super::fleet_load::utility_of_prompt;
+use super::stalls::first_output_due;
 use crate::clock::Millis;
 use crate::gateway::engine::JobKey;
 use crate::gateway::instances::PeerMessage;
 use crate::gateway::instances::Placed;
 use crate::gateway::lanes::Lane;
+use crate::gateway::message::AttemptNumber;
 use crate::gateway::message::AttemptPlan;
 use crate::gateway::message::Output;
 use crate::gateway::message::PrefillHelper;
@@ -40,15 +42,6 @@
 /// Retry-After while the configuration is unknown or stale. Another instance
 /// may already have it.
 const RETRY_AFTER_UNREADY: Millis = Millis(200);
-/// Callers of streams disconnect after this time without output, after
-/// [`PATIENCE_PER_TARGET`] times the latency target or after
-/// [`PATIENCE_PER_GAP`] times the target gap, whichever is longest.
-const MIN_STREAM_PATIENCE: Millis = Millis(2_000);
-const PATIENCE_PER_TARGET: u64 = 4;
-const PATIENCE_PER_GAP: u64 = 8;
-/// Percentage of a caller's patience after which an attempt without output is
-/// abandoned, so that another server has time to answer.
-const SILENCE_PATIENCE_PERCENT: u64 = 85;
 /// Minimum number of connections to one backend server, even if this instance's
 /// share of the connections that the server accepts is smaller.
 const MIN_CONNECTIONS_PER_SERVER: usize = 2;
@@ -96,18 +89,35 @@
     pub(super) verdict: Verdict,
     /// Whether output has reached the caller.
     pub(super) output_begun: bool,
+    /// When the caller last received output; the arrival before that.
+    pub(super) last_output_at: Millis,
+}
+
+/// A placement, and the prompt if the request has one.
+#[derive(Debug)]
+pub(super) struct ChosenPlacement {
+    pub(super) placement: Placement,
+    pub(super) prompt: Option<Prompt>,
+    pub(super) job: JobKey,
+    pub(super) routes: Arc<RouteTable>,
 }
 
 /// An attempt in progress.
 #[derive(Debug, Clone)]
 pub(super) struct ActiveAttempt {
+    pub(super) number: AttemptNumber,
     pub(super) job: JobKey,
     pub(super) server: ServerKey,
     pub(super) helpers: Vec<ServerKey>,
     pub(super) sent_at: Millis,
     /// Time to the first output predicted at sending, in ms.
     pub(super) predicted_ms: f64,
+    /// When the attempt counts as stalled if it has given no output.
+    pub(super) first_output_due: Millis,
     pub(super) first_output_seen: bool,
+    /// When another server was last sought because the attempt is stalled;
+    /// `None` if it has not been stalled.
+    pub(super) stall_checked_at: Option<Millis>,
     /// When the latest output was observed.
     pub(super) last_output: Millis,
     /// Longest gap between two outputs.
@@ -206,6 +216,7 @@
             tried_servers: Vec::new(),
             verdict: Verdict::NotRun,
             output_begun: false,
+            last_output_at: submission.arrived,
             route: Arc::new(route.clone()),
             submission,
         })
@@ -226,26 +237,42 @@
             return self.refuse(now, ticket, refusal, out);
         }
         self.fleet_load.advance(now);
-        let Some(routes) = self.routes.clone() else {
-            return;
+        let attempt = self.requests[&ticket].total_attempts();
+        let Some(chosen) = self.choose_placement(now, ticket, attempt) else {
+            return self.wait_or_refuse(now, ticket, out);
         };
+        if let Some(prompt) = &chosen.prompt
+            && chosen.placement.first_token_at >= prompt.deadline_at
+        {
+            let wait = Millis((chosen.placement.first_token_at - now.0 as f64) as u64);
+            return self.refuse_unreachable_deadline(now, ticket, wait, out);
+        }
+        self.send_request(now, ticket, &chosen, out);
+    }
+
+    /// Chooses where to send a request's attempt with the number `attempt`.
+    pub(super) fn choose_placement(
+        &self,
+        now: Millis,
+        ticket: Ticket,
+        attempt: u32,
+    ) -> Option<ChosenPlacement> {
+        let routes = self.routes.clone()?;
         let request = &self.requests[&ticket];
-        let job = JobKey(
-            id_hash(&request.submission.head.request_id) ^ u64::from(request.total_attempts()),
-        );
+        let job = JobKey(id_hash(&request.submission.head.request_id) ^ u64::from(attempt));
         let is_engine = routes
             .services
             .get(&request.service)
             .is_some_and(|service| service.engine.is_some());
-        let placement = match request.submission.head.prompt {
+        let (placement, prompt) = match request.submission.head.prompt {
             Some(shape) if is_engine => {
                 let prompt = self.build_prompt(now, &routes, request, job, shape);
-                self.choose_engines(now, &routes, request, &prompt)
-                    .map(|placement| (placement, Some(prompt)))
+                let placement = self.choose_engines(now, &routes, request, &prompt)?;
+                (placement, Some(prompt))
             }
-            _ => self.choose_server(now, &routes, request).map(|key| {
+            _ => {
                 let placement = Placement {
-                    primary: key,
+                    primary: self.choose_server(now, &routes, request)?,
                     helpers: Vec::new(),
                     primary_reserved: 0,
                     first_token_at: now.0 as f64,
@@ -253,18 +280,14 @@
                     cost: 0.0,
                 };
                 (placement, None)
-            }),
-        };
-        let Some((placement, prompt)) = placement else {
-            return self.wait_or_refuse(now, ticket, out);
+            }
         };
-        if let Some(prompt) = &prompt
-            && placement.first_token_at >= prompt.deadline_at
-        {
-            let wait = Millis((placement.first_token_at - now.0 as f64) as u64);
-            return self.refuse_unreachable_deadline(now, ticket, wait, out);
-        }
-        self.send_request(now, &routes, ticket, job, &placement, prompt.as_ref(), out);
+        Some(ChosenPlacement {
+            placement,
+            prompt,
+            job,
+            routes,
+        })
     }
 
     fn build_prompt(
@@ -311,17 +334,20 @@
 
     /// Sends a placed request: records its load, logs it and broadcasts the
     /// placement to the other instances.
-    #[allow(clippy::too_many_arguments)]
-    fn send_request(
+    pub(super) fn send_request(
         &mut self,
         now: Millis,
-        routes: &RouteTable,
         ticket: Ticket,
-        job: JobKey,
-        placement: &Placement,
-        prompt: Option<&Prompt>,
+        chosen: &ChosenPlacement,
         out: &mut Vec<Output>,
     ) {
+        let ChosenPlacement {
+            placement,
+            prompt,
+            job,
+            routes,
+        } = chosen;
+        let (job, prompt) = (*job, prompt.as_ref());
         let plan = self.build_plan(now, routes, ticket, job, placement, prompt);
         let is_cold = now < self.server_table.get(placement.primary).cold_until;
         if is_cold {
@@ -340,13 +366,17 @@
             return;
         };
         request.wait_until = None;
+        let first_output_due = first_output_due(now, request, placement.first_token_at);
         request.active_attempt = Some(ActiveAttempt {
+            number: plan.attempt,
             job,
             server: placement.primary,
             helpers: placement.helpers.iter().map(|(key, _)| *key).collect(),
             sent_at: now,
             predicted_ms,
+            first_output_due,
             first_output_seen: false,
+            stall_checked_at: None,
             last_output: now,
             longest_gap: Millis::ZERO,
         });
@@ -416,14 +446,13 @@
                 });
             }
         }
-        let mut first_output_deadline =
-            first_output_deadline(now, request, placement.first_token_at);
+        let mut first_output_deadline = request.response_deadline;
         if !reservations.is_empty() {
             first_output_deadline = first_output_deadline
                 .min(now + self.bounds.reservation_idle_limit - MEMORY_IDLE_MARGIN);
         }
         AttemptPlan {
-            attempt: request.total_attempts(),
+            attempt: AttemptNumber(request.total_attempts()),
             addr: server.entry.addr.clone(),
             server_id: server.entry.id.clone(),
             max_connections: (accepted / self.instances.known_count())
@@ -433,7 +462,6 @@
             engine_priority: prompt.map(|prompt| prompt.engine_priority),
             workspace: request.workspace.name.clone(),
             response_deadline: request.response_deadline,
-            max_output_gap: max_output_gap(&request.route),
             first_output_deadline,
             resumable: request.route.run_policy == RunPolicy::Resumable,
             streaming: request.route.streaming,
@@ -482,13 +510,21 @@
         self.broadcast(out, PeerMessage::Placed(placed));
     }
 
-    pub(super) fn on_first_output(&mut self, now: Millis, ticket: Ticket, out: &mut Vec<Output>) {
+    pub(super) fn on_first_output(
+        &mut self,
+        now: Millis,
+        ticket: Ticket,
+        number: AttemptNumber,
+        out: &mut Vec<Output>,
+    ) {
         let Some(request) = self.requests.get_mut(&ticket) else {
             return;
         };
         request.output_begun = true;
+        request.last_output_at = now;
         request.verdict = Verdict::MayHaveRun;
-        let Some(attempt) = &mut request.active_attempt else {
+        let attempt = request.active_attempt.as_mut();
+        let Some(attempt) = attempt.filter(|attempt| attempt.number == number) else {
             return;
         };
         attempt.first_output_seen = true;
@@ -522,16 +558,18 @@
         self.broadcast(out, message);
     }
 
-    pub(super) fn on_progress(&mut self, ticket: Ticket, at: Millis) {
-        let attempt = self
-            .requests
-            .get_mut(&ticket)
-            .and_then(|request| request.active_attempt.as_mut());
-        let Some(attempt) = attempt else {
+    pub(super) fn on_progress(&mut self, ticket: Ticket, number: AttemptNumber, at: Millis) {
+        let Some(request) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        request.last_output_at = at;
+        let attempt = request.active_attempt.as_mut();
+        let Some(attempt) = attempt.filter(|attempt| attempt.number == number) else {
             return;
         };
         attempt.longest_gap = attempt.longest_gap.max(at.since(attempt.last_output));
         attempt.last_output = at;
+        attempt.stall_checked_at = None;
         self.fleet_load
             .record_progress(at, attempt.job, attempt.server);
     }
@@ -555,30 +593,15 @@
 }
 
 impl Request {
-    /// Returns the number of attempts, whether or not a server ran them.
-    fn total_attempts(&self) -> u32 {
+    /// Returns the number of attempts that have ended, whether or not a server
+    /// ran them.
+    pub(super) fn total_attempts(&self) -> u32 {
         self.attempts_maybe_run + self.attempts_not_run
     }
-}
 
-/// Returns how long an attempt may go without output before it is abandoned.
-fn max_output_gap(route: &Route) -> Millis {
-    let target_patience = route.target_latency * PATIENCE_PER_TARGET;
-    let gap_patience = route.target_gap.unwrap_or_default() * PATIENCE_PER_GAP;
-    let patience = MIN_STREAM_PATIENCE.max(target_patience).max(gap_patience);
-    Millis(patience.0 * SILENCE_PATIENCE_PERCENT / 100)
-}
-
-/// Returns the time limit for the first output. For a resumable stream it
-/// follows from the predicted first token. An idempotent call gets half of the
-/// remaining time, and a request that may run only once gets all of it.
-fn first_output_deadline(now: Millis, request: &Request, first_token_at: f64) -> Millis {
-    if request.route.run_policy == RunPolicy::AtMostOnce {
-        return request.response_deadline;
-    }
-    if request.route.streaming {
-        let predicted = Millis(first_token_at.max(now.0 as f64) as u64);
-        return (predicted + max_output_gap(&request.route)).min(request.response_deadline);
+    /// Records the end of an attempt that a server may have run.
+    pub(super) fn record_maybe_run(&mut self) {
+        self.attempts_maybe_run += 1;
+        self.verdict = Verdict::MayHaveRun;
     }
-    now + Millis(request.response_deadline.since(now).0 / 2)
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -39,6 +39,7 @@
 use crate::gateway::events::EventSplitter;
 use crate::gateway::memory::MemoryReservations;
 use crate::gateway::message::AttemptEnd;
+use crate::gateway::message::AttemptNumber;
 use crate::gateway::message::AttemptPlan;
 use crate::gateway::message::Input;
 use crate::gateway::message::Output;
@@ -209,7 +210,7 @@
         request = request_id,
         server = plan.server_id.as_str(),
         limit = limit,
-        max_gap_ms = plan.max_output_gap.0;
+        attempt = plan.attempt.0;
         "time limit reached"
     );
 }
@@ -234,20 +235,30 @@
         events: EventSplitter::default(),
         failure: None,
     };
+    let mut attempt = AttemptNumber::default();
+    let mut replacement = None;
     loop {
-        let output = tokio::select! {
-            output = outputs.recv() => output,
-            () = task.response.caller_disconnected() => {
-                traffic.send_input(Input::AttemptEnded(ticket, AttemptEnd::CallerGone));
-                break;
-            }
+        let output = match replacement.take() {
+            Some(output) => Some(output),
+            None => tokio::select! {
+                output = outputs.recv() => output,
+                () = task.response.caller_disconnected() => {
+                    traffic.send_input(Input::AttemptEnded(ticket, attempt, AttemptEnd::CallerGone));
+                    break;
+                }
+            },
         };
         match output {
             Some(Output::Send(_, plan)) => {
-                let end = task.run_attempt(&plan).await;
-                traffic.send_input(Input::AttemptEnded(ticket, end));
-                if matches!(end, AttemptEnd::Whole | AttemptEnd::CallerGone) {
-                    break;
+                attempt = plan.attempt;
+                match task.run_attempt(&plan, &mut outputs).await {
+                    AttemptResult::Replaced(output) => replacement = Some(output),
+                    AttemptResult::Ended(end) => {
+                        traffic.send_input(Input::AttemptEnded(ticket, attempt, end));
+                        if matches!(end, AttemptEnd::Whole | AttemptEnd::CallerGone) {
+                            break;
+                        }
+                    }
                 }
             }
             Some(Output::Refuse(_, refusal)) => {
@@ -308,6 +319,14 @@
     }
 }
 
+/// How the run of an attempt came to an end.
+enum AttemptResult {
+    /// The attempt ended.
+    Ended(AttemptEnd),
+    /// The core replaced the attempt by this output.
+    Replaced(Output),
+}
+
 /// The state of a request during its attempts.
 struct RequestTask {
     traffic: Rc<Traffic>,
@@ -320,27 +339,33 @@
 
 impl RequestTask {
     /// Performs one attempt, including its memory reservations.
-    async fn run_attempt(&mut self, plan: &AttemptPlan) -> AttemptEnd {
+    async fn run_attempt(
+        &mut self,
+        plan: &AttemptPlan,
+        outputs: &mut mpsc::UnboundedReceiver<Output>,
+    ) -> AttemptResult {
         let due = self.traffic.to_instant(plan.response_deadline);
         let memory = MemoryReservations::new(&self.traffic, self.request_id());
         let reservations = match memory.reserve(&plan.reservations).await {
             Ok(reservations) => reservations,
-            Err(end) => return end,
+            Err(end) => return AttemptResult::Ended(end),
         };
         let renewal = memory.renew(reservations.clone());
         let request_id = self.caller_request.head.request_id.clone();
-        let end = tokio::select! {
-            end = self.send_and_forward(plan) => end,
+        let result = tokio::select! {
+            biased;
+            Some(output) = outputs.recv() => AttemptResult::Replaced(output),
+            end = self.send_and_forward(plan) => AttemptResult::Ended(end),
             () = sleep_until(due) => {
                 log_time_limit(&request_id, plan, "response");
-                AttemptEnd::Silent
+                AttemptResult::Ended(AttemptEnd::Silent)
             }
-            () = renewal => AttemptEnd::Silent,
+            () = renewal => AttemptResult::Ended(AttemptEnd::Silent),
         };
         for reservation in reservations {
             memory.release(reservation);
         }
-        end
+        result
     }
 
     /// Sends the request and forwards its response.
@@ -545,7 +570,8 @@
             }
         };
         connection.return_to_pool(idle_timeout);
-        self.traffic.send_input(Input::FirstOutput(self.ticket));
+        self.traffic
+            .send_input(Input::FirstOutput(self.ticket, plan.attempt));
         let mut response = Response::new(ResponseBody::Left(Full::new(body)));
         *response.status_mut() = parts.status;
         *response.headers_mut() = headers::response_headers(&parts.headers);
@@ -566,32 +592,26 @@
         first_output_deadline: Instant,
     ) -> AttemptEnd {
         self.events.drop_partial();
-        let response_deadline = self.traffic.to_instant(plan.response_deadline);
-        let mut next_output_due = first_output_deadline;
         let mut first_output_seen = false;
         loop {
             let frame = tokio::select! {
-                frame = timeout_at(next_output_due, body.frame()) => frame,
+                frame = body.frame() => frame,
+                () = sleep_until(first_output_deadline), if !first_output_seen => {
+                    log_time_limit(self.request_id(), plan, "first_output");
+                    return AttemptEnd::Silent;
+                }
                 () = self.response.caller_disconnected() => return AttemptEnd::CallerGone,
             };
             let data = match frame {
-                Err(_) => {
-                    let limit = match first_output_seen {
-                        true => "output_gap",
-                        false => "first_output",
-                    };
-                    log_time_limit(self.request_id(), plan, limit);
-                    return AttemptEnd::Silent;
-                }
-                Ok(Some(Err(error))) => {
+                Some(Err(error)) => {
                     log::info!(request = self.request_id(), cause:% = error; "stream broke off");
                     return AttemptEnd::Broken;
                 }
-                Ok(Some(Ok(frame))) => match frame.into_data() {
+                Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) => data,
                     Err(_) => continue,
                 },
-                Ok(None) => {
+                None => {
                     if self.events.has_partial() {
                         log::info!(request = self.request_id(); "stream ended inside an event");
                         return AttemptEnd::Broken;
@@ -606,18 +626,15 @@
             if first_output_seen {
                 let at = self.traffic.clock.now();
                 self.traffic
-                    .send_deferred_input(Input::Progress(self.ticket, at));
+                    .send_deferred_input(Input::Progress(self.ticket, plan.attempt, at));
             } else {
                 first_output_seen = true;
-                self.traffic.send_input(Input::FirstOutput(self.ticket));
+                self.traffic
+                    .send_input(Input::FirstOutput(self.ticket, plan.attempt));
             }
             if !self.forward_events(&parts, events).await {
                 return AttemptEnd::CallerGone;
             }
-            next_output_due = match plan.resumable {
-                true => response_deadline.min(Instant::now() + plan.max_output_gap.as_duration()),
-                false => response_deadline,
-            };
         }
     }
 
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -84,6 +84,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
 
+/// Number of an attempt within its request, from 0. Tells reports on an attempt
+/// from those on the attempt that replaced it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AttemptNumber(pub u32);
+
 /// A caller's request, completely received.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Submission {
@@ -129,8 +134,8 @@
 /// One attempt: where and how to send a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AttemptPlan {
-    /// Number of the attempt, from 0.
-    pub attempt: u32,
+    /// Number of the attempt.
+    pub attempt: AttemptNumber,
     /// Address of the backend server, `ip:port`.
     pub addr: String,
     /// Id of the backend server.
@@ -147,11 +152,10 @@
     pub workspace: String,
     /// Deadline of the complete response.
     pub response_deadline: Millis,
-    /// Deadline of the first output; the attempt is cancelled after it.
+    /// Deadline of the first output; the attempt is cancelled after it. Earlier
+    /// than the response deadline only if memory is reserved, because that must
+    /// not stay unused for longer.
     pub first_output_deadline: Millis,
-    /// Longest gap after the first output before a resumable attempt is
-    /// cancelled.
-    pub max_output_gap: Millis,
     /// Whether another server can resume the response once it has begun.
     pub resumable: bool,
     /// Whether the response is an event stream.
@@ -213,9 +217,9 @@
     /// A caller's request arrived.
     Submit(Ticket, Submission),
     /// The first output of an attempt arrived.
-    FirstOutput(Ticket),
+    FirstOutput(Ticket, AttemptNumber),
     /// A further event of a stream arrived at this time.
-    Progress(Ticket, Millis),
+    Progress(Ticket, AttemptNumber, Millis),
     /// A response reported how long its backend server stays cold.
     ColdReported(Ticket, Millis),
     /// An engine reported its free memory.
@@ -226,7 +230,7 @@
         free: u64,
     },
     /// An attempt ended.
-    AttemptEnded(Ticket, AttemptEnd),
+    AttemptEnded(Ticket, AttemptNumber, AttemptEnd),
     /// Changes from the store, in order.
     StoreUpdates {
         /// When the store was queried, if its response proves that the
@@ -254,7 +258,8 @@
 /// An action requested by the core.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Output {
-    /// Send a request to a backend server.
+    /// Send a request to a backend server. Replaces the attempt in progress, if
+    /// there is one.
     Send(Ticket, AttemptPlan),
     /// End a request with the gateway's own error response, whether or not
     /// attempts were made.
--- a/src/gateway/tests/core.rs
+++ b/src/gateway/tests/core.rs
@@ -1,6 +1,7 @@
 //! Decisions of the core on single requests: configuration, freshness,
 //! draining, verdicts.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use proptest::prelude::*;
@@ -11,6 +12,7 @@
 use crate::gateway::core::LocalInstance;
 use crate::gateway::instances::PeerMessage;
 use crate::gateway::message::AttemptEnd;
+use crate::gateway::message::AttemptNumber;
 use crate::gateway::message::AttemptPlan;
 use crate::gateway::message::Input;
 use crate::gateway::message::Output;
@@ -39,6 +41,10 @@
     core: Core,
     now: u64,
     next_ticket: u64,
+    /// Deadline that callers set.
+    deadline: Millis,
+    /// Number of the latest attempt of each request.
+    attempts: BTreeMap<Ticket, AttemptNumber>,
 }
 
 fn keyed_table(version: u64, keys: &[&str]) -> RouteTable {
@@ -104,30 +110,72 @@
     }
 }
 
+fn core_with_bounds(bounds: Bounds) -> Core {
+    let local = LocalInstance {
+        name: "me".to_owned(),
+        domain: "a".to_owned(),
+        addr: "10.9.0.1:1".to_owned(),
+    };
+    Core::new(local, bounds, Arc::new(Metrics::new()))
+}
+
+/// Returns a core that may make one retry and earns none.
+fn core_with_one_retry() -> Core {
+    core_with_bounds(Bounds {
+        retry_ratio: 0.0,
+        // The core uses 0.7 of the limit.
+        retry_extra: 1.5,
+        ..Bounds::default()
+    })
+}
+
 impl Harness {
     fn new() -> Harness {
-        let local = LocalInstance {
-            name: "me".to_owned(),
-            domain: "a".to_owned(),
-            addr: "10.9.0.1:1".to_owned(),
-        };
-        let core = Core::new(local, Bounds::default(), Arc::new(Metrics::new()));
         let mut harness = Harness {
-            core,
+            core: core_with_bounds(Bounds::default()),
             now: 10_000,
             next_ticket: 0,
+            deadline: Millis(1_500),
+            attempts: BTreeMap::new(),
         };
+        harness.configure();
+        harness
+    }
+
+    /// Gives the core its configuration and backend servers.
+    fn configure(&mut self) {
         let mut updates = vec![StoreUpdate::Routes(Arc::new(keyed_table(1, &["k"])))];
         for index in 0..SERVERS {
             updates.push(StoreUpdate::Server(entry(&format!("p{index}"), "plain")));
             updates.push(StoreUpdate::Server(entry(&format!("e{index}"), "engines")));
         }
-        harness.apply_store_updates(updates);
-        harness
+        self.apply_store_updates(updates);
     }
 
     fn handle(&mut self, input: Input) -> Vec<Output> {
-        self.core.handle(Millis(self.now), input)
+        let out = self.core.handle(Millis(self.now), input);
+        for output in &out {
+            if let Output::Send(ticket, plan) = output {
+                self.attempts.insert(*ticket, plan.attempt);
+            }
+        }
+        out
+    }
+
+    fn first_output(&mut self, ticket: Ticket) -> Vec<Output> {
+        let attempt = self.attempts[&ticket];
+        self.handle(Input::FirstOutput(ticket, attempt))
+    }
+
+    /// Lets time pass with a tick every 25 ms; returns the outputs.
+    fn tick_until(&mut self, now: u64) -> Vec<Output> {
+        let mut out = Vec::new();
+        while self.now < now {
+            self.now += 25;
+            out.extend(self.handle(Input::Tick));
+            self.apply_store_updates(Vec::new());
+        }
+        out
     }
 
     fn apply_store_updates(&mut self, updates: Vec<StoreUpdate>) {
@@ -146,7 +194,7 @@
         let submission = Submission {
             head: RequestHead {
                 request_id: format!("r{}", ticket.0),
-                deadline: Some(Millis(1_500)),
+                deadline: Some(self.deadline),
                 key: Some(key.to_owned()),
                 prompt: path.starts_with("/short").then_some(PromptShape {
                     prompt_tokens: 1_000,
@@ -165,7 +213,8 @@
     }
 
     fn end_attempt(&mut self, ticket: Ticket, end: AttemptEnd) -> Vec<Output> {
-        self.handle(Input::AttemptEnded(ticket, end))
+        let attempt = self.attempts.get(&ticket).copied().unwrap_or_default();
+        self.handle(Input::AttemptEnded(ticket, attempt, end))
     }
 
     /// Sends ten requests and returns the servers that received them.
@@ -458,6 +507,58 @@
     assert_eq!(harness.receiving_servers("/once/1").len(), SERVERS);
 }
 
+#[test]
+fn an_attempt_without_output_goes_on_while_no_other_server_can_take_over() {
+    let mut harness = Harness::new();
+    let gone = |index: usize| StoreUpdate::ServerRemoved(format!("p{index}"));
+    harness.apply_store_updates((1..SERVERS).map(gone).collect());
+    let (ticket, _) = harness.submit("/again/1", "k");
+    let out = harness.tick_until(10_750);
+    assert!(plan(&out).is_none() && refusal(&out).is_none(), "{out:?}");
+    let _ = harness.first_output(ticket);
+    assert!(refusal(&harness.end_attempt(ticket, AttemptEnd::Whole)).is_none());
+}
+
+#[test]
+fn an_attempt_without_output_is_replaced_by_one_on_another_server() {
+    let mut harness = Harness::new();
+    let (ticket, out) = harness.submit("/again/1", "k");
+    let first = plan(&out).unwrap().clone();
+    let out = harness.tick_until(10_500);
+    let second = plan(&out).unwrap().clone();
+    assert_ne!(second.server_id, first.server_id);
+    // The replaced attempt broke before the replacement reached it.
+    let stale = Input::AttemptEnded(ticket, first.attempt, AttemptEnd::Broken);
+    assert!(harness.handle(stale).is_empty());
+    let out = harness.end_attempt(ticket, AttemptEnd::Broken);
+    assert!(refusal(&out).is_some(), "both attempts were made: {out:?}");
+}
+
+#[test]
+fn stalled_streams_go_on_when_the_retry_budget_is_used_up() {
+    let mut harness = Harness::new();
+    harness.core = core_with_one_retry();
+    harness.configure();
+    harness.deadline = Millis(10_000);
+    let mut tickets = Vec::new();
+    for _ in 0..6 {
+        let (ticket, out) = harness.submit("/short/1", "k");
+        assert!(plan(&out).is_some());
+        let _ = harness.first_output(ticket);
+        tickets.push(ticket);
+    }
+    let out = harness.tick_until(12_000);
+    let moved = out
+        .iter()
+        .filter(|output| matches!(output, Output::Send(..)))
+        .count();
+    assert_eq!(moved, 1);
+    assert!(refusal(&out).is_none(), "{out:?}");
+    for ticket in tickets {
+        assert!(refusal(&harness.end_attempt(ticket, AttemptEnd::Whole)).is_none());
+    }
+}
+
 #[test]
 fn an_unreachable_server_is_avoided_for_a_while() {
     let mut harness = Harness::new();
@@ -577,7 +678,7 @@
             prop_assert!(!(ran && path == "/once/1"), "sent again after it may have run");
             prop_assert!(attempts <= 6, "attempts are bounded");
             if started && may_have_run(end) {
-                let _ = harness.handle(Input::FirstOutput(ticket));
+                let _ = harness.first_output(ticket);
             }
             ran |= may_have_run(end);
             harness.now += wait;
--- a/src/gateway/tests/simulation.rs
+++ b/src/gateway/tests/simulation.rs
@@ -20,6 +20,7 @@
 use crate::gateway::core::LocalInstance;
 use crate::gateway::instances::Member;
 use crate::gateway::message::AttemptEnd;
+use crate::gateway::message::AttemptNumber;
 use crate::gateway::message::AttemptPlan;
 use crate::gateway::message::Input;
 use crate::gateway::message::Output;
@@ -504,8 +505,11 @@
     }
 
     fn send(&mut self, request_index: usize, plan: AttemptPlan) {
+        // Ends the attempt that the new one replaces, if there is one.
+        self.stop_attempt(request_index);
         self.requests[request_index].attempt += 1;
         let attempt = self.requests[request_index].attempt;
+        self.plans.insert(request_index, plan.clone());
         if !self.reserve(request_index, &plan) {
             self.end_attempt(request_index, AttemptEnd::NoMemory);
             return;
@@ -572,7 +576,6 @@
                 attempt,
             },
         );
-        self.plans.insert(request_index, plan);
     }
 
     fn reserve(&mut self, request_index: usize, plan: &AttemptPlan) -> bool {
@@ -626,20 +629,28 @@
     }
 
     fn end_attempt(&mut self, request_index: usize, end: AttemptEnd) {
-        for engine in &mut self.engines {
-            engine.jobs.retain(|job| job.request != request_index);
-        }
-        self.release(request_index);
+        self.stop_attempt(request_index);
         let core = self.requests[request_index].core;
+        let attempt = self
+            .plans
+            .get(&request_index)
+            .map_or(AttemptNumber::default(), |plan| plan.attempt);
         self.push(
             self.now,
             Event::Input {
                 core,
-                input: Input::AttemptEnded(Ticket(request_index as u64), end),
+                input: Input::AttemptEnded(Ticket(request_index as u64), attempt, end),
             },
         );
     }
 
+    fn stop_attempt(&mut self, request_index: usize) {
+        for engine in &mut self.engines {
+            engine.jobs.retain(|job| job.request != request_index);
+        }
+        self.release(request_index);
+    }
+
     /// Ends an attempt that has had no output since `events_received`, as the
     /// forwarder does.
     fn check_output_due(&mut self, request_index: usize, attempt: u32, events_received: u32) {
@@ -799,22 +810,14 @@
             self.end_attempt(request_index, AttemptEnd::Whole);
             return;
         }
-        let max_output_gap_ms = self.plans[&request_index].max_output_gap.0 as f64;
-        self.push(
-            now + max_output_gap_ms,
-            Event::OutputDue {
-                request: request_index,
-                attempt,
-                events_received,
-            },
-        );
+        let number = self.plans[&request_index].attempt;
         // Every event is reported as a first output and none as progress, so the
         // cores do not estimate slowdowns in the simulation.
         self.push(
             now + NETWORK_DELAY_MS,
             Event::Input {
                 core,
-                input: Input::FirstOutput(Ticket(request_index as u64)),
+                input: Input::FirstOutput(Ticket(request_index as u64), number),
             },
         );
     }
@@ -825,7 +828,7 @@
 fn baseline_plan(engine: usize, now: f64, class: Class) -> AttemptPlan {
     let due = Millis(now as u64 + class.deadline_ms);
     AttemptPlan {
-        attempt: 0,
+        attempt: AttemptNumber::default(),
         addr: entry(engine).addr,
         server_id: entry(engine).id,
         max_connections: 100,
@@ -835,7 +838,6 @@
         workspace: String::new(),
         response_deadline: due,
         first_output_deadline: due,
-        max_output_gap: Millis(class.deadline_ms),
         resumable: true,
         streaming: true,
         retry_failures: false,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -40,6 +40,8 @@
     CallersGone = "callers_gone", "Callers that left before their answer was whole";
     Attempts = "attempts", "Calls sent to backend servers";
     Retries = "retries", "Calls sent to backend servers after a first try";
+    AttemptsStalled = "attempts_stalled", "Calls whose backend server gave no output for too long";
+    AttemptsMoved = "attempts_moved", "Calls without output that were replaced by one to another backend server";
     Quarantined = "requests_quarantined", "Fingerprints that were held as they crashed backend servers";
     Moves = "requests_moved", "Requests moved away from a backend server that turned cold under too much";
     StoreCalls = "store_calls", "Calls sent to the platform's key-value service";
