Count a caller's connection as idle only after the response's last byte

Cause: the guard that marks a connection as idle was dropped when the head of a response was returned, before its body was sent. A pause between two events of a stream that was longer than the idle time-out made the gateway call graceful_shutdown.

What callers saw: the stream was not cut, but the connection was closed after it, although its head had not announced `Connection: close`; the next request on it was lost.

Why it works: the response body records its end, and the connection becomes idle when hyper flushes the stream after that, which it does only when its write buffer is empty. The connection is polled before the idle time is checked, so that a head that has arrived is read first. Closing is logged with its cause: at info while a response is open, at debug otherwise. The state of a connection, its stream and its body are in a module of their own.

--- /dev/null
+++ b/src/gateway/connection.rs
@@ -0,0 +1,250 @@
+//! State of a caller's connection, and the stream and the response body that
+//! change it.
+//!
+//! A connection is idle from the time at which the last byte of a response has
+//! been written until the first byte of the next request head arrives.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body::Body;
+use http_body::Frame;
+use http_body::SizeHint;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use crate::gateway::response::ResponseBody;
+
+/// Maximum bytes of a head that are scanned for conflicting lengths; longer
+/// heads are not checked.
+const MAX_SCANNED_HEAD_BYTES: usize = 64 * 1024;
+
+/// What a connection is used for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Activity {
+    /// Waiting for a request.
+    Idle,
+    /// Receiving a request head.
+    Head,
+    /// Serving a request whose response has not begun.
+    Request,
+    /// Sending a response.
+    Response,
+    /// Writing the rest of a response whose body has ended.
+    Flushing,
+    /// Ending after an aborted response.
+    Aborted,
+}
+
+impl Activity {
+    /// Returns the name used in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Activity::Idle => "idle",
+            Activity::Head => "head",
+            Activity::Request => "request",
+            Activity::Response => "response",
+            Activity::Flushing => "flushing",
+            Activity::Aborted => "aborted",
+        }
+    }
+}
+
+/// The state of one connection, shared by all that change it.
+#[derive(Debug, Clone)]
+pub struct ConnectionState(Rc<Cell<(Activity, Instant)>>);
+
+impl ConnectionState {
+    /// Returns the state of a new connection.
+    #[must_use]
+    pub fn new() -> ConnectionState {
+        ConnectionState(Rc::new(Cell::new((Activity::Idle, Instant::now()))))
+    }
+
+    /// Returns the current activity.
+    #[must_use]
+    pub fn activity(&self) -> Activity {
+        self.0.get().0
+    }
+
+    /// Returns the duration of the current activity; that of the response if it
+    /// was aborted.
+    #[must_use]
+    pub fn elapsed(&self) -> Duration {
+        self.0.get().1.elapsed()
+    }
+
+    /// Begins an activity.
+    pub fn begin(&self, activity: Activity) {
+        self.0.set((activity, Instant::now()));
+    }
+
+    fn abort_response(&self) {
+        self.0.set((Activity::Aborted, self.0.get().1));
+    }
+}
+
+impl Default for ConnectionState {
+    fn default() -> ConnectionState {
+        ConnectionState::new()
+    }
+}
+
+/// A response body that records its end in the state of its connection.
+#[derive(Debug)]
+pub struct TrackedBody {
+    body: ResponseBody,
+    state: ConnectionState,
+}
+
+impl TrackedBody {
+    /// Begins a response.
+    #[must_use]
+    pub fn new(body: ResponseBody, state: ConnectionState) -> TrackedBody {
+        state.begin(Activity::Response);
+        TrackedBody { body, state }
+    }
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = <ResponseBody as Body>::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        let this = self.get_mut();
+        let polled = Pin::new(&mut this.body).poll_frame(cx);
+        if matches!(polled, Poll::Ready(Some(Err(_)))) {
+            this.state.abort_response();
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for TrackedBody {
+    fn drop(&mut self) {
+        // The body is dropped as soon as its last chunk is in the write buffer.
+        if self.state.activity() == Activity::Response {
+            self.state.begin(Activity::Flushing);
+        }
+    }
+}
+
+/// A connection that records when a request head begins to arrive, when a
+/// response has been written, and whether a head has conflicting body lengths.
+/// The check needs the raw bytes because hyper drops one of two lengths before
+/// it passes the head on.
+#[derive(Debug)]
+pub struct MonitoredStream {
+    stream: TcpStream,
+    state: ConnectionState,
+    /// Received part of the current head.
+    head: Vec<u8>,
+    /// Whether the latest complete head has both `Content-Length` and
+    /// `Transfer-Encoding`.
+    ambiguous_length: Rc<Cell<bool>>,
+}
+
+impl MonitoredStream {
+    /// Returns a stream that records what it sees.
+    #[must_use]
+    pub fn new(
+        stream: TcpStream,
+        state: ConnectionState,
+        ambiguous_length: Rc<Cell<bool>>,
+    ) -> MonitoredStream {
+        MonitoredStream {
+            stream,
+            state,
+            head: Vec::new(),
+            ambiguous_length,
+        }
+    }
+
+    fn scan_head(&mut self, bytes: &[u8]) {
+        if self.head.len() > MAX_SCANNED_HEAD_BYTES {
+            return;
+        }
+        self.head.extend_from_slice(bytes);
+        let head = self.head.to_ascii_lowercase();
+        let head_ends = [b"\n\r\n".as_slice(), b"\n\n"];
+        let Some(end) = head_ends.iter().filter_map(|end| find(&head, end)).min() else {
+            return;
+        };
+        let head = &head[..end];
+        let has_both = find(head, b"\ncontent-length").is_some()
+            && find(head, b"\ntransfer-encoding").is_some();
+        self.ambiguous_length.set(has_both);
+        self.head.clear();
+    }
+}
+
+fn find(bytes: &[u8], needle: &[u8]) -> Option<usize> {
+    bytes
+        .windows(needle.len())
+        .position(|window| window == needle)
+}
+
+impl AsyncRead for MonitoredStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut this.stream).poll_read(cx, buf);
+        if buf.filled().len() > before
+            && matches!(this.state.activity(), Activity::Idle | Activity::Head)
+        {
+            if this.state.activity() == Activity::Idle {
+                this.state.begin(Activity::Head);
+            }
+            this.scan_head(&buf.filled()[before..]);
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for MonitoredStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        // hyper flushes the stream only when its own write buffer is empty.
+        if this.state.activity() == Activity::Flushing {
+            this.state.begin(Activity::Idle);
+        }
+        Pin::new(&mut this.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+}
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -8,13 +8,10 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::io;
-use std::pin::Pin;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::Context;
-use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -26,20 +23,23 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
-use tokio::io::ReadBuf;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
-use tokio::time::Instant;
 use tokio::time::sleep;
 
 use crate::adapter::headers::READY_PATH;
+use crate::clock::Millis;
+use crate::gateway::connection::Activity;
+use crate::gateway::connection::ConnectionState;
+use crate::gateway::connection::MonitoredStream;
+use crate::gateway::connection::TrackedBody;
 use crate::gateway::forward;
 use crate::gateway::forward::Traffic;
 use crate::gateway::response;
+use crate::gateway::response::Aborted;
+use crate::gateway::response::ResponseBody;
 use crate::gateway::route::CallerLimits;
 use crate::gateway::upstream::set_socket_options;
 use crate::metrics::Metrics;
@@ -48,9 +48,6 @@
 const METRICS_PATH: &str = "/metrics";
 /// Minimum read buffer size that hyper accepts, in bytes.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
-/// Maximum bytes of a head that are scanned for conflicting lengths; longer
-/// heads are not checked.
-const MAX_SCANNED_HEAD_BYTES: usize = 64 * 1024;
 /// Delay after a failed accept, which happens when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Interval at which a connection's idle and head timeouts are checked.
@@ -87,9 +84,9 @@
             _ = phase.wait_for(|phase| *phase == ShutdownPhase::Closing) => return,
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok((stream, caller)) => {
                 set_socket_options(&stream);
-                spawn_local(serve_connection(stream, context.clone()));
+                spawn_local(serve_connection(stream, caller, context.clone()));
             }
             Err(error) => {
                 log::warn!(error:% = error; "connection not accepted");
@@ -99,44 +96,43 @@
     }
 }
 
-/// State of a caller's connection.
-#[derive(Debug, Clone, Copy)]
-enum ConnectionState {
-    /// Waiting for a request since this time.
-    Idle(Instant),
-    /// Receiving a request head since this time.
-    Head(Instant),
-    /// Serving a request.
-    Request,
+/// Why the gateway closes a caller's connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CloseCause {
+    IdleTimeout,
+    HeadTimeout,
+    Draining,
+    ResponseAborted,
+}
+
+impl CloseCause {
+    fn as_str(self) -> &'static str {
+        match self {
+            CloseCause::IdleTimeout => "idle_timeout",
+            CloseCause::HeadTimeout => "head_timeout",
+            CloseCause::Draining => "draining",
+            CloseCause::ResponseAborted => "response_aborted",
+        }
+    }
 }
 
-async fn serve_connection(stream: TcpStream, context: ServerContext) {
-    let state = Rc::new(Cell::new(ConnectionState::Idle(Instant::now())));
+async fn serve_connection(stream: TcpStream, caller: SocketAddr, context: ServerContext) {
+    let state = ConnectionState::new();
     let ambiguous_length = Rc::new(Cell::new(false));
-    let io = MonitoredStream {
-        stream,
-        state: Rc::clone(&state),
-        head: Vec::new(),
-        ambiguous_length: Rc::clone(&ambiguous_length),
-    };
+    let io = MonitoredStream::new(stream, state.clone(), Rc::clone(&ambiguous_length));
     let limits = *context.limits.borrow();
     let service = {
-        let (context, state) = (context.clone(), Rc::clone(&state));
+        let (context, state) = (context.clone(), state.clone());
         service_fn(move |request: Request<Incoming>| {
-            state.set(ConnectionState::Request);
+            state.begin(Activity::Request);
             let ambiguous_length = ambiguous_length.replace(false);
-            let idle_on_drop = IdleOnDrop(Rc::clone(&state));
-            let limits = *context.limits.borrow();
-            let traffic = Rc::clone(&context.traffic);
+            let (context, state) = (context.clone(), state.clone());
             async move {
-                if ambiguous_length {
-                    return Ok(response::ambiguous_length_response());
-                }
-                let body_timeout = limits.head_timeout.as_duration();
-                let response =
-                    forward::forward(traffic, request, limits.max_body_bytes, body_timeout).await;
-                drop(idle_on_drop);
-                response
+                let response = match ambiguous_length {
+                    true => response::ambiguous_length_response(),
+                    false => forward_request(&context, request).await?,
+                };
+                Ok::<_, Aborted>(response.map(|body| TrackedBody::new(body, state)))
             }
         })
     };
@@ -148,9 +144,14 @@
     let mut closing = false;
     loop {
         tokio::select! {
+            // A head that has arrived is read before the idle time is checked.
+            biased;
             result = connection.as_mut() => {
                 if let Err(error) = result {
-                    log::debug!(error:% = error; "caller's connection ended");
+                    log::debug!(caller:% = caller, error:% = error; "caller's connection ended");
+                }
+                if state.activity() == Activity::Aborted {
+                    log_close(caller, CloseCause::ResponseAborted, &state, &context);
                 }
                 return;
             }
@@ -161,112 +162,71 @@
             }
             () = sleep(TIMEOUT_CHECK_INTERVAL) => {}
         }
-        if should_close(&context, state.get()) && !closing {
-            closing = true;
-            connection.as_mut().graceful_shutdown();
+        match close_cause(&context, &state) {
+            // hyper would wait for the rest of a connection's first head.
+            Some(cause @ CloseCause::HeadTimeout) => {
+                log_close(caller, cause, &state, &context);
+                return;
+            }
+            Some(cause) if !closing => {
+                log_close(caller, cause, &state, &context);
+                closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            _ => {}
         }
     }
 }
 
-/// Returns whether a connection has to be closed after its current request, if
-/// any.
-fn should_close(context: &ServerContext, state: ConnectionState) -> bool {
+async fn forward_request(
+    context: &ServerContext,
+    request: Request<Incoming>,
+) -> Result<Response<ResponseBody>, Aborted> {
     let limits = *context.limits.borrow();
-    match (*context.phase.borrow(), state) {
-        (ShutdownPhase::Closing, _) | (ShutdownPhase::Draining, ConnectionState::Request) => true,
-        (_, ConnectionState::Idle(since)) => since.elapsed() >= limits.idle_timeout.as_duration(),
-        (_, ConnectionState::Head(since)) => since.elapsed() >= limits.head_timeout.as_duration(),
-        (_, ConnectionState::Request) => false,
-    }
-}
-
-/// Marks a connection as idle when its request ends.
-struct IdleOnDrop(Rc<Cell<ConnectionState>>);
-
-impl Drop for IdleOnDrop {
-    fn drop(&mut self) {
-        self.0.set(ConnectionState::Idle(Instant::now()));
-    }
-}
-
-/// A connection that records when a request head begins to arrive, and whether
-/// that head has conflicting body lengths. The check needs the raw bytes
-/// because hyper drops one of two lengths before it passes the head on.
-struct MonitoredStream {
-    stream: TcpStream,
-    state: Rc<Cell<ConnectionState>>,
-    /// Received part of the current head.
-    head: Vec<u8>,
-    /// Whether the latest complete head has both `Content-Length` and
-    /// `Transfer-Encoding`.
-    ambiguous_length: Rc<Cell<bool>>,
+    let traffic = Rc::clone(&context.traffic);
+    let body_timeout = limits.head_timeout.as_duration();
+    forward::forward(traffic, request, limits.max_body_bytes, body_timeout).await
 }
 
-impl MonitoredStream {
-    fn scan_head(&mut self, bytes: &[u8]) {
-        if self.head.len() > MAX_SCANNED_HEAD_BYTES {
-            return;
+/// Returns why a connection has to be closed, if it has to; after its current
+/// response, if any.
+fn close_cause(context: &ServerContext, state: &ConnectionState) -> Option<CloseCause> {
+    let limits = *context.limits.borrow();
+    match (*context.phase.borrow(), state.activity()) {
+        (_, Activity::Head) if state.elapsed() >= limits.head_timeout.as_duration() => {
+            Some(CloseCause::HeadTimeout)
         }
-        self.head.extend_from_slice(bytes);
-        let head = self.head.to_ascii_lowercase();
-        let head_ends = [b"\n\r\n".as_slice(), b"\n\n"];
-        let Some(end) = head_ends.iter().filter_map(|end| find(&head, end)).min() else {
-            return;
-        };
-        let head = &head[..end];
-        let has_both = find(head, b"\ncontent-length").is_some()
-            && find(head, b"\ntransfer-encoding").is_some();
-        self.ambiguous_length.set(has_both);
-        self.head.clear();
-    }
-}
-
-fn find(bytes: &[u8], needle: &[u8]) -> Option<usize> {
-    bytes
-        .windows(needle.len())
-        .position(|window| window == needle)
-}
-
-impl AsyncRead for MonitoredStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let this = self.get_mut();
-        let before = buf.filled().len();
-        let polled = Pin::new(&mut this.stream).poll_read(cx, buf);
-        if buf.filled().len() > before && !matches!(this.state.get(), ConnectionState::Request) {
-            if matches!(this.state.get(), ConnectionState::Idle(_)) {
-                this.state.set(ConnectionState::Head(Instant::now()));
-            }
-            this.scan_head(&buf.filled()[before..]);
+        (ShutdownPhase::Closing, _) | (ShutdownPhase::Draining, Activity::Request) => {
+            Some(CloseCause::Draining)
         }
-        polled
-    }
-}
-
-impl AsyncWrite for MonitoredStream {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let this = self.get_mut();
-        // Time spent writing a response does not count as idle.
-        if matches!(this.state.get(), ConnectionState::Idle(_)) {
-            this.state.set(ConnectionState::Idle(Instant::now()));
+        (_, Activity::Idle) if state.elapsed() >= limits.idle_timeout.as_duration() => {
+            Some(CloseCause::IdleTimeout)
         }
-        Pin::new(&mut this.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+        _ => None,
     }
+}
 
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
-    }
+fn log_close(
+    caller: SocketAddr,
+    cause: CloseCause,
+    state: &ConnectionState,
+    context: &ServerContext,
+) {
+    let limits = *context.limits.borrow();
+    let level = match state.activity() {
+        Activity::Idle | Activity::Head | Activity::Request => log::Level::Debug,
+        Activity::Response | Activity::Flushing | Activity::Aborted => log::Level::Info,
+    };
+    log::log!(
+        level,
+        caller:% = caller,
+        cause = cause.as_str(),
+        state = state.activity().as_str(),
+        elapsed_ms = Millis::from(state.elapsed()).0,
+        idle_timeout_ms = limits.idle_timeout.0,
+        head_timeout_ms = limits.head_timeout.0;
+        "caller's connection closed"
+    );
 }
 
 /// Serves readiness checks and metrics until the process ends.
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -164,6 +164,8 @@
     pub addr: SocketAddr,
     /// Answers left that it breaks off in the middle.
     pub broken: Arc<AtomicU64>,
+    /// Milliseconds that a stream pauses after its first half.
+    pub pauses: Arc<AtomicU64>,
 }
 
 /// Events of a stream.
@@ -172,12 +174,14 @@
 impl Backend {
     pub fn start(id: &str, runs: Runs) -> io::Result<Backend> {
         let broken = Arc::new(AtomicU64::new(0));
-        let (name, breaks) = (id.to_owned(), Arc::clone(&broken));
-        let addr = serve(move |request| answer(&name, &runs, &breaks, request))?;
+        let pauses = Arc::new(AtomicU64::new(0));
+        let (name, breaks, paused) = (id.to_owned(), Arc::clone(&broken), Arc::clone(&pauses));
+        let addr = serve(move |request| answer(&name, &runs, &breaks, &paused, request))?;
         Ok(Backend {
             id: id.to_owned(),
             addr,
             broken,
+            pauses,
         })
     }
 
@@ -190,7 +194,7 @@
     }
 }
 
-fn answer(name: &str, runs: &Runs, broken: &AtomicU64, request: Request) {
+fn answer(name: &str, runs: &Runs, broken: &AtomicU64, pauses: &AtomicU64, request: Request) {
     let header = |wanted: &str| {
         let found = request
             .headers()
@@ -228,7 +232,15 @@
     // Half an answer, as a server that dies gives it: in the middle of an event.
     let end = if breaks { text.len() / 2 } else { text.len() };
     let _ = writer.write_all(head.as_bytes());
-    let _ = writer.write_all(&text.as_bytes()[..end]);
+    let pause = Duration::from_millis(pauses.load(Ordering::SeqCst));
+    let mut sent = 0;
+    if streams && !pause.is_zero() {
+        sent = text.len() / 2;
+        let _ = writer.write_all(&text.as_bytes()[..sent]);
+        let _ = writer.flush();
+        thread::sleep(pause);
+    }
+    let _ = writer.write_all(&text.as_bytes()[sent..end]);
     let _ = writer.flush();
 }
 
--- a/tests/gateway/process.rs
+++ b/tests/gateway/process.rs
@@ -232,3 +232,59 @@
     }
     (body, false)
 }
+
+/// A caller's connection that is used for several requests.
+pub struct Connection {
+    stream: BufReader<TcpStream>,
+}
+
+impl Connection {
+    pub fn open(addr: SocketAddr) -> io::Result<Connection> {
+        let stream = TcpStream::connect_timeout(&addr, ANSWER_LIMIT)?;
+        stream.set_read_timeout(Some(ANSWER_LIMIT))?;
+        Ok(Connection {
+            stream: BufReader::new(stream),
+        })
+    }
+
+    pub fn send(&mut self, text: &str) -> io::Result<()> {
+        self.stream.get_mut().write_all(text.as_bytes())
+    }
+
+    /// Reads one answer up to the end of its body.
+    pub fn read_answer(&mut self) -> io::Result<Answer> {
+        let mut text = String::new();
+        while !text.ends_with("\r\n\r\n") {
+            self.read_line(&mut text)?;
+        }
+        let lower = text.to_ascii_lowercase();
+        if lower.contains("transfer-encoding: chunked") {
+            while !text.ends_with("\r\n0\r\n\r\n") {
+                self.read_line(&mut text)?;
+            }
+        } else if let Some(length) = lower.split("content-length: ").nth(1) {
+            let length = length.lines().next().and_then(|n| n.trim().parse().ok());
+            let mut body = vec![0; length.ok_or(io::ErrorKind::InvalidData)?];
+            self.stream.read_exact(&mut body)?;
+            text += &String::from_utf8_lossy(&body);
+        }
+        parse(&text)
+    }
+
+    /// Waits until the gateway closes the connection.
+    pub fn wait_closed(&mut self) -> io::Result<()> {
+        match self.stream.read(&mut [0]) {
+            Ok(0) => Ok(()),
+            Ok(_) => Err(io::ErrorKind::InvalidData.into()),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionReset => Ok(()),
+            Err(error) => Err(error),
+        }
+    }
+
+    pub fn read_line(&mut self, text: &mut String) -> io::Result<()> {
+        match self.stream.read_line(text)? {
+            0 => Err(io::ErrorKind::UnexpectedEof.into()),
+            _ => Ok(()),
+        }
+    }
+}
