End a request when its caller disconnects during a pause of its stream

Cause: once a stream had begun, a disconnect was noticed only when the next chunk could not be sent. hyper drops the body of the response at once, but nothing waited for that.

What callers saw: nothing; backend servers worked on for callers who had left until the next event of the stream, for the whole of a long pause.

The body of a stream now carries a channel whose closing its sender can wait for, which ResponseState::caller_disconnected does. Test, with a stand-in that sends one event and waits: its connection is closed within 5 s after the caller has left, though the deadline is 15 s and the stream is not resumable. It fails without this change.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -19,11 +19,8 @@
 use http::Response;
 use http::header;
 use http::request::Parts;
-use http_body::Frame;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::channel::Channel;
-use http_body_util::channel::Sender as BodySender;
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -47,6 +44,8 @@
 use crate::gateway::message::Ticket;
 use crate::gateway::response::Aborted;
 use crate::gateway::response::ResponseBody;
+use crate::gateway::response::StreamBody;
+use crate::gateway::response::StreamSender;
 use crate::gateway::response::ambiguous_length_response;
 use crate::gateway::response::refusal_response;
 use crate::gateway::response::stream_response;
@@ -100,7 +99,7 @@
     /// No response has been sent.
     Pending(oneshot::Sender<Response<ResponseBody>>),
     /// The head has been sent; chunks follow.
-    Streaming(BodySender<Bytes, Aborted>),
+    Streaming(StreamSender),
     /// The response is complete or the caller has disconnected.
     Closed,
 }
@@ -290,8 +289,7 @@
     async fn caller_disconnected(&mut self) {
         match self {
             ResponseState::Pending(tx) => tx.closed().await,
-            // A disconnect is detected when the next chunk cannot be sent.
-            ResponseState::Streaming(_) => std::future::pending().await,
+            ResponseState::Streaming(tx) => tx.closed().await,
             ResponseState::Closed => {}
         }
     }
@@ -602,7 +600,7 @@
     /// Forwards complete events; returns whether the caller is still connected.
     async fn forward_events(&mut self, parts: &http::response::Parts, events: Bytes) -> bool {
         if matches!(self.response, ResponseState::Pending(_)) {
-            let (tx, body) = Channel::new(BODY_QUEUE_CHUNKS);
+            let (tx, body) = StreamBody::new(BODY_QUEUE_CHUNKS);
             if !self.send_head(stream_response(parts, ResponseBody::Right(body))) {
                 return false;
             }
@@ -611,7 +609,7 @@
         let ResponseState::Streaming(tx) = &mut self.response else {
             return false;
         };
-        tx.send(Frame::data(events)).await.is_ok()
+        tx.send(events).await
     }
 
     /// Sends the response head unless it was sent before; returns whether the
@@ -636,7 +634,7 @@
                     refusal,
                 ));
             }
-            ResponseState::Streaming(tx) => tx.abort(Aborted),
+            ResponseState::Streaming(tx) => tx.abort(),
             ResponseState::Closed => {}
         }
     }
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -1,23 +1,95 @@
 //! Responses to callers: forwarded ones and those that the gateway makes
 //! itself.
 
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
 use bytes::Bytes;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
 use http::header;
 use http::response::Parts;
+use http_body::Body;
+use http_body::Frame;
 use http_body_util::Either;
 use http_body_util::Full;
 use http_body_util::channel::Channel;
+use http_body_util::channel::Sender as BodySender;
 use serde::Serialize;
+use tokio::sync::oneshot;
 
 use crate::adapter::headers;
 use crate::verdict::Reason;
 use crate::verdict::Refusal;
 
-/// A response body: complete, or a channel of chunks that an error aborts.
-pub type ResponseBody = Either<Full<Bytes>, Channel<Bytes, Aborted>>;
+/// A response body: complete, or a stream of chunks.
+pub type ResponseBody = Either<Full<Bytes>, StreamBody>;
+
+/// A body of chunks that an error aborts.
+#[derive(Debug)]
+pub struct StreamBody {
+    chunks: Channel<Bytes, Aborted>,
+    /// Its drop tells the sender that the body is no longer read.
+    _open: oneshot::Receiver<Infallible>,
+}
+
+/// The sending half of a [`StreamBody`]; dropping it ends the body.
+#[derive(Debug)]
+pub struct StreamSender {
+    chunks: BodySender<Bytes, Aborted>,
+    open: oneshot::Sender<Infallible>,
+}
+
+impl StreamBody {
+    /// Returns a body in which the given number of chunks can wait, and its
+    /// sender.
+    #[must_use]
+    pub fn new(queue_chunks: usize) -> (StreamSender, StreamBody) {
+        let (chunks_tx, chunks) = Channel::new(queue_chunks);
+        let (open_tx, open) = oneshot::channel();
+        let sender = StreamSender {
+            chunks: chunks_tx,
+            open: open_tx,
+        };
+        let body = StreamBody {
+            chunks,
+            _open: open,
+        };
+        (sender, body)
+    }
+}
+
+impl Body for StreamBody {
+    type Data = Bytes;
+    type Error = Aborted;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
+        Pin::new(&mut self.get_mut().chunks).poll_frame(cx)
+    }
+}
+
+impl StreamSender {
+    /// Sends a chunk; returns whether the body is still read.
+    pub async fn send(&mut self, chunk: Bytes) -> bool {
+        self.chunks.send_data(chunk).await.is_ok()
+    }
+
+    /// Aborts the body.
+    pub fn abort(self) {
+        self.chunks.abort(Aborted);
+    }
+
+    /// Waits until the body is no longer read.
+    pub async fn closed(&mut self) {
+        self.open.closed().await;
+    }
+}
 
 /// The response was aborted before it was complete.
 #[derive(Debug, Clone, Copy)]
--- a/tests/gateway/connections.rs
+++ b/tests/gateway/connections.rs
@@ -10,6 +10,7 @@
 
 use crate::platform::Backend;
 use crate::platform::EVENTS;
+use crate::platform::HeldStream;
 use crate::platform::Runs;
 use crate::platform::Store;
 use crate::platform::configuration;
@@ -24,12 +25,18 @@
 /// takes.
 const CLOSE_LIMIT: Duration = Duration::from_secs(10);
 /// Pause of a stream, in milliseconds: longer than the idle time-out and the
-/// interval at which it is checked, shorter than a gap that ends an attempt.
+/// interval at which it is checked.
 const PAUSE_MS: u64 = 1_300;
 
+/// Deadline of the requests.
+const DEADLINE: Duration = Duration::from_secs(15);
+/// Time within which a backend server notices that a caller has left; shorter
+/// than the deadline, which ends the attempt too.
+const LEAVE_LIMIT: Duration = Duration::from_secs(5);
+
 struct Stage {
     _dir: TempDir,
-    _store: Store,
+    store: Store,
     backend: Backend,
     gateway: Gateway,
 }
@@ -44,17 +51,23 @@
     gateway.wait_ready();
     Stage {
         _dir: dir,
-        _store: store,
+        store,
         backend,
         gateway,
     }
 }
 
+/// Returns a configuration in which connections soon time out, unlike requests.
 fn short_timeouts(version: u64) -> String {
     let mut config: serde_json::Value =
         serde_json::from_str(&configuration(version, &["k1"])).unwrap();
     config["limits"]["idleTimeoutMs"] = as_ms(IDLE_TIMEOUT).into();
     config["limits"]["headerTimeoutMs"] = as_ms(HEAD_TIMEOUT).into();
+    for route in config["routes"].as_array_mut().unwrap() {
+        // No pause ends an attempt.
+        route["streamResume"] = false.into();
+        route["timeoutMs"] = as_ms(DEADLINE).into();
+    }
     config.to_string()
 }
 
@@ -63,10 +76,15 @@
 }
 
 fn request(path: &str, id: &str) -> String {
+    request_within(DEADLINE, path, id)
+}
+
+fn request_within(deadline: Duration, path: &str, id: &str) -> String {
     format!(
         "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Skylarkhook-Request-Id: {id}\r\n\
-         X-Skylarkhook-Deadline-Ms: 3500\r\nAuthorization: Token k1\r\n\
-         Content-Length: 1\r\n\r\nx"
+         X-Skylarkhook-Deadline-Ms: {}\r\nAuthorization: Token k1\r\n\
+         Content-Length: 1\r\n\r\nx",
+        as_ms(deadline)
     )
 }
 
@@ -149,9 +167,31 @@
     let stage = stage();
     stage.backend.broken.store(10, Ordering::SeqCst);
     let mut connection = connected(stage.gateway.callers);
-    connection.send(&request("/stream/1", "a")).unwrap();
+    // The stand-in leaves the connection open, so that the deadline ends it.
+    let request = request_within(Duration::from_secs(1), "/stream/1", "a");
+    connection.send(&request).unwrap();
     let answer = connection.read_answer();
     assert!(answer.is_err(), "{answer:?}");
     let closed = stage.gateway.wait_line("caller's connection closed");
     assert_eq!(closed["cause"], "response_aborted");
 }
+
+#[test]
+fn a_backend_server_is_released_when_a_caller_leaves_during_a_pause() {
+    let stage = stage();
+    let held = HeldStream::start("i-2").unwrap();
+    stage.store.put("servers/i-2", held.entry.as_bytes());
+    stage.store.remove("servers/i-1");
+    stage
+        .gateway
+        .wait_line_with("backend server listed", "server", "i-2");
+    stage.gateway.wait_line("backend server gone");
+    let mut connection = connected(stage.gateway.callers);
+    connection.send(&request("/stream/1", "a")).unwrap();
+    let mut received = String::new();
+    while !received.contains("token 1") {
+        connection.read_line(&mut received).unwrap();
+    }
+    drop(connection);
+    assert!(held.is_closed_within(LEAVE_LIMIT));
+}
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -4,12 +4,19 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::channel;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -186,11 +193,75 @@
     }
 
     pub fn entry(&self, state: &str) -> String {
-        serde_json::json!({
-            "service": "s", "address": self.addr.to_string(), "zone": "a", "version": "v1",
-            "slots": 8, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1,
+        entry(self.addr, state)
+    }
+}
+
+fn entry(addr: SocketAddr, state: &str) -> String {
+    serde_json::json!({
+        "service": "s", "address": addr.to_string(), "zone": "a", "version": "v1",
+        "slots": 8, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1,
+    })
+    .to_string()
+}
+
+/// A backend server that answers one request with the first event of a stream
+/// and then only waits until its connection is closed.
+pub struct HeldStream {
+    pub entry: String,
+    closed: Receiver<()>,
+}
+
+impl HeldStream {
+    pub fn start(id: &str) -> io::Result<HeldStream> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let addr = listener.local_addr()?;
+        let (closed_tx, closed) = channel();
+        let name = id.to_owned();
+        thread::spawn(move || {
+            if hold_stream(&listener, &name).is_ok() {
+                // The test may have ended.
+                let _ = closed_tx.send(());
+            }
+        });
+        Ok(HeldStream {
+            entry: entry(addr, "ready"),
+            closed,
         })
-        .to_string()
+    }
+
+    /// Returns whether the connection is closed within the limit.
+    pub fn is_closed_within(&self, limit: Duration) -> bool {
+        self.closed.recv_timeout(limit).is_ok()
+    }
+}
+
+fn hold_stream(listener: &TcpListener, name: &str) -> io::Result<()> {
+    let (stream, _) = listener.accept()?;
+    let mut reader = BufReader::new(stream);
+    let (mut line, mut id) = (String::new(), String::new());
+    while line != "\r\n" {
+        line.clear();
+        if reader.read_line(&mut line)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        if let Some((header, value)) = line.split_once(':') {
+            if header.eq_ignore_ascii_case("X-Skylarkhook-Request-Id") {
+                id = value.trim().to_owned();
+            }
+        }
+    }
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nX-Skylarkhook-Request-Id: {id}\r\n\
+         X-Skylarkhook-Server-Stamp: {name}.1\r\nContent-Type: text/event-stream\r\n\
+         Content-Length: 1000\r\n\r\nid: 1\ndata: token 1\n\n"
+    );
+    reader.get_mut().write_all(head.as_bytes())?;
+    // What is left of the request is read too.
+    match reader.read_to_end(&mut Vec::new()) {
+        Ok(_) => Ok(()),
+        Err(error) if error.kind() == io::ErrorKind::ConnectionReset => Ok(()),
+        Err(error) => Err(error),
     }
 }
 
--- a/tests/gateway/process.rs
+++ b/tests/gateway/process.rs
@@ -75,7 +75,13 @@
     }
 
     /// Waits for a log line in which a field holds `value`.
-    pub fn wait_line_with(&self, message: &str, field: &str, value: bool) -> serde_json::Value {
+    pub fn wait_line_with(
+        &self,
+        message: &str,
+        field: &str,
+        value: impl Into<serde_json::Value>,
+    ) -> serde_json::Value {
+        let value = value.into();
         self.wait_for(message, |fields| fields[field] == value)
     }
 
