--- /dev/null
+++ b/tests/gateway/connections.rs
@@ -0,0 +1,197 @@
+//! Callers' connections: when they are idle, and when they are closed.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use tempfile::TempDir;
+
+use crate::platform::Backend;
+use crate::platform::EVENTS;
+use crate::platform::HeldStream;
+use crate::platform::Runs;
+use crate::platform::Store;
+use crate::platform::configuration;
+use crate::process::Connection;
+use crate::process::Gateway;
+
+/// Idle time-out of the stage's configuration.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Head time-out of the stage's configuration.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Longest time from a time-out to the end of its connection; far more than it
+/// takes.
+const CLOSE_LIMIT: Duration = Duration::from_secs(10);
+/// Pause of a stream, in milliseconds: longer than the idle time-out and the
+/// interval at which it is checked.
+const PAUSE_MS: u64 = 1_300;
+
+/// Deadline of the requests.
+const DEADLINE: Duration = Duration::from_secs(15);
+/// Time within which a backend server notices that a caller has left; shorter
+/// than the deadline, which ends the attempt too.
+const LEAVE_LIMIT: Duration = Duration::from_secs(5);
+
+struct Stage {
+    _dir: TempDir,
+    store: Store,
+    backend: Backend,
+    gateway: Gateway,
+}
+
+fn stage() -> Stage {
+    let dir = tempfile::tempdir().unwrap();
+    let (store, addr) = Store::start().unwrap();
+    let backend = Backend::start("i-1", Runs::default()).unwrap();
+    store.put("op/config", short_timeouts(3).as_bytes());
+    store.put("servers/i-1", backend.entry("ready").as_bytes());
+    let gateway = Gateway::start(dir.path(), "g1", addr);
+    gateway.wait_ready();
+    Stage {
+        _dir: dir,
+        store,
+        backend,
+        gateway,
+    }
+}
+
+/// Returns a configuration in which connections soon time out, unlike requests.
+fn short_timeouts(version: u64) -> String {
+    let mut config: serde_json::Value =
+        serde_json::from_str(&configuration(version, &["k1"])).unwrap();
+    config["limits"]["idleTimeoutMs"] = as_ms(IDLE_TIMEOUT).into();
+    config["limits"]["headerTimeoutMs"] = as_ms(HEAD_TIMEOUT).into();
+    for route in config["routes"].as_array_mut().unwrap() {
+        // No pause ends an attempt.
+        route["streamResume"] = false.into();
+        route["timeoutMs"] = as_ms(DEADLINE).into();
+    }
+    config.to_string()
+}
+
+fn as_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap()
+}
+
+fn request(path: &str, id: &str) -> String {
+    request_within(DEADLINE, path, id)
+}
+
+fn request_within(deadline: Duration, path: &str, id: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Skylarkhook-Request-Id: {id}\r\n\
+         X-Skylarkhook-Deadline-Ms: {}\r\nAuthorization: Token k1\r\n\
+         Content-Length: 1\r\n\r\nx",
+        as_ms(deadline)
+    )
+}
+
+fn whole_stream() -> String {
+    (1..=EVENTS)
+        .map(|n| format!("id: {n}\ndata: token {n}\n\n"))
+        .collect()
+}
+
+fn connected(addr: SocketAddr) -> Connection {
+    Connection::open(addr).unwrap()
+}
+
+#[test]
+fn a_connection_is_usable_after_a_stream_with_a_pause() {
+    let stage = stage();
+    stage.backend.pauses.store(PAUSE_MS, Ordering::SeqCst);
+    let mut connection = connected(stage.gateway.callers);
+    connection.send(&request("/stream/1", "a")).unwrap();
+    let answer = connection.read_answer().unwrap();
+    assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+    assert_eq!(answer.body, whole_stream());
+    assert!(!answer.head.to_lowercase().contains("connection: close"));
+    connection.send(&request("/once/1", "b")).unwrap();
+    let answer = connection.read_answer().unwrap();
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
+
+#[test]
+fn idle_time_counts_from_the_end_of_the_response() {
+    let stage = stage();
+    stage.backend.pauses.store(PAUSE_MS, Ordering::SeqCst);
+    let mut connection = connected(stage.gateway.callers);
+    connection.send(&request("/stream/1", "a")).unwrap();
+    connection.read_answer().unwrap();
+    let ended_at = Instant::now();
+    connection.wait_closed().unwrap();
+    let idle = ended_at.elapsed();
+    // The end is seen a little later here than by the gateway.
+    assert!(idle >= IDLE_TIMEOUT * 3 / 4, "closed after {idle:?}");
+    assert!(idle < CLOSE_LIMIT, "closed after {idle:?}");
+}
+
+#[test]
+fn a_connection_stays_open_while_a_head_arrives() {
+    let stage = stage();
+    let mut connection = connected(stage.gateway.callers);
+    for id in ["a", "b"] {
+        let request = request("/once/1", id);
+        let (first, second) = request.split_at(request.len() / 2);
+        connection.send(first).unwrap();
+        thread::sleep(IDLE_TIMEOUT + Duration::from_millis(700));
+        connection.send(second).unwrap();
+        let answer = connection.read_answer().unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
+
+#[test]
+fn a_connection_is_closed_when_a_head_takes_too_long() {
+    let stage = stage();
+    let mut fresh = connected(stage.gateway.callers);
+    let mut used = connected(stage.gateway.callers);
+    used.send(&request("/once/1", "a")).unwrap();
+    used.read_answer().unwrap();
+    let began_at = Instant::now();
+    for connection in [&mut used, &mut fresh] {
+        connection.send("POST /once/1 HTTP/1.1\r\n").unwrap();
+    }
+    for connection in [&mut used, &mut fresh] {
+        connection.wait_closed().unwrap();
+        let after = began_at.elapsed();
+        assert!(after >= HEAD_TIMEOUT * 3 / 4, "closed after {after:?}");
+        assert!(after < CLOSE_LIMIT, "closed after {after:?}");
+    }
+}
+
+#[test]
+fn an_aborted_response_is_logged() {
+    let stage = stage();
+    stage.backend.broken.store(10, Ordering::SeqCst);
+    let mut connection = connected(stage.gateway.callers);
+    // The stand-in leaves the connection open, so that the deadline ends it.
+    let request = request_within(Duration::from_secs(1), "/stream/1", "a");
+    connection.send(&request).unwrap();
+    let answer = connection.read_answer();
+    assert!(answer.is_err(), "{answer:?}");
+    let closed = stage.gateway.wait_line("caller's connection closed");
+    assert_eq!(closed["cause"], "response_aborted");
+}
+
+#[test]
+fn a_backend_server_is_released_when_a_caller_leaves_during_a_pause() {
+    let stage = stage();
+    let held = HeldStream::start("i-2").unwrap();
+    stage.store.put("servers/i-2", held.entry.as_bytes());
+    stage.store.remove("servers/i-1");
+    stage
+        .gateway
+        .wait_line_with("backend server listed", "server", "i-2");
+    stage.gateway.wait_line("backend server gone");
+    let mut connection = connected(stage.gateway.callers);
+    connection.send(&request("/stream/1", "a")).unwrap();
+    let mut received = String::new();
+    while !received.contains("token 1") {
+        connection.read_line(&mut received).unwrap();
+    }
+    drop(connection);
+    assert!(held.is_closed_within(LEAVE_LIMIT));
+}
