--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,6 +7,7 @@
 //! instances ([`peers`]). Only [`crate::adapter`] knows the platform's wire
 //! formats.
 
+pub mod attempt;
 pub mod connection;
 pub mod core;
 pub mod daemon;
--- /dev/null
+++ b/src/gateway/attempt.rs
@@ -0,0 +1,399 @@
+//! Opens attempts: reserves memory, sends the request to a backend server and
+//! waits for its response to begin.
+//!
+//! Nothing reaches the caller here, so that a second attempt of a request can be
+//! opened while the first one gives no output. The forwarder takes the one that
+//! answers first.
+
+use std::future::Future;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::header;
+use http::request;
+use http::response::Parts;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+use tokio::time::timeout;
+
+use crate::adapter::headers;
+use crate::adapter::headers::AddedHeaders;
+use crate::clock::Millis;
+use crate::gateway::forward::Traffic;
+use crate::gateway::memory::HeldMemory;
+use crate::gateway::memory::MemoryReservations;
+use crate::gateway::message::AttemptEnd;
+use crate::gateway::message::AttemptNumber;
+use crate::gateway::message::AttemptPlan;
+use crate::gateway::message::Input;
+use crate::gateway::message::RequestHead;
+use crate::gateway::message::Ticket;
+use crate::gateway::upstream::CallError;
+use crate::gateway::upstream::PooledConnection;
+use crate::gateway::upstream::Reuse;
+
+/// Time limit for reading the rest of a refusal's body.
+const REFUSAL_DRAIN_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum size of a buffered failure response of a backend server, in bytes.
+const MAX_FAILURE_BYTES: usize = 1024 * 1024;
+
+/// A caller's request, completely received.
+#[derive(Debug)]
+pub struct CallerRequest {
+    /// Head as received.
+    pub parts: request::Parts,
+    /// Decoded head.
+    pub head: RequestHead,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// What all attempts of a request share.
+#[derive(Debug, Clone)]
+pub struct AttemptContext {
+    /// State shared by all requests.
+    pub traffic: Rc<Traffic>,
+    /// Ticket of the request.
+    pub ticket: Ticket,
+    /// The request.
+    pub caller_request: Rc<CallerRequest>,
+}
+
+/// An attempt whose response has begun.
+#[derive(Debug)]
+pub enum OpenAttempt {
+    /// A complete response.
+    Complete(Response<Bytes>),
+    /// An event stream.
+    Stream(Box<OpenStream>),
+}
+
+/// An event stream that has begun.
+#[derive(Debug)]
+pub struct OpenStream {
+    /// Head of the response.
+    pub parts: Parts,
+    /// First bytes of the body; `None` if it is empty.
+    pub first_chunk: Option<Bytes>,
+    /// Rest of the body.
+    pub body: Incoming,
+    /// The connection that the body arrives on.
+    pub connection: PooledConnection,
+    /// Time for which the connection may be kept idle afterwards.
+    pub idle_timeout: Option<Millis>,
+    /// Deadline of the complete response.
+    pub response_deadline: Instant,
+    /// Memory reserved for the attempt.
+    pub memory: HeldMemory,
+}
+
+/// A failure response of a backend server, buffered until the core decides
+/// whether to retry or to forward it.
+pub type Failure = Response<Bytes>;
+
+/// The end of an attempt that gave no output.
+#[derive(Debug)]
+pub struct OpenError {
+    /// How it ended.
+    pub end: AttemptEnd,
+    /// The response, if it ended with [`AttemptEnd::Failed`].
+    pub failure: Option<Failure>,
+}
+
+impl From<AttemptEnd> for OpenError {
+    fn from(end: AttemptEnd) -> OpenError {
+        OpenError { end, failure: None }
+    }
+}
+
+/// Outcome of opening an attempt.
+pub type Opened = Result<OpenAttempt, OpenError>;
+
+type Opening = Pin<Box<dyn Future<Output = Opened>>>;
+
+/// Attempts of one request whose responses have not begun. Dropping them closes
+/// their connections and releases their memory.
+pub struct OpeningAttempts {
+    context: AttemptContext,
+    attempts: Vec<(AttemptNumber, Opening)>,
+}
+
+impl OpeningAttempts {
+    /// Creates an empty set for one request.
+    #[must_use]
+    pub fn new(context: AttemptContext) -> OpeningAttempts {
+        OpeningAttempts {
+            context,
+            attempts: Vec::new(),
+        }
+    }
+
+    /// Starts an attempt. A stream is resumed after the event `last_event`.
+    pub fn start(&mut self, plan: AttemptPlan, last_event: Option<&str>) {
+        let number = plan.attempt;
+        let opening = open(
+            self.context.clone(),
+            plan,
+            last_event.map(ToOwned::to_owned),
+        );
+        self.attempts.push((number, Box::pin(opening)));
+    }
+
+    /// Waits for the next attempt to begin to answer or to end; forever if there
+    /// is none.
+    pub async fn next(&mut self) -> (AttemptNumber, Opened) {
+        poll_fn(|cx| {
+            for index in 0..self.attempts.len() {
+                let (number, opening) = &mut self.attempts[index];
+                if let Poll::Ready(opened) = opening.as_mut().poll(cx) {
+                    let number = *number;
+                    drop(self.attempts.swap_remove(index));
+                    return Poll::Ready((number, opened));
+                }
+            }
+            Poll::Pending
+        })
+        .await
+    }
+
+    /// Stops all attempts and returns their numbers.
+    pub fn stop(&mut self) -> Vec<AttemptNumber> {
+        self.attempts.drain(..).map(|(number, _)| number).collect()
+    }
+}
+
+/// Logs that a time limit ended an attempt, and which one.
+pub fn log_time_limit(request_id: &str, number: AttemptNumber, limit: &str) {
+    log::info!(
+        request = request_id,
+        attempt = number.0,
+        limit = limit;
+        "time limit reached"
+    );
+}
+
+async fn open(context: AttemptContext, plan: AttemptPlan, last_event: Option<String>) -> Opened {
+    let due = context.traffic.to_instant(plan.first_output_deadline);
+    let request_id = context.request_id();
+    let opening = async {
+        let memory = MemoryReservations::new(&context.traffic, request_id);
+        let memory = memory.reserve(&plan.reservations).await?;
+        context.send(&plan, last_event.as_deref(), memory).await
+    };
+    tokio::select! {
+        opened = opening => opened,
+        () = sleep_until(due) => {
+            let limit = match plan.reservations.is_empty() {
+                true => "response",
+                false => "unused_memory",
+            };
+            log_time_limit(request_id, plan.attempt, limit);
+            Err(AttemptEnd::Silent.into())
+        }
+    }
+}
+
+impl AttemptContext {
+    fn request_id(&self) -> &str {
+        &self.caller_request.head.request_id
+    }
+
+    async fn send(
+        &self,
+        plan: &AttemptPlan,
+        last_event: Option<&str>,
+        memory: HeldMemory,
+    ) -> Opened {
+        let request = match self.build_request(plan, last_event) {
+            Ok(request) => request,
+            Err(error) => {
+                log::error!(request = self.request_id(), error:% = error; "cannot build request");
+                return Err(AttemptEnd::NotSent.into());
+            }
+        };
+        let reuse = if plan.resumable || plan.retry_failures {
+            Reuse::Pooled
+        } else {
+            Reuse::NewOnly
+        };
+        let upstream = &self.traffic.upstream;
+        let sent = upstream.send(&plan.addr, request, reuse, plan.max_connections);
+        match sent.await {
+            Err(CallError::NotSent(cause)) => {
+                log::info!(request = self.request_id(), server = plan.server_id.as_str(), cause = cause.as_str(); "not sent");
+                Err(AttemptEnd::NotSent.into())
+            }
+            Err(error) => {
+                log::info!(request = self.request_id(), server = plan.server_id.as_str(), cause:% = error; "no answer");
+                Err(AttemptEnd::Broken.into())
+            }
+            Ok((response, connection)) => {
+                self.read_response(plan, response, connection, memory).await
+            }
+        }
+    }
+
+    fn build_request(
+        &self,
+        plan: &AttemptPlan,
+        last_event: Option<&str>,
+    ) -> Result<Request<Full<Bytes>>, http::Error> {
+        let remaining = plan.response_deadline.since(self.traffic.clock.now());
+        let added = AddedHeaders {
+            deadline: Some(remaining),
+            server_id: &plan.server_id,
+            workspace: Some(plan.workspace.as_str()).filter(|name| !name.is_empty()),
+            engine_priority: plan.engine_priority,
+            helpers: &plan.helpers,
+            last_event,
+        };
+        let mut headers = headers::request_headers(&self.caller_request.parts.headers, &added);
+        headers.remove(header::CONTENT_LENGTH);
+        let path = self.caller_request.parts.uri.path_and_query();
+        let mut request = Request::builder()
+            .method(self.caller_request.parts.method.clone())
+            .uri(path.map_or("/", |path| path.as_str()))
+            .body(Full::new(self.caller_request.body.clone()))?;
+        *request.headers_mut() = headers;
+        Ok(request)
+    }
+
+    /// Checks a response head, and reads the body up to its first output.
+    async fn read_response(
+        &self,
+        plan: &AttemptPlan,
+        response: Response<Incoming>,
+        connection: PooledConnection,
+        memory: HeldMemory,
+    ) -> Opened {
+        let (parts, body) = response.into_parts();
+        let head = headers::decode_response_head(parts.status.as_u16(), &parts.headers);
+        if let Some(remaining) = head
+            .cold_remaining
+            .filter(|remaining| *remaining > Millis::ZERO)
+        {
+            self.traffic
+                .send_input(Input::ColdReported(self.ticket, plan.attempt, remaining));
+        }
+        let is_same_request = head.request_id.as_deref() == Some(self.request_id());
+        if head.request_id.is_some() && !is_same_request {
+            log::warn!(request = self.request_id(), server = plan.server_id.as_str(); "response belongs to another request; connection closed");
+            return Err(AttemptEnd::Broken.into());
+        }
+        if head.refused {
+            log::info!(request = self.request_id(), server = plan.server_id.as_str(), status = head.status, at_fault = head.at_fault.as_deref().unwrap_or_default(); "refused by backend server");
+            if !head.closes {
+                drain_refusal(body, connection, head.idle_timeout).await;
+            }
+            return match head.status {
+                421 => Err(AttemptEnd::Misdirected.into()),
+                _ => Err(AttemptEnd::Refused.into()),
+            };
+        }
+        if !head.stamped || head.encoded {
+            log::warn!(request = self.request_id(), server = plan.server_id.as_str(), status = head.status; "response without server stamp, or with a content encoding");
+            return Err(AttemptEnd::Broken.into());
+        }
+        let idle_timeout = if head.closes {
+            Some(Millis::ZERO)
+        } else {
+            head.idle_timeout
+        };
+        if !parts.status.is_success() {
+            return Err(self
+                .read_failure(plan, parts, body, connection, idle_timeout)
+                .await);
+        }
+        if plan.streaming {
+            let response_deadline = self.traffic.to_instant(plan.response_deadline);
+            return self
+                .read_first_chunk(Box::new(OpenStream {
+                    parts,
+                    first_chunk: None,
+                    body,
+                    connection,
+                    idle_timeout,
+                    response_deadline,
+                    memory,
+                }))
+                .await;
+        }
+        match body.collect().await {
+            Ok(body) => {
+                connection.return_to_pool(idle_timeout);
+                let mut response = Response::new(body.to_bytes());
+                *response.status_mut() = parts.status;
+                *response.headers_mut() = headers::response_headers(&parts.headers);
+                Ok(OpenAttempt::Complete(response))
+            }
+            Err(error) => {
+                log::info!(request = self.request_id(), cause:% = error; "answer broke off");
+                Err(AttemptEnd::Broken.into())
+            }
+        }
+    }
+
+    /// Waits for the first bytes of a stream.
+    async fn read_first_chunk(&self, mut stream: Box<OpenStream>) -> Opened {
+        while let Some(frame) = stream.body.frame().await {
+            match frame {
+                Ok(frame) => {
+                    if let Ok(data) = frame.into_data() {
+                        stream.first_chunk = Some(data);
+                        break;
+                    }
+                }
+                Err(error) => {
+                    log::info!(request = self.request_id(), cause:% = error; "stream broke off");
+                    return Err(AttemptEnd::Broken.into());
+                }
+            }
+        }
+        Ok(OpenAttempt::Stream(stream))
+    }
+
+    /// Buffers a failure response of a backend server until the core decides.
+    async fn read_failure(
+        &self,
+        plan: &AttemptPlan,
+        parts: Parts,
+        body: Incoming,
+        connection: PooledConnection,
+        idle_timeout: Option<Millis>,
+    ) -> OpenError {
+        log::info!(request = self.request_id(), server = plan.server_id.as_str(), status = parts.status.as_u16(); "failure by backend server");
+        let Ok(body) = Limited::new(body, MAX_FAILURE_BYTES).collect().await else {
+            return AttemptEnd::Broken.into();
+        };
+        connection.return_to_pool(idle_timeout);
+        // To callers these statuses mean that the request has not run, which a
+        // response without the not-run header does not guarantee.
+        if matches!(parts.status.as_u16(), 408 | 421 | 429 | 503) {
+            return AttemptEnd::Broken.into();
+        }
+        let mut failure = Response::from_parts(parts, body.to_bytes());
+        *failure.headers_mut() = headers::response_headers(failure.headers());
+        OpenError {
+            end: AttemptEnd::Failed,
+            failure: Some(failure),
+        }
+    }
+}
+
+/// Reads the rest of a refusal, so that its connection can be reused.
+async fn drain_refusal(body: Incoming, connection: PooledConnection, idle_timeout: Option<Millis>) {
+    let body = Limited::new(body, MAX_FAILURE_BYTES).collect();
+    if let Ok(Ok(_)) = timeout(REFUSAL_DRAIN_TIMEOUT, body).await {
+        connection.return_to_pool(idle_timeout);
+    }
+}
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -151,7 +151,9 @@
                 self.on_first_output(now, ticket, attempt, &mut out);
             }
             Input::Progress(ticket, attempt, at) => self.on_progress(ticket, attempt, at),
-            Input::ColdReported(ticket, left) => self.on_cold_reported(now, ticket, left),
+            Input::ColdReported(ticket, attempt, left) => {
+                self.on_cold_reported(now, ticket, attempt, left);
+            }
             Input::FreeMemoryReported { addr, free } => self.on_memory_reported(now, &addr, free),
             Input::AttemptEnded(ticket, attempt, end) => {
                 self.on_attempt_ended(now, ticket, attempt, end, &mut out);
@@ -190,7 +192,7 @@
         }
         self.drop_lapsed_servers(now);
         self.retry_waiting(now, out);
-        self.move_stalled_attempts(now, out);
+        self.check_stalled_attempts(now, out);
         if now >= self.next_heartbeat {
             self.send_heartbeat(now, out);
         }
--- a/src/gateway/core/endings.rs
+++ b/src/gateway/core/endings.rs
@@ -26,7 +26,7 @@
 const PLACEMENT_WAIT_DIVISOR: u64 = 8;
 /// Maximum number of retries per request after attempts that no backend server
 /// ran. They do not count towards the route's `max_attempts`.
-const MAX_RETRIES_NOT_RUN: u32 = 3;
+pub(super) const MAX_RETRIES_NOT_RUN: u32 = 3;
 /// Divisor of the caller's remaining time that caps Retry-After. Callers do not
 /// wait longer than that.
 const RETRY_AFTER_DIVISOR: u64 = 3;
@@ -43,60 +43,88 @@
         end: AttemptEnd,
         out: &mut Vec<Output>,
     ) {
-        let Some(request) = self.requests.get(&ticket) else {
+        let Some(request) = self.requests.get_mut(&ticket) else {
             return;
         };
-        // After these ends the request is over, whichever attempt they report.
-        let is_final = matches!(end, AttemptEnd::Whole | AttemptEnd::CallerGone);
-        let is_current = request
-            .active_attempt
-            .as_ref()
-            .is_none_or(|attempt| attempt.number == number);
-        if !is_final && !is_current {
-            return;
+        if matches!(end, AttemptEnd::Whole | AttemptEnd::CallerGone) {
+            // The request is over, whichever attempt this end is reported for.
+            if let Some(successor) = request.successor.take() {
+                self.end_attempt(now, ticket, successor, AttemptEnd::Superseded, out);
+            }
+            let active = self
+                .requests
+                .get_mut(&ticket)
+                .and_then(|request| request.active_attempt.take());
+            if let Some(attempt) = active {
+                self.end_attempt(now, ticket, attempt, end, out);
+            }
+            let count = match end {
+                AttemptEnd::Whole => Count::Done,
+                _ => Count::CallersGone,
+            };
+            return self.finish(now, ticket, count);
+        }
+        let is = |attempt: &mut ActiveAttempt| attempt.number == number;
+        if let Some(attempt) = request.successor.take_if(is) {
+            self.end_attempt(now, ticket, attempt, end, out);
+            self.record_ended_run(ticket, end);
+        } else if let Some(attempt) = request.active_attempt.take_if(is) {
+            request.active_attempt = request.successor.take();
+            let is_continued = request.active_attempt.is_some();
+            self.end_attempt(now, ticket, attempt, end, out);
+            self.record_ended_run(ticket, end);
+            if !is_continued {
+                self.retry_or_refuse(now, ticket, end, out);
+            }
         }
-        if request.active_attempt.is_none() {
-            // The caller left while the request waited for a backend server.
-            self.requests.remove(&ticket);
+    }
+
+    /// Records whether a backend server may have run an attempt that has ended.
+    fn record_ended_run(&mut self, ticket: Ticket, end: AttemptEnd) {
+        let Some(request) = self.requests.get_mut(&ticket) else {
             return;
+        };
+        if end.is_not_run() {
+            request.attempts_not_run += 1;
+        } else {
+            request.attempts_maybe_run += 1;
+            request.verdict = Verdict::MayHaveRun;
         }
-        self.end_active_attempt(now, ticket, end, out);
-        match end {
-            AttemptEnd::Whole => self.finish(now, ticket, Count::Done),
-            AttemptEnd::CallerGone => self.finish(now, ticket, Count::CallersGone),
-            AttemptEnd::NotSent
-            | AttemptEnd::NoMemory
-            | AttemptEnd::Misdirected
-            | AttemptEnd::Refused => {
-                self.retry_not_run(now, ticket, end, out);
-            }
-            AttemptEnd::Failed | AttemptEnd::Broken | AttemptEnd::Silent => {
-                self.retry_may_have_run(now, ticket, end, out);
-            }
+    }
+
+    fn retry_or_refuse(
+        &mut self,
+        now: Millis,
+        ticket: Ticket,
+        end: AttemptEnd,
+        out: &mut Vec<Output>,
+    ) {
+        if end.is_not_run() {
+            self.retry_not_run(now, ticket, end, out);
+        } else {
+            self.retry_may_have_run(now, ticket, end, out);
         }
     }
 
-    /// Ends the attempt in progress: logs it, removes its load and updates the
-    /// server's health.
-    pub(super) fn end_active_attempt(
+    /// Logs the end of an attempt, removes its load and updates the server's
+    /// health.
+    fn end_attempt(
         &mut self,
         now: Millis,
         ticket: Ticket,
+        attempt: ActiveAttempt,
         end: AttemptEnd,
         out: &mut Vec<Output>,
     ) {
         let Some(request) = self.requests.get_mut(&ticket) else {
             return;
         };
-        let Some(attempt) = request.active_attempt.take() else {
-            return;
-        };
         if end != AttemptEnd::NoMemory && !request.tried_servers.contains(&attempt.server) {
             request.tried_servers.push(attempt.server);
         }
-        let id = request.submission.head.request_id.clone();
         log::info!(
-            request = id.as_str(),
+            request = request.submission.head.request_id.as_str(),
+            attempt = attempt.number.0,
             server = self.server_table.get(attempt.server).entry.id.as_str(),
             end:? = end,
             started = attempt.first_output_seen,
@@ -142,7 +170,10 @@
                 self.crashes.clear(fingerprint);
                 return;
             }
-            AttemptEnd::CallerGone | AttemptEnd::Failed | AttemptEnd::NoMemory => return,
+            AttemptEnd::CallerGone
+            | AttemptEnd::Failed
+            | AttemptEnd::NoMemory
+            | AttemptEnd::Superseded => return,
             AttemptEnd::Misdirected => {
                 let id = self.server_table.get(server).entry.id.clone();
                 log::warn!(server = id.as_str(); "address belongs to another backend server");
@@ -205,7 +236,6 @@
         let Some(request) = self.requests.get_mut(&ticket) else {
             return;
         };
-        request.attempts_not_run += 1;
         let reached_server = matches!(end, AttemptEnd::Misdirected | AttemptEnd::Refused);
         let service = request.service.clone();
         let may_retry = request.attempts_not_run <= MAX_RETRIES_NOT_RUN
@@ -234,9 +264,12 @@
         let Some(request) = self.requests.get_mut(&ticket) else {
             return;
         };
-        request.record_maybe_run();
         let service = request.service.clone();
         let blocker = match retry_blocker(now, request, request.attempts_maybe_run) {
+            // The server's own answer is better than a refusal.
+            None if end == AttemptEnd::Failed && self.choose_placement(now, ticket).is_none() => {
+                RetryBlocker::NoServer
+            }
             None if self.budgets.try_withdraw(&service) => {
                 return self.place_request(now, ticket, out);
             }
@@ -383,6 +416,8 @@
     Deadline,
     /// The retry budget of the service is used up.
     Budget,
+    /// No other backend server can be chosen.
+    NoServer,
 }
 
 /// Returns why a request must not be sent again after `attempts` that servers
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -5,7 +5,6 @@
 use super::Core;
 use super::endings::final_refusal;
 use super::fleet_load::utility_of_prompt;
-use super::stalls::first_output_due;
 use crate::clock::Millis;
 use crate::gateway::engine::JobKey;
 use crate::gateway::instances::PeerMessage;
@@ -77,6 +76,11 @@
     /// wait.
     pub(super) wait_until: Option<Millis>,
     pub(super) active_attempt: Option<ActiveAttempt>,
+    /// A second attempt, started because the active one is stalled. It becomes
+    /// the active one if that ends without an answer.
+    pub(super) successor: Option<ActiveAttempt>,
+    /// Number of the next attempt.
+    pub(super) next_attempt: u32,
     /// Attempts that a backend server may have run.
     pub(super) attempts_maybe_run: u32,
     /// Attempts that no backend server ran.
@@ -112,8 +116,9 @@
     pub(super) sent_at: Millis,
     /// Time to the first output predicted at sending, in ms.
     pub(super) predicted_ms: f64,
-    /// When the attempt counts as stalled if it has given no output.
-    pub(super) first_output_due: Millis,
+    /// Until when an engine may leave the attempt's reserved memory unused;
+    /// `None` if no memory is reserved.
+    pub(super) memory_unused_until: Option<Millis>,
     pub(super) first_output_seen: bool,
     /// When another server was last sought because the attempt is stalled;
     /// `None` if it has not been stalled.
@@ -211,6 +216,8 @@
             response_deadline: submission.arrived + time_limit,
             wait_until: None,
             active_attempt: None,
+            successor: None,
+            next_attempt: 0,
             attempts_maybe_run: 0,
             attempts_not_run: 0,
             tried_servers: Vec::new(),
@@ -237,8 +244,7 @@
             return self.refuse(now, ticket, refusal, out);
         }
         self.fleet_load.advance(now);
-        let attempt = self.requests[&ticket].total_attempts();
-        let Some(chosen) = self.choose_placement(now, ticket, attempt) else {
+        let Some(chosen) = self.choose_placement(now, ticket) else {
             return self.wait_or_refuse(now, ticket, out);
         };
         if let Some(prompt) = &chosen.prompt
@@ -250,16 +256,12 @@
         self.send_request(now, ticket, &chosen, out);
     }
 
-    /// Chooses where to send a request's attempt with the number `attempt`.
-    pub(super) fn choose_placement(
-        &self,
-        now: Millis,
-        ticket: Ticket,
-        attempt: u32,
-    ) -> Option<ChosenPlacement> {
+    /// Chooses where to send a request's next attempt.
+    pub(super) fn choose_placement(&self, now: Millis, ticket: Ticket) -> Option<ChosenPlacement> {
         let routes = self.routes.clone()?;
         let request = &self.requests[&ticket];
-        let job = JobKey(id_hash(&request.submission.head.request_id) ^ u64::from(attempt));
+        let job =
+            JobKey(id_hash(&request.submission.head.request_id) ^ u64::from(request.next_attempt));
         let is_engine = routes
             .services
             .get(&request.service)
@@ -366,24 +368,26 @@
             return;
         };
         request.wait_until = None;
-        let first_output_due = first_output_due(now, request, placement.first_token_at);
-        request.active_attempt = Some(ActiveAttempt {
+        request.next_attempt += 1;
+        let attempt = ActiveAttempt {
             number: plan.attempt,
             job,
             server: placement.primary,
             helpers: placement.helpers.iter().map(|(key, _)| *key).collect(),
             sent_at: now,
             predicted_ms,
-            first_output_due,
+            memory_unused_until: (!plan.reservations.is_empty())
+                .then_some(plan.first_output_deadline),
             first_output_seen: false,
             stall_checked_at: None,
             last_output: now,
             longest_gap: Millis::ZERO,
-        });
-        let (id, attempts) = (
-            request.submission.head.request_id.clone(),
-            request.total_attempts(),
-        );
+        };
+        match request.active_attempt {
+            None => request.active_attempt = Some(attempt),
+            Some(_) => request.successor = Some(attempt),
+        }
+        let (id, attempts) = (request.submission.head.request_id.clone(), plan.attempt.0);
         log::info!(
             request = id.as_str(),
             send = attempts,
@@ -452,7 +456,7 @@
                 .min(now + self.bounds.reservation_idle_limit - MEMORY_IDLE_MARGIN);
         }
         AttemptPlan {
-            attempt: AttemptNumber(request.total_attempts()),
+            attempt: AttemptNumber(request.next_attempt),
             addr: server.entry.addr.clone(),
             server_id: server.entry.id.clone(),
             max_connections: (accepted / self.instances.known_count())
@@ -528,6 +532,7 @@
             return;
         };
         attempt.first_output_seen = true;
+        attempt.stall_checked_at = None;
         attempt.last_output = now;
         let attempt = attempt.clone();
         let observed_ms = now.since(attempt.sent_at).0;
@@ -574,11 +579,17 @@
             .record_progress(at, attempt.job, attempt.server);
     }
 
-    pub(super) fn on_cold_reported(&mut self, now: Millis, ticket: Ticket, cold_remaining: Millis) {
-        let attempt = self
-            .requests
-            .get(&ticket)
-            .and_then(|request| request.active_attempt.as_ref());
+    pub(super) fn on_cold_reported(
+        &mut self,
+        now: Millis,
+        ticket: Ticket,
+        number: AttemptNumber,
+        cold_remaining: Millis,
+    ) {
+        let attempt = self.requests.get(&ticket).and_then(|request| {
+            let mut attempts = request.active_attempt.iter().chain(&request.successor);
+            attempts.find(|attempt| attempt.number == number)
+        });
         if let Some(attempt) = attempt {
             self.server_table
                 .mark_cold(attempt.server, now + cold_remaining);
@@ -591,17 +602,3 @@
         }
     }
 }
-
-impl Request {
-    /// Returns the number of attempts that have ended, whether or not a server
-    /// ran them.
-    pub(super) fn total_attempts(&self) -> u32 {
-        self.attempts_maybe_run + self.attempts_not_run
-    }
-
-    /// Records the end of an attempt that a server may have run.
-    pub(super) fn record_maybe_run(&mut self) {
-        self.attempts_maybe_run += 1;
-        self.verdict = Verdict::MayHaveRun;
-    }
-}
--- a/src/gateway/core/stalls.rs
+++ b/src/gateway/core/stalls.rs
@@ -1,24 +1,27 @@
 //! Attempts whose backend server has given no output for too long.
 //!
 //! Such a server may have died, or may only be busy: an engine emits nothing
-//! while it prefills a long prompt. The attempt therefore goes on until another
-//! server is found that is expected to answer before the caller disconnects and
-//! that the retry limits allow. Only then is the attempt replaced; otherwise it
-//! ends with its answer, with the caller or at the deadline.
+//! while it prefills a long prompt. The attempt therefore goes on, and a second
+//! one is started if the retry limits allow it and another server is expected to
+//! answer before the caller disconnects. The one that gives output first
+//! supersedes the other.
 //!
 //! Intended for engines that stop answering without closing connections, and
 //! for engines that stall many streams at once while the fleet has little spare
 //! capacity.
 
 use super::Core;
+use super::endings::MAX_RETRIES_NOT_RUN;
 use super::endings::RetryBlocker;
 use super::endings::retry_blocker;
 use super::requests::ANSWER_MARGIN;
+use super::requests::ActiveAttempt;
 use super::requests::Request;
 use crate::clock::Millis;
 use crate::gateway::message::AttemptEnd;
 use crate::gateway::message::Output;
 use crate::gateway::message::Ticket;
+use crate::gateway::placement::Placement;
 use crate::gateway::route::Route;
 use crate::gateway::route::RunPolicy;
 use crate::metrics::Count;
@@ -32,10 +35,12 @@
 /// Percentage of a caller's patience after which an attempt without output
 /// counts as stalled, so that another server has time to answer.
 const STALL_PATIENCE_PERCENT: u64 = 85;
+/// Time before the release of unused memory at which a successor is started.
+const SUCCESSOR_LEAD: Millis = Millis(1_000);
 /// Interval at which another server is sought for a stalled attempt.
 const STALL_CHECK_PERIOD: Millis = Millis(100);
 
-/// Reason why a stalled attempt goes on.
+/// Reason why a stalled attempt has no successor.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StallBlocker {
     /// The request must not be sent again.
@@ -45,8 +50,8 @@
 }
 
 impl Core {
-    /// Moves stalled attempts to other servers that can answer in time.
-    pub(super) fn move_stalled_attempts(&mut self, now: Millis, out: &mut Vec<Output>) {
+    /// Starts second attempts for requests whose attempt is stalled.
+    pub(super) fn check_stalled_attempts(&mut self, now: Millis, out: &mut Vec<Output>) {
         let stalled: Vec<Ticket> = self
             .requests
             .iter()
@@ -68,31 +73,32 @@
         let is_new = attempt.stall_checked_at.replace(now).is_none();
         let server = attempt.server;
         if is_new {
-            // Excludes the server from the search for another one.
-            request.tried_servers.push(server);
+            if !request.tried_servers.contains(&server) {
+                request.tried_servers.push(server);
+            }
             self.count(Count::AttemptsStalled);
             let avoid_for = self.health.record_timeout(now, server);
             self.avoid_server(server, AttemptEnd::Silent, avoid_for, out);
         }
-        match self.move_attempt(now, ticket, out) {
-            Ok(()) => self.count(Count::AttemptsMoved),
-            Err(blocker) if is_new => {
-                let request = &self.requests[&ticket];
-                log::info!(
-                    request = request.submission.head.request_id.as_str(),
-                    server = self.server_table.get(server).entry.id.as_str(),
-                    cause:? = blocker,
-                    silent_ms = now.since(request.last_output_at).0,
-                    left_ms = request.response_deadline.since(now).0;
-                    "no output; the attempt goes on"
-                );
-            }
-            Err(_) => {}
+        let started = self.start_successor(now, ticket, out);
+        if started.is_ok() {
+            self.count(Count::Successors);
+        }
+        if is_new {
+            let request = &self.requests[&ticket];
+            log::info!(
+                request = request.submission.head.request_id.as_str(),
+                server = self.server_table.get(server).entry.id.as_str(),
+                second_attempt:? = started,
+                silent_ms = now.since(request.last_output_at).0,
+                left_ms = request.response_deadline.since(now).0;
+                "no output; the attempt goes on"
+            );
         }
     }
 
-    /// Replaces the attempt in progress by one on another server.
-    fn move_attempt(
+    /// Starts a second attempt on another server.
+    fn start_successor(
         &mut self,
         now: Millis,
         ticket: Ticket,
@@ -103,51 +109,69 @@
         if let Some(blocker) = retry_blocker(now, request, attempts) {
             return Err(StallBlocker::Retry(blocker));
         }
+        if request.attempts_not_run > MAX_RETRIES_NOT_RUN {
+            return Err(StallBlocker::Retry(RetryBlocker::AttemptLimit));
+        }
+        // The search for a server is expensive: it is made only if it can help.
+        let needed_by = request.caller_waits_until();
+        if now + ANSWER_MARGIN >= needed_by {
+            return Err(StallBlocker::NoServerInTime);
+        }
         let service = request.service.clone();
-        // The search below is expensive.
         if !self.budgets.can_withdraw(&service) {
             return Err(StallBlocker::Retry(RetryBlocker::Budget));
         }
         self.fleet_load.advance(now);
-        let request = &self.requests[&ticket];
-        let needed_by = request.caller_waits_until();
-        let next_attempt = request.total_attempts() + 1;
-        let chosen = self
-            .choose_placement(now, ticket, next_attempt)
-            .filter(|chosen| {
-                chosen.placement.first_token_at + ANSWER_MARGIN.0 as f64 <= needed_by.0 as f64
-            });
-        let Some(chosen) = chosen else {
-            return Err(StallBlocker::NoServerInTime);
+        let is_in_time = |placement: &Placement| {
+            placement.first_token_at + ANSWER_MARGIN.0 as f64 <= needed_by.0 as f64
         };
+        let chosen = self
+            .choose_placement(now, ticket)
+            .filter(|chosen| is_in_time(&chosen.placement))
+            .ok_or(StallBlocker::NoServerInTime)?;
         if !self.budgets.try_withdraw(&service) {
             return Err(StallBlocker::Retry(RetryBlocker::Budget));
         }
-        self.end_active_attempt(now, ticket, AttemptEnd::Silent, out);
-        if let Some(request) = self.requests.get_mut(&ticket) {
-            request.record_maybe_run();
-        }
         self.send_request(now, ticket, &chosen, out);
         Ok(())
     }
 }
 
 impl Request {
-    /// Returns whether another server has to be sought for the attempt in
-    /// progress, because it is stalled and was not checked recently.
+    /// Returns whether another server has to be sought, because the attempt in
+    /// progress is stalled, has no successor and was not checked recently.
     fn is_stall_check_due(&self, now: Millis) -> bool {
         let Some(attempt) = &self.active_attempt else {
             return false;
         };
+        if self.successor.is_some() || now >= self.response_deadline {
+            return false;
+        }
         let is_recent = attempt
             .stall_checked_at
             .is_some_and(|at| now.since(at) < STALL_CHECK_PERIOD);
-        let stalls_at = match (self.route.run_policy, attempt.first_output_seen) {
-            (RunPolicy::Idempotent | RunPolicy::Resumable, false) => attempt.first_output_due,
-            (RunPolicy::Resumable, true) => attempt.last_output + max_output_gap(&self.route),
-            (RunPolicy::Idempotent, true) | (RunPolicy::AtMostOnce, _) => return false,
+        !is_recent && self.stalls_at(attempt).is_some_and(|at| now >= at)
+    }
+
+    /// Returns when an attempt counts as stalled, if it may have a successor.
+    fn stalls_at(&self, attempt: &ActiveAttempt) -> Option<Millis> {
+        let without_output = match self.route.run_policy {
+            RunPolicy::AtMostOnce => return None,
+            RunPolicy::Idempotent if attempt.first_output_seen => return None,
+            RunPolicy::Idempotent => {
+                attempt.sent_at + Millis(self.response_deadline.since(attempt.sent_at).0 / 2)
+            }
+            RunPolicy::Resumable => self.last_output_at + max_output_gap(&self.route),
         };
-        now >= stalls_at && now < self.response_deadline && !is_recent
+        if attempt.first_output_seen {
+            return Some(without_output);
+        }
+        // Not before the predicted first output, and in time before unused
+        // memory has to be released.
+        let predicted = attempt.sent_at + Millis(attempt.predicted_ms.max(0.0) as u64);
+        let release_at = attempt.memory_unused_until.unwrap_or(Millis(u64::MAX));
+        let latest = Millis(release_at.0.saturating_sub(SUCCESSOR_LEAD.0));
+        Some(without_output.max(predicted).min(latest))
     }
 
     /// Returns until when the caller waits for the next output.
@@ -160,17 +184,6 @@
     }
 }
 
-/// Returns when an attempt sent at `now` counts as stalled if it has given no
-/// output. For a resumable stream it follows from the predicted first token; an
-/// idempotent call gets half of the remaining time.
-pub(super) fn first_output_due(now: Millis, request: &Request, first_token_at: f64) -> Millis {
-    if request.route.streaming {
-        let predicted = Millis(first_token_at.max(now.0 as f64) as u64);
-        return predicted + max_output_gap(&request.route);
-    }
-    now + Millis(request.response_deadline.since(now).0 / 2)
-}
-
 /// Returns how long an attempt may go without output before it counts as
 /// stalled.
 fn max_output_gap(route: &Route) -> Millis {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -30,14 +30,19 @@
 use tokio::time::timeout_at;
 
 use crate::adapter::headers;
-use crate::adapter::headers::AddedHeaders;
 use crate::clock::Clock;
 use crate::clock::Millis;
+use crate::gateway::attempt::AttemptContext;
+use crate::gateway::attempt::CallerRequest;
+use crate::gateway::attempt::Failure;
+use crate::gateway::attempt::OpenAttempt;
+use crate::gateway::attempt::OpenStream;
+use crate::gateway::attempt::Opened;
+use crate::gateway::attempt::OpeningAttempts;
+use crate::gateway::attempt::log_time_limit;
 use crate::gateway::events::EventSplitter;
-use crate::gateway::memory::MemoryReservations;
 use crate::gateway::message::AttemptEnd;
 use crate::gateway::message::AttemptNumber;
-use crate::gateway::message::AttemptPlan;
 use crate::gateway::message::Input;
 use crate::gateway::message::Output;
 use crate::gateway::message::RequestHead;
@@ -51,9 +56,6 @@
 use crate::gateway::response::refusal_response;
 use crate::gateway::response::stream_response;
 use crate::gateway::response::with_connection_close;
-use crate::gateway::upstream::CallError;
-use crate::gateway::upstream::PooledConnection;
-use crate::gateway::upstream::Reuse;
 use crate::gateway::upstream::Upstream;
 use crate::metrics::Metrics;
 use crate::verdict::Reason;
@@ -61,11 +63,6 @@
 
 /// Maximum number of response chunks that are queued for a slow caller.
 const BODY_QUEUE_CHUNKS: usize = 16;
-/// Time limit for reading the rest of a refusal's body.
-const REFUSAL_DRAIN_TIMEOUT: Duration = Duration::from_millis(300);
-/// Maximum size of a buffered failure response of a backend server, in bytes.
-const MAX_FAILURE_BYTES: usize = 1024 * 1024;
-
 /// State shared by all requests of the process.
 #[derive(Debug)]
 pub struct Traffic {
@@ -86,14 +83,6 @@
     pub next_ticket: std::cell::Cell<u64>,
 }
 
-/// A caller's request, completely received.
-#[derive(Debug)]
-struct CallerRequest {
-    parts: Parts,
-    head: RequestHead,
-    body: Bytes,
-}
-
 /// State of the response to the caller.
 #[derive(Debug)]
 enum ResponseState {
@@ -105,10 +94,6 @@
     Closed,
 }
 
-/// A failure response of a backend server, buffered until the core decides
-/// whether to retry or to forward it.
-type Failure = Response<Bytes>;
-
 /// Forwards a request and returns the head of the response.
 ///
 /// # Errors
@@ -153,7 +138,7 @@
         head: head.clone(),
     };
     let (response_tx, response_rx) = oneshot::channel();
-    let caller_request = CallerRequest { parts, head, body };
+    let caller_request = Rc::new(CallerRequest { parts, head, body });
     tokio::task::spawn_local(run_request(
         traffic,
         caller_request,
@@ -203,21 +188,10 @@
     hash.digest()
 }
 
-/// Logs that a time limit ended an attempt, and which one.
-fn log_time_limit(request_id: &str, plan: &AttemptPlan, limit: &str) {
-    log::info!(
-        request = request_id,
-        server = plan.server_id.as_str(),
-        limit = limit,
-        attempt = plan.attempt.0;
-        "time limit reached"
-    );
-}
-
 /// Runs a request through all its attempts.
 async fn run_request(
     traffic: Rc<Traffic>,
-    caller_request: CallerRequest,
+    caller_request: Rc<CallerRequest>,
     submission: Submission,
     response_tx: oneshot::Sender<Response<ResponseBody>>,
 ) {
@@ -226,6 +200,11 @@
     let (tx, mut outputs) = mpsc::unbounded_channel();
     traffic.outputs.borrow_mut().insert(ticket, tx);
     traffic.send_input(Input::Submit(ticket, submission));
+    let context = AttemptContext {
+        traffic: Rc::clone(&traffic),
+        ticket,
+        caller_request: Rc::clone(&caller_request),
+    };
     let mut task = RequestTask {
         traffic: Rc::clone(&traffic),
         ticket,
@@ -234,41 +213,35 @@
         events: EventSplitter::default(),
         failure: None,
     };
-    let mut attempt = AttemptNumber::default();
-    let mut replacement = None;
+    let mut attempts = OpeningAttempts::new(context);
     loop {
-        let output = match replacement.take() {
-            Some(output) => Some(output),
-            None => tokio::select! {
-                output = outputs.recv() => output,
-                () = task.response.caller_disconnected() => {
-                    traffic.send_input(Input::AttemptEnded(ticket, attempt, AttemptEnd::CallerGone));
-                    break;
+        let is_over = tokio::select! {
+            biased;
+            output = outputs.recv() => match output {
+                Some(Output::Send(_, plan)) => {
+                    attempts.start(plan, task.events.last_id());
+                    false
                 }
-            },
-        };
-        match output {
-            Some(Output::Send(_, plan)) => {
-                attempt = plan.attempt;
-                match task.run_attempt(&plan, &mut outputs).await {
-                    AttemptResult::Replaced(output) => replacement = Some(output),
-                    AttemptResult::Ended(end) => {
-                        traffic.send_input(Input::AttemptEnded(ticket, attempt, end));
-                        if matches!(end, AttemptEnd::Whole | AttemptEnd::CallerGone) {
-                            break;
-                        }
-                    }
+                Some(Output::Refuse(_, refusal)) => {
+                    task.refuse(&refusal);
+                    true
                 }
+                Some(Output::ForwardFailure(_)) => {
+                    task.forward_failure();
+                    true
+                }
+                _ => true,
+            },
+            (number, opened) = attempts.next() => {
+                task.on_opened(number, opened, &mut attempts, &mut outputs).await
             }
-            Some(Output::Refuse(_, refusal)) => {
-                task.refuse(&refusal);
-                break;
-            }
-            Some(Output::ForwardFailure(_)) => {
-                task.forward_failure();
-                break;
+            () = task.response.caller_disconnected() => {
+                task.report_end(AttemptNumber::default(), AttemptEnd::CallerGone);
+                true
             }
-            _ => break,
+        };
+        if is_over {
+            break;
         }
     }
     traffic.outputs.borrow_mut().remove(&ticket);
@@ -301,7 +274,8 @@
         self.outputs.borrow().len()
     }
 
-    fn to_instant(&self, at: Millis) -> Instant {
+    /// Converts a time of the shared clock.
+    pub(super) fn to_instant(&self, at: Millis) -> Instant {
         Instant::now() + at.since(self.clock.now()).as_duration()
     }
 }
@@ -317,325 +291,174 @@
     }
 }
 
-/// How the run of an attempt came to an end.
-enum AttemptResult {
-    /// The attempt ended.
-    Ended(AttemptEnd),
-    /// The core replaced the attempt by this output.
-    Replaced(Output),
-}
-
 /// The state of a request during its attempts.
 struct RequestTask {
     traffic: Rc<Traffic>,
     ticket: Ticket,
-    caller_request: CallerRequest,
+    caller_request: Rc<CallerRequest>,
     response: ResponseState,
     events: EventSplitter,
     failure: Option<Failure>,
 }
 
+/// How the forwarding of a stream came to an end.
+enum StreamEnd {
+    /// The attempt ended.
+    Ended(AttemptEnd),
+    /// Another attempt began to answer while this one gave no output.
+    Superseded(AttemptNumber, OpenAttempt),
+}
+
 impl RequestTask {
-    /// Performs one attempt, including its memory reservations.
-    async fn run_attempt(
+    /// Handles an attempt whose response has begun, or that has ended without
+    /// one. Returns whether the request is over.
+    async fn on_opened(
         &mut self,
-        plan: &AttemptPlan,
+        number: AttemptNumber,
+        opened: Opened,
+        attempts: &mut OpeningAttempts,
         outputs: &mut mpsc::UnboundedReceiver<Output>,
-    ) -> AttemptResult {
-        let due = self.traffic.to_instant(plan.response_deadline);
-        let memory = MemoryReservations::new(&self.traffic, self.request_id());
-        let reservations = match memory.reserve(&plan.reservations).await {
-            Ok(reservations) => reservations,
-            Err(end) => return AttemptResult::Ended(end),
-        };
-        let renewal = memory.renew(reservations.clone());
-        let request_id = self.caller_request.head.request_id.clone();
-        let result = tokio::select! {
-            biased;
-            Some(output) = outputs.recv() => AttemptResult::Replaced(output),
-            end = self.send_and_forward(plan) => AttemptResult::Ended(end),
-            () = sleep_until(due) => {
-                log_time_limit(&request_id, plan, "response");
-                AttemptResult::Ended(AttemptEnd::Silent)
-            }
-            () = renewal => AttemptResult::Ended(AttemptEnd::Silent),
-        };
-        for reservation in reservations {
-            memory.release(reservation);
-        }
-        result
-    }
-
-    /// Sends the request and forwards its response.
-    async fn send_and_forward(&mut self, plan: &AttemptPlan) -> AttemptEnd {
-        let first_output_deadline = self.traffic.to_instant(plan.first_output_deadline);
-        let request = match self.build_request(plan) {
-            Ok(request) => request,
+    ) -> bool {
+        let (mut number, mut open) = match opened {
+            Ok(open) => (number, open),
             Err(error) => {
-                log::error!(request = self.request_id(), error:% = error; "cannot build request");
-                return AttemptEnd::NotSent;
-            }
-        };
-        let reuse = if plan.resumable || plan.retry_failures {
-            Reuse::Pooled
-        } else {
-            Reuse::NewOnly
-        };
-        let upstream = self.traffic.upstream.clone();
-        let sent = {
-            let attempt = upstream.send(&plan.addr, request, reuse, plan.max_connections);
-            tokio::select! {
-                sent = timeout_at(first_output_deadline, attempt) => sent,
-                () = self.response.caller_disconnected() => return AttemptEnd::CallerGone,
+                self.failure = error.failure.or(self.failure.take());
+                self.report_end(number, error.end);
+                return false;
             }
         };
-        match sent {
-            Err(_) => {
-                log_time_limit(self.request_id(), plan, "first_output");
-                AttemptEnd::Silent
-            }
-            Ok(Err(CallError::NotSent(cause))) => {
-                log::info!(request = self.request_id(), server = plan.server_id.as_str(), cause = cause.as_str(); "not sent");
-                AttemptEnd::NotSent
-            }
-            Ok(Err(error)) => {
-                log::info!(request = self.request_id(), server = plan.server_id.as_str(), cause:% = error; "no answer");
-                AttemptEnd::Broken
-            }
-            Ok(Ok((response, connection))) => {
-                self.handle_response(plan, response, connection, first_output_deadline)
-                    .await
-            }
+        loop {
+            let end = match open {
+                OpenAttempt::Complete(response) => {
+                    self.stop_openings(attempts);
+                    self.traffic
+                        .send_input(Input::FirstOutput(self.ticket, number));
+                    match self.send_head(response.map(|body| ResponseBody::Left(Full::new(body)))) {
+                        true => AttemptEnd::Whole,
+                        false => AttemptEnd::CallerGone,
+                    }
+                }
+                OpenAttempt::Stream(stream) => {
+                    let forwarded = self.forward_stream(number, stream, attempts, outputs);
+                    match forwarded.await {
+                        StreamEnd::Ended(end) => end,
+                        StreamEnd::Superseded(next_number, next) => {
+                            self.report_end(number, AttemptEnd::Superseded);
+                            (number, open) = (next_number, next);
+                            continue;
+                        }
+                    }
+                }
+            };
+            self.report_end(number, end);
+            return matches!(end, AttemptEnd::Whole | AttemptEnd::CallerGone);
         }
     }
 
-    fn build_request(&self, plan: &AttemptPlan) -> Result<Request<Full<Bytes>>, http::Error> {
-        let remaining = plan.response_deadline.since(self.traffic.clock.now());
-        let added = AddedHeaders {
-            deadline: Some(remaining),
-            server_id: &plan.server_id,
-            workspace: Some(plan.workspace.as_str()).filter(|name| !name.is_empty()),
-            engine_priority: plan.engine_priority,
-            helpers: &plan.helpers,
-            last_event: self.events.last_id(),
-        };
-        let mut headers = headers::request_headers(&self.caller_request.parts.headers, &added);
-        headers.remove(header::CONTENT_LENGTH);
-        let path = self.caller_request.parts.uri.path_and_query();
-        let mut request = Request::builder()
-            .method(self.caller_request.parts.method.clone())
-            .uri(path.map_or("/", |path| path.as_str()))
-            .body(Full::new(self.caller_request.body.clone()))?;
-        *request.headers_mut() = headers;
-        Ok(request)
-    }
-
-    /// Checks a response head and forwards the response.
-    async fn handle_response(
+    /// Forwards a stream, complete events only. Another attempt that the core
+    /// starts takes over only if it begins to answer before this one gives
+    /// further output.
+    async fn forward_stream(
         &mut self,
-        plan: &AttemptPlan,
-        response: Response<Incoming>,
-        connection: PooledConnection,
-        first_output_deadline: Instant,
-    ) -> AttemptEnd {
-        let (parts, body) = response.into_parts();
-        let head = headers::decode_response_head(parts.status.as_u16(), &parts.headers);
-        if let Some(remaining) = head
-            .cold_remaining
-            .filter(|remaining| *remaining > Millis::ZERO)
-        {
-            self.traffic
-                .send_input(Input::ColdReported(self.ticket, remaining));
-        }
-        let is_same_request =
-            head.request_id.as_deref() == Some(self.caller_request.head.request_id.as_str());
-        if head.request_id.is_some() && !is_same_request {
-            log::warn!(request = self.request_id(), server = plan.server_id.as_str(); "response belongs to another request; connection closed");
-            return AttemptEnd::Broken;
-        }
-        if head.refused {
-            log::info!(request = self.request_id(), server = plan.server_id.as_str(), status = head.status, at_fault = head.at_fault.as_deref().unwrap_or_default(); "refused by backend server");
-            self.read_refusal_body(body, connection, head.idle_timeout, head.closes)
-                .await;
-            return match head.status {
-                421 => AttemptEnd::Misdirected,
-                _ => AttemptEnd::Refused,
-            };
-        }
-        if !head.stamped || head.encoded {
-            log::warn!(request = self.request_id(), server = plan.server_id.as_str(), status = head.status; "response without server stamp, or with a content encoding");
-            return AttemptEnd::Broken;
-        }
-        let idle_timeout = if head.closes {
-            Some(Millis::ZERO)
-        } else {
-            head.idle_timeout
-        };
-        if !parts.status.is_success() {
-            return self
-                .buffer_failure(plan, parts, body, connection, idle_timeout)
-                .await;
-        }
-        if plan.streaming {
-            return self
-                .forward_stream(
-                    plan,
-                    parts,
-                    body,
-                    connection,
-                    idle_timeout,
-                    first_output_deadline,
-                )
-                .await;
-        }
-        self.forward_complete(
-            plan,
+        number: AttemptNumber,
+        stream: Box<OpenStream>,
+        attempts: &mut OpeningAttempts,
+        outputs: &mut mpsc::UnboundedReceiver<Output>,
+    ) -> StreamEnd {
+        let OpenStream {
             parts,
-            body,
+            first_chunk,
+            mut body,
             connection,
             idle_timeout,
-            first_output_deadline,
-        )
-        .await
-    }
-
-    /// Reads the rest of a refusal, so that its connection can be reused.
-    async fn read_refusal_body(
-        &self,
-        body: Incoming,
-        connection: PooledConnection,
-        idle_timeout: Option<Millis>,
-        closes: bool,
-    ) {
-        if closes {
-            return;
-        }
-        let body = http_body_util::Limited::new(body, MAX_FAILURE_BYTES).collect();
-        if let Ok(Ok(_)) = timeout(REFUSAL_DRAIN_TIMEOUT, body).await {
-            connection.return_to_pool(idle_timeout);
-        }
-    }
-
-    /// Buffers a failure response of a backend server until the core decides.
-    async fn buffer_failure(
-        &mut self,
-        plan: &AttemptPlan,
-        parts: http::response::Parts,
-        body: Incoming,
-        connection: PooledConnection,
-        idle_timeout: Option<Millis>,
-    ) -> AttemptEnd {
-        log::info!(request = self.request_id(), server = plan.server_id.as_str(), status = parts.status.as_u16(); "failure by backend server");
-        let body = http_body_util::Limited::new(body, MAX_FAILURE_BYTES).collect();
-        let Ok(body) = body.await else {
-            return AttemptEnd::Broken;
-        };
-        connection.return_to_pool(idle_timeout);
-        // To callers these statuses mean that the request has not run, which a
-        // response without the not-run header does not guarantee.
-        if matches!(parts.status.as_u16(), 408 | 421 | 429 | 503) {
-            return AttemptEnd::Broken;
-        }
-        let mut failure = Response::from_parts(parts, body.to_bytes());
-        *failure.headers_mut() = headers::response_headers(failure.headers());
-        self.failure = Some(failure);
-        AttemptEnd::Failed
-    }
-
-    /// Forwards a non-streaming response after it has been received completely.
-    async fn forward_complete(
-        &mut self,
-        plan: &AttemptPlan,
-        parts: http::response::Parts,
-        body: Incoming,
-        connection: PooledConnection,
-        idle_timeout: Option<Millis>,
-        first_output_deadline: Instant,
-    ) -> AttemptEnd {
-        let body = tokio::select! {
-            body = timeout_at(first_output_deadline, body.collect()) => body,
-            () = self.response.caller_disconnected() => return AttemptEnd::CallerGone,
-        };
-        let body = match body {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) => {
-                log::info!(request = self.request_id(), cause:% = error; "answer broke off");
-                return AttemptEnd::Broken;
-            }
-            Err(_) => {
-                log_time_limit(self.request_id(), plan, "first_output");
-                return AttemptEnd::Silent;
-            }
-        };
-        connection.return_to_pool(idle_timeout);
-        self.traffic
-            .send_input(Input::FirstOutput(self.ticket, plan.attempt));
-        let mut response = Response::new(ResponseBody::Left(Full::new(body)));
-        *response.status_mut() = parts.status;
-        *response.headers_mut() = headers::response_headers(&parts.headers);
-        match self.send_head(response) {
-            true => AttemptEnd::Whole,
-            false => AttemptEnd::CallerGone,
-        }
-    }
-
-    /// Forwards a stream, complete events only.
-    async fn forward_stream(
-        &mut self,
-        plan: &AttemptPlan,
-        parts: http::response::Parts,
-        mut body: Incoming,
-        connection: PooledConnection,
-        idle_timeout: Option<Millis>,
-        first_output_deadline: Instant,
-    ) -> AttemptEnd {
+            response_deadline,
+            memory: _memory,
+        } = *stream;
         self.events.drop_partial();
         let mut first_output_seen = false;
+        let mut chunk = first_chunk;
         loop {
-            let frame = tokio::select! {
-                frame = body.frame() => frame,
-                () = sleep_until(first_output_deadline), if !first_output_seen => {
-                    log_time_limit(self.request_id(), plan, "first_output");
-                    return AttemptEnd::Silent;
-                }
-                () = self.response.caller_disconnected() => return AttemptEnd::CallerGone,
-            };
-            let data = match frame {
-                Some(Err(error)) => {
-                    log::info!(request = self.request_id(), cause:% = error; "stream broke off");
-                    return AttemptEnd::Broken;
-                }
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) => data,
-                    Err(_) => continue,
-                },
-                None => {
-                    if self.events.has_partial() {
-                        log::info!(request = self.request_id(); "stream ended inside an event");
-                        return AttemptEnd::Broken;
+            let data = match chunk.take() {
+                Some(data) => data,
+                None => tokio::select! {
+                    biased;
+                    frame = body.frame() => match frame {
+                        Some(Ok(frame)) => match frame.into_data() {
+                            Ok(data) => data,
+                            Err(_) => continue,
+                        },
+                        Some(Err(error)) => {
+                            log::info!(request = self.request_id(), cause:% = error; "stream broke off");
+                            return StreamEnd::Ended(AttemptEnd::Broken);
+                        }
+                        None if self.events.has_partial() => {
+                            log::info!(request = self.request_id(); "stream ended inside an event");
+                            return StreamEnd::Ended(AttemptEnd::Broken);
+                        }
+                        None => {
+                            self.stop_openings(attempts);
+                            connection.return_to_pool(idle_timeout);
+                            return StreamEnd::Ended(self.end_stream(&parts));
+                        }
+                    },
+                    Some(output) = outputs.recv() => {
+                        if let Output::Send(_, plan) = output {
+                            attempts.start(plan, self.events.last_id());
+                        }
+                        continue;
                     }
-                    connection.return_to_pool(idle_timeout);
-                    return self.end_stream(&parts);
-                }
+                    (next_number, opened) = attempts.next() => match opened {
+                        Ok(open) => return StreamEnd::Superseded(next_number, open),
+                        Err(error) => {
+                            self.report_end(next_number, error.end);
+                            continue;
+                        }
+                    },
+                    () = sleep_until(response_deadline) => {
+                        log_time_limit(self.request_id(), number, "response");
+                        return StreamEnd::Ended(AttemptEnd::Silent);
+                    }
+                    () = self.response.caller_disconnected() => {
+                        return StreamEnd::Ended(AttemptEnd::CallerGone);
+                    }
+                },
             };
             let Some(events) = self.events.push(&data) else {
                 continue;
             };
+            self.stop_openings(attempts);
             if first_output_seen {
                 let at = self.traffic.clock.now();
                 self.traffic
-                    .send_deferred_input(Input::Progress(self.ticket, plan.attempt, at));
+                    .send_deferred_input(Input::Progress(self.ticket, number, at));
             } else {
                 first_output_seen = true;
                 self.traffic
-                    .send_input(Input::FirstOutput(self.ticket, plan.attempt));
+                    .send_input(Input::FirstOutput(self.ticket, number));
             }
-            if !self.forward_events(&parts, events).await {
-                return AttemptEnd::CallerGone;
+            match timeout_at(response_deadline, self.forward_events(&parts, events)).await {
+                Ok(true) => {}
+                Ok(false) => return StreamEnd::Ended(AttemptEnd::CallerGone),
+                Err(_) => {
+                    log_time_limit(self.request_id(), number, "response");
+                    return StreamEnd::Ended(AttemptEnd::Silent);
+                }
             }
         }
     }
 
+    /// Stops the attempts whose response has not begun.
+    fn stop_openings(&self, attempts: &mut OpeningAttempts) {
+        for number in attempts.stop() {
+            self.report_end(number, AttemptEnd::Superseded);
+        }
+    }
+
+    fn report_end(&self, number: AttemptNumber, end: AttemptEnd) {
+        self.traffic
+            .send_input(Input::AttemptEnded(self.ticket, number, end));
+    }
+
     /// Ends a stream that is complete.
     fn end_stream(&mut self, parts: &http::response::Parts) -> AttemptEnd {
         if matches!(self.response, ResponseState::Pending(_)) {
--- a/src/gateway/memory.rs
+++ b/src/gateway/memory.rs
@@ -67,51 +67,42 @@
     }
 
     /// Reserves memory on all engines that hold the prompt. Releases everything
-    /// if one of them refuses.
-    pub async fn reserve(
-        &self,
-        reservations: &[Reservation],
-    ) -> Result<Vec<Reservation>, AttemptEnd> {
-        let mut reserved = Vec::new();
+    /// if one of them refuses, or if the future is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AttemptEnd::NoMemory`] if an engine refuses or does not answer.
+    pub async fn reserve(self, reservations: &[Reservation]) -> Result<HeldMemory, AttemptEnd> {
+        let mut held = HeldMemory {
+            memory: self,
+            reservations: Vec::new(),
+            renewals: JoinSet::new(),
+        };
         for reservation in reservations {
+            // Held from now on, because an order may take effect although it
+            // goes unanswered.
+            held.reservations.push(reservation.clone());
+            let memory = &held.memory;
             let ttl = reservation.ttl.0;
             let order = engine::reserve(&reservation.id, reservation.tokens, ttl);
-            match self.order_and_report_memory(&reservation.addr, order).await {
-                Ok(StatusCode::OK) => reserved.push(reservation.clone()),
+            match memory
+                .order_and_report_memory(&reservation.addr, order)
+                .await
+            {
+                Ok(StatusCode::OK) => {}
                 answer => {
-                    self.unanswered
-                        .set(self.unanswered.get() || answer.is_err());
-                    log::info!(request = self.request, engine = reservation.addr.as_str(), tokens = reservation.tokens, answer:? = answer; "memory not reserved");
-                    // The order may have taken effect although it went
-                    // unanswered.
-                    reserved.push(reservation.clone());
-                    for reservation in reserved {
-                        self.release(reservation);
-                    }
+                    let unanswered = memory.unanswered.get() || answer.is_err();
+                    memory.unanswered.set(unanswered);
+                    log::info!(request = memory.request, engine = reservation.addr.as_str(), tokens = reservation.tokens, answer:? = answer; "memory not reserved");
                     return Err(AttemptEnd::NoMemory);
                 }
             }
         }
-        Ok(reserved)
-    }
-
-    /// Renews reservations until the future is dropped. They expire after a
-    /// short time, so that an instance that crashes leaves no memory reserved.
-    /// Each one is renewed by a task of its own, so that an engine that leaves
-    /// orders unanswered does not delay the others.
-    pub async fn renew(&self, reservations: Vec<Reservation>) {
-        let mut renewals = JoinSet::new();
-        for reservation in reservations {
-            let upstream = self.traffic.upstream.clone();
-            let unanswered = Rc::clone(&self.unanswered);
-            renewals.spawn_local(renew_reservation(upstream, reservation, unanswered));
-        }
-        while renewals.join_next().await.is_some() {}
-        std::future::pending().await
+        held.renew();
+        Ok(held)
     }
 
-    /// Releases memory in the background.
-    pub fn release(&self, reservation: Reservation) {
+    fn release(&self, reservation: Reservation) {
         let upstream = self.traffic.upstream.clone();
         let unanswered = self.unanswered.get();
         tokio::task::spawn_local(async move {
@@ -144,6 +135,38 @@
     }
 }
 
+/// Memory that is reserved for an attempt. It is renewed until it is dropped,
+/// and then released in the background.
+#[derive(Debug)]
+pub struct HeldMemory {
+    memory: MemoryReservations,
+    reservations: Vec<Reservation>,
+    renewals: JoinSet<()>,
+}
+
+impl HeldMemory {
+    /// Renews the reservations. They expire after a short time, so that an
+    /// instance that crashes leaves no memory reserved. Each one is renewed by a
+    /// task of its own, so that an engine that leaves orders unanswered does not
+    /// delay the others.
+    fn renew(&mut self) {
+        for reservation in self.reservations.clone() {
+            let upstream = self.memory.traffic.upstream.clone();
+            let unanswered = Rc::clone(&self.memory.unanswered);
+            self.renewals
+                .spawn_local(renew_reservation(upstream, reservation, unanswered));
+        }
+    }
+}
+
+impl Drop for HeldMemory {
+    fn drop(&mut self) {
+        for reservation in self.reservations.drain(..) {
+            self.memory.release(reservation);
+        }
+    }
+}
+
 /// Returns the delays after the first release at which it is repeated, for when
 /// an unanswered order may be executed late.
 pub(super) fn late_release_times(leak_limit: Millis) -> impl Iterator<Item = Millis> {
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -127,10 +127,31 @@
     Broken,
     /// No output within the attempt's time limit.
     Silent,
+    /// Another attempt of the request answered first.
+    Superseded,
     /// The caller disconnected.
     CallerGone,
 }
 
+impl AttemptEnd {
+    /// Returns whether no backend server ran the attempt.
+    #[must_use]
+    pub fn is_not_run(self) -> bool {
+        match self {
+            AttemptEnd::NotSent
+            | AttemptEnd::NoMemory
+            | AttemptEnd::Refused
+            | AttemptEnd::Misdirected => true,
+            AttemptEnd::Whole
+            | AttemptEnd::Failed
+            | AttemptEnd::Broken
+            | AttemptEnd::Silent
+            | AttemptEnd::Superseded
+            | AttemptEnd::CallerGone => false,
+        }
+    }
+}
+
 /// One attempt: where and how to send a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AttemptPlan {
@@ -221,7 +242,7 @@
     /// A further event of a stream arrived at this time.
     Progress(Ticket, AttemptNumber, Millis),
     /// A response reported how long its backend server stays cold.
-    ColdReported(Ticket, Millis),
+    ColdReported(Ticket, AttemptNumber, Millis),
     /// An engine reported its free memory.
     FreeMemoryReported {
         /// Address, `ip:port`.
@@ -258,8 +279,8 @@
 /// An action requested by the core.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Output {
-    /// Send a request to a backend server. Replaces the attempt in progress, if
-    /// there is one.
+    /// Send a request to a backend server. If an attempt is in progress, the one
+    /// that gives output first supersedes the other.
     Send(Ticket, AttemptPlan),
     /// End a request with the gateway's own error response, whether or not
     /// attempts were made.
--- a/src/gateway/tests/core.rs
+++ b/src/gateway/tests/core.rs
@@ -519,21 +519,62 @@
     assert!(refusal(&harness.end_attempt(ticket, AttemptEnd::Whole)).is_none());
 }
 
-#[test]
-fn an_attempt_without_output_is_replaced_by_one_on_another_server() {
-    let mut harness = Harness::new();
+/// Submits an idempotent call and lets it stall; returns the plans of both of
+/// its attempts.
+fn stalled_call(harness: &mut Harness) -> (Ticket, AttemptPlan, AttemptPlan) {
     let (ticket, out) = harness.submit("/again/1", "k");
     let first = plan(&out).unwrap().clone();
     let out = harness.tick_until(10_500);
     let second = plan(&out).unwrap().clone();
     assert_ne!(second.server_id, first.server_id);
-    // The replaced attempt broke before the replacement reached it.
-    let stale = Input::AttemptEnded(ticket, first.attempt, AttemptEnd::Broken);
-    assert!(harness.handle(stale).is_empty());
-    let out = harness.end_attempt(ticket, AttemptEnd::Broken);
+    assert!(refusal(&out).is_none(), "{out:?}");
+    (ticket, first, second)
+}
+
+#[test]
+fn a_stalled_attempt_goes_on_when_its_successor_is_refused() {
+    for end in [
+        AttemptEnd::NoMemory,
+        AttemptEnd::NotSent,
+        AttemptEnd::Refused,
+    ] {
+        let mut harness = Harness::new();
+        let (ticket, first, second) = stalled_call(&mut harness);
+        let gone = |index: usize| StoreUpdate::ServerRemoved(format!("p{index}"));
+        harness.apply_store_updates((0..SERVERS).map(gone).collect());
+        let out = harness.handle(Input::AttemptEnded(ticket, second.attempt, end));
+        assert!(refusal(&out).is_none(), "{out:?}");
+        let out = harness.tick_until(10_700);
+        assert!(refusal(&out).is_none(), "{out:?}");
+        let _ = harness.handle(Input::FirstOutput(ticket, first.attempt));
+        let whole = Input::AttemptEnded(ticket, first.attempt, AttemptEnd::Whole);
+        assert!(refusal(&harness.handle(whole)).is_none());
+        assert_eq!(harness.core.open_requests(), 0);
+    }
+}
+
+#[test]
+fn a_successor_continues_when_the_stalled_attempt_breaks() {
+    let mut harness = Harness::new();
+    let (ticket, first, second) = stalled_call(&mut harness);
+    let broken = Input::AttemptEnded(ticket, first.attempt, AttemptEnd::Broken);
+    let out = harness.handle(broken);
+    assert!(plan(&out).is_none() && refusal(&out).is_none(), "{out:?}");
+    let broken = Input::AttemptEnded(ticket, second.attempt, AttemptEnd::Broken);
+    let out = harness.handle(broken);
     assert!(refusal(&out).is_some(), "both attempts were made: {out:?}");
 }
 
+#[test]
+fn a_server_failure_is_forwarded_when_no_other_server_is_left() {
+    let mut harness = Harness::new();
+    let gone = |index: usize| StoreUpdate::ServerRemoved(format!("p{index}"));
+    harness.apply_store_updates((1..SERVERS).map(gone).collect());
+    let (ticket, _) = harness.submit("/again/1", "k");
+    let out = harness.end_attempt(ticket, AttemptEnd::Failed);
+    assert!(out.contains(&Output::ForwardFailure(ticket)), "{out:?}");
+}
+
 #[test]
 fn stalled_streams_go_on_when_the_retry_budget_is_used_up() {
     let mut harness = Harness::new();
--- a/src/gateway/tests/simulation.rs
+++ b/src/gateway/tests/simulation.rs
@@ -192,8 +192,8 @@
     /// Longest gap between two events, in ms.
     longest_gap: f64,
     events_received: u32,
-    /// Number of its current attempt.
-    attempt: u32,
+    /// Numbers of its attempts in progress.
+    live_attempts: Vec<u32>,
 }
 
 impl Request {
@@ -232,7 +232,7 @@
 struct Engine {
     jobs: Vec<Job>,
     /// Memory held by reservations, by request.
-    reserved: BTreeMap<usize, f64>,
+    reserved: BTreeMap<(usize, u32), f64>,
     busy_until: Option<f64>,
 }
 
@@ -283,7 +283,6 @@
     now: f64,
     /// Prompt parts that are not prefilled yet, by request and attempt.
     parts_left: HashMap<(usize, u32), usize>,
-    plans: HashMap<usize, AttemptPlan>,
 }
 
 impl Simulation {
@@ -299,7 +298,6 @@
             next_event_id: 0,
             now: 0.0,
             parts_left: HashMap::new(),
-            plans: HashMap::new(),
         };
         let mut updates = vec![StoreUpdate::Routes(Arc::new(route_table()))];
         updates.extend((0..engines).map(|index| StoreUpdate::Server(entry(index))));
@@ -364,7 +362,7 @@
             last_event: 0.0,
             longest_gap: 0.0,
             events_received: 0,
-            attempt: 0,
+            live_attempts: Vec::new(),
         });
         self.push(at, Event::Submit(request));
     }
@@ -408,6 +406,10 @@
             Event::Submit(request) => self.submit(request),
             Event::Input { core, input } => self.handle_input(core, input),
             Event::Arrive { engine, job } => {
+                let live_attempts = &self.requests[job.request].live_attempts;
+                if !live_attempts.contains(&job.attempt) {
+                    return;
+                }
                 self.engines[engine].jobs.push(job);
                 if self.engines[engine].busy_until.is_none() {
                     self.begin_pass(engine);
@@ -505,13 +507,10 @@
     }
 
     fn send(&mut self, request_index: usize, plan: AttemptPlan) {
-        // Ends the attempt that the new one replaces, if there is one.
-        self.stop_attempt(request_index);
-        self.requests[request_index].attempt += 1;
-        let attempt = self.requests[request_index].attempt;
-        self.plans.insert(request_index, plan.clone());
+        let attempt = plan.attempt.0;
+        self.requests[request_index].live_attempts.push(attempt);
         if !self.reserve(request_index, &plan) {
-            self.end_attempt(request_index, AttemptEnd::NoMemory);
+            self.end_attempt(request_index, attempt, AttemptEnd::NoMemory);
             return;
         }
         let request = &self.requests[request_index];
@@ -601,12 +600,12 @@
             };
             self.push(self.now, Event::Input { core, input });
             if !enough {
-                self.release(request_index);
+                self.release(request_index, plan.attempt.0);
                 return false;
             }
             self.engines[engine]
                 .reserved
-                .insert(request_index, reservation.tokens as f64);
+                .insert((request_index, plan.attempt.0), reservation.tokens as f64);
         }
         true
     }
@@ -622,47 +621,44 @@
         self.spec.memory_tokens as f64 - used - engine.reserved.values().sum::<f64>()
     }
 
-    fn release(&mut self, request_index: usize) {
+    fn release(&mut self, request_index: usize, attempt: u32) {
         for engine in &mut self.engines {
-            engine.reserved.remove(&request_index);
+            engine.reserved.remove(&(request_index, attempt));
         }
     }
 
-    fn end_attempt(&mut self, request_index: usize, end: AttemptEnd) {
-        self.stop_attempt(request_index);
-        let core = self.requests[request_index].core;
-        let attempt = self
-            .plans
-            .get(&request_index)
-            .map_or(AttemptNumber::default(), |plan| plan.attempt);
+    fn end_attempt(&mut self, request_index: usize, attempt: u32, end: AttemptEnd) {
+        for engine in &mut self.engines {
+            engine
+                .jobs
+                .retain(|job| (job.request, job.attempt) != (request_index, attempt));
+        }
+        self.release(request_index, attempt);
+        let request = &mut self.requests[request_index];
+        request.live_attempts.retain(|&live| live != attempt);
+        let core = request.core;
+        let ticket = Ticket(request_index as u64);
         self.push(
             self.now,
             Event::Input {
                 core,
-                input: Input::AttemptEnded(Ticket(request_index as u64), attempt, end),
+                input: Input::AttemptEnded(ticket, AttemptNumber(attempt), end),
             },
         );
     }
 
-    fn stop_attempt(&mut self, request_index: usize) {
-        for engine in &mut self.engines {
-            engine.jobs.retain(|job| job.request != request_index);
-        }
-        self.release(request_index);
-    }
-
     /// Ends an attempt that has had no output since `events_received`, as the
     /// forwarder does.
     fn check_output_due(&mut self, request_index: usize, attempt: u32, events_received: u32) {
         let request = &self.requests[request_index];
         if request.outcome == Outcome::Open
-            && request.attempt == attempt
+            && request.live_attempts.contains(&attempt)
             && request.events_received == events_received
         {
             if self.policy != Policy::Cores {
                 self.requests[request_index].outcome = Outcome::Failed;
             }
-            self.end_attempt(request_index, AttemptEnd::Silent);
+            self.end_attempt(request_index, attempt, AttemptEnd::Silent);
         }
     }
 
@@ -787,9 +783,15 @@
     fn receive_event(&mut self, request_index: usize, attempt: u32) {
         let now = self.now;
         let request = &mut self.requests[request_index];
-        if request.outcome != Outcome::Open || request.attempt != attempt {
+        if request.outcome != Outcome::Open || !request.live_attempts.contains(&attempt) {
             return;
         }
+        for other in request.live_attempts.clone() {
+            if other != attempt {
+                self.end_attempt(request_index, other, AttemptEnd::Superseded);
+            }
+        }
+        let request = &mut self.requests[request_index];
         request.events_received += 1;
         match request.first_event {
             None => request.first_event = Some(now),
@@ -807,10 +809,10 @@
             } else {
                 Outcome::Late
             };
-            self.end_attempt(request_index, AttemptEnd::Whole);
+            self.end_attempt(request_index, attempt, AttemptEnd::Whole);
             return;
         }
-        let number = self.plans[&request_index].attempt;
+        let number = AttemptNumber(attempt);
         // Every event is reported as a first output and none as progress, so the
         // cores do not estimate slowdowns in the simulation.
         self.push(
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -41,7 +41,7 @@
     Attempts = "attempts", "Calls sent to backend servers";
     Retries = "retries", "Calls sent to backend servers after a first try";
     AttemptsStalled = "attempts_stalled", "Calls whose backend server gave no output for too long";
-    AttemptsMoved = "attempts_moved", "Calls without output that were replaced by one to another backend server";
+    Successors = "attempts_successors", "Second calls, sent to another backend server while the first gave no output";
     Quarantined = "requests_quarantined", "Fingerprints that were held as they crashed backend servers";
     Moves = "requests_moved", "Requests moved away from a backend server that turned cold under too much";
     StoreCalls = "store_calls", "Calls sent to the platform's key-value service";
--- a/tests/gateway/path.rs
+++ b/tests/gateway/path.rs
@@ -128,32 +128,38 @@
     assert_eq!(stage.runs.of("a"), 1);
 }
 
-/// Sends a request with a time limit of 4 s to a stage on which only one server
-/// is listed, and which pauses for that time.
-fn call_one_pausing_server(path: &str, pause: Duration) -> Answer {
+/// Sends a request with a time limit of 4 s to `servers` servers that pause for
+/// that time.
+fn call_pausing_servers(servers: usize, path: &str, pause: Duration) -> Answer {
     let stage = stage();
-    stage.store.remove("servers/i-2");
-    stage.gateway.wait_line("backend server gone");
+    if servers == 1 {
+        stage.store.remove("servers/i-2");
+        stage.gateway.wait_line("backend server gone");
+    }
     let pause_ms = u64::try_from(pause.as_millis()).unwrap();
-    stage.backends[0].pauses.store(pause_ms, Ordering::SeqCst);
+    for backend in &stage.backends {
+        backend.pauses.store(pause_ms, Ordering::SeqCst);
+    }
     let mut headers = headers("a");
     headers[1].1 = "4000";
-    let answer = call(stage.gateway.callers, "POST", path, &headers, "x").unwrap();
-    assert_eq!(stage.runs.of("a"), 1);
-    answer
+    call(stage.gateway.callers, "POST", path, &headers, "x").unwrap()
 }
 
 #[test]
 fn a_stream_is_not_cut_during_a_pause_that_no_other_server_can_bridge() {
-    let answer = call_one_pausing_server("/stream/1", Duration::from_millis(2_200));
-    assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
-    assert_eq!(answer.body, whole_stream());
+    for servers in [1, 2] {
+        let answer = call_pausing_servers(servers, "/stream/1", Duration::from_millis(2_200));
+        assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+        assert_eq!(answer.body, whole_stream());
+    }
 }
 
 #[test]
 fn a_slow_call_is_not_refused_while_no_other_server_can_answer_it() {
-    let answer = call_one_pausing_server("/again/1", Duration::from_millis(2_400));
-    assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+    for servers in [1, 2] {
+        let answer = call_pausing_servers(servers, "/again/1", Duration::from_millis(2_400));
+        assert_eq!((answer.status, answer.whole), (200, true), "{answer:?}");
+    }
 }
 
 #[test]
