Check every request head for conflicting body lengths

Cause: a head was collected and searched for both lengths only up to 64 KiB, while the configuration may allow longer heads; each read lower-cased and searched the whole head again. Bytes that arrived while a request was in progress, and those after a head in the same read, were not scanned at all.

What callers saw: a request with Content-Length and Transfer-Encoding was forwarded instead of refused if its head was longer than 64 KiB or pipelined behind another request (answered 200, shown by a_long_head_with_two_lengths_is_refused and a_pipelined_head_with_two_lengths_is_refused before the change). A connection was closed as idle while a head arrived whose first half came before the end of the previous response (a_connection_stays_open_while_a_pipelined_head_arrives).

HeadScanner follows the requests through the bytes of a connection: lines of a head one by one, bodies and chunks skipped by their lengths. It looks at every byte once and keeps at most 128 bytes of a line, so that no size is left out. Each request takes its own head's result; one without a result is refused. Tests feed requests in reads that end anywhere.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -14,6 +14,7 @@
 pub mod events;
 pub mod feed;
 pub mod forward;
+pub mod framing;
 pub mod instances;
 pub mod lanes;
 pub mod memory;
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -5,6 +5,7 @@
 //! been written until the first byte of the next request head arrives.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -22,12 +23,9 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::gateway::framing::HeadScanner;
 use crate::gateway::response::ResponseBody;
 
-/// Maximum bytes of a head that are scanned for conflicting lengths; longer
-/// heads are not checked.
-const MAX_SCANNED_HEAD_BYTES: usize = 64 * 1024;
-
 /// What a connection is used for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Activity {
@@ -150,19 +148,13 @@
     }
 }
 
-/// A connection that records when a request head begins to arrive, when a
-/// response has been written, and whether a head has conflicting body lengths.
-/// The check needs the raw bytes because hyper drops one of two lengths before
-/// it passes the head on.
+/// A connection that records when a request head begins to arrive and when a
+/// response has been written, and scans the heads.
 #[derive(Debug)]
 pub struct MonitoredStream {
     stream: TcpStream,
     state: ConnectionState,
-    /// Received part of the current head.
-    head: Vec<u8>,
-    /// Whether the latest complete head has both `Content-Length` and
-    /// `Transfer-Encoding`.
-    ambiguous_length: Rc<Cell<bool>>,
+    heads: Rc<RefCell<HeadScanner>>,
 }
 
 impl MonitoredStream {
@@ -171,40 +163,16 @@
     pub fn new(
         stream: TcpStream,
         state: ConnectionState,
-        ambiguous_length: Rc<Cell<bool>>,
+        heads: Rc<RefCell<HeadScanner>>,
     ) -> MonitoredStream {
         MonitoredStream {
             stream,
             state,
-            head: Vec::new(),
-            ambiguous_length,
-        }
-    }
-
-    fn scan_head(&mut self, bytes: &[u8]) {
-        if self.head.len() > MAX_SCANNED_HEAD_BYTES {
-            return;
+            heads,
         }
-        self.head.extend_from_slice(bytes);
-        let head = self.head.to_ascii_lowercase();
-        let head_ends = [b"\n\r\n".as_slice(), b"\n\n"];
-        let Some(end) = head_ends.iter().filter_map(|end| find(&head, end)).min() else {
-            return;
-        };
-        let head = &head[..end];
-        let has_both = find(head, b"\ncontent-length").is_some()
-            && find(head, b"\ntransfer-encoding").is_some();
-        self.ambiguous_length.set(has_both);
-        self.head.clear();
     }
 }
 
-fn find(bytes: &[u8], needle: &[u8]) -> Option<usize> {
-    bytes
-        .windows(needle.len())
-        .position(|window| window == needle)
-}
-
 impl AsyncRead for MonitoredStream {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -214,13 +182,12 @@
         let this = self.get_mut();
         let before = buf.filled().len();
         let polled = Pin::new(&mut this.stream).poll_read(cx, buf);
-        if buf.filled().len() > before
-            && matches!(this.state.activity(), Activity::Idle | Activity::Head)
-        {
+        let read = &buf.filled()[before..];
+        if !read.is_empty() {
             if this.state.activity() == Activity::Idle {
                 this.state.begin(Activity::Head);
             }
-            this.scan_head(&buf.filled()[before..]);
+            this.heads.borrow_mut().scan(read);
         }
         polled
     }
@@ -239,7 +206,12 @@
         let this = self.get_mut();
         // hyper flushes the stream only when its own write buffer is empty.
         if this.state.activity() == Activity::Flushing {
-            this.state.begin(Activity::Idle);
+            // The next head may have begun to arrive during the response.
+            this.state
+                .begin(match this.heads.borrow().is_inside_head() {
+                    true => Activity::Head,
+                    false => Activity::Idle,
+                });
         }
         Pin::new(&mut this.stream).poll_flush(cx)
     }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -6,7 +6,7 @@
 //! in progress is not. While the instance drains, connections are closed after
 //! their next response.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -37,6 +37,8 @@
 use crate::gateway::connection::TrackedBody;
 use crate::gateway::forward;
 use crate::gateway::forward::Traffic;
+use crate::gateway::framing::BodyLength;
+use crate::gateway::framing::HeadScanner;
 use crate::gateway::response;
 use crate::gateway::response::Aborted;
 use crate::gateway::response::ResponseBody;
@@ -118,19 +120,19 @@
 
 async fn serve_connection(stream: TcpStream, caller: SocketAddr, context: ServerContext) {
     let state = ConnectionState::new();
-    let ambiguous_length = Rc::new(Cell::new(false));
-    let io = MonitoredStream::new(stream, state.clone(), Rc::clone(&ambiguous_length));
+    let heads = Rc::new(RefCell::new(HeadScanner::new()));
+    let io = MonitoredStream::new(stream, state.clone(), Rc::clone(&heads));
     let limits = *context.limits.borrow();
     let service = {
         let (context, state) = (context.clone(), state.clone());
         service_fn(move |request: Request<Incoming>| {
             state.begin(Activity::Request);
-            let ambiguous_length = ambiguous_length.replace(false);
+            let body_length = heads.borrow_mut().take_head();
             let (context, state) = (context.clone(), state.clone());
             async move {
-                let response = match ambiguous_length {
-                    true => response::ambiguous_length_response(),
-                    false => forward_request(&context, request).await?,
+                let response = match body_length {
+                    BodyLength::Ambiguous => response::ambiguous_length_response(),
+                    BodyLength::Clear => forward_request(&context, request).await?,
                 };
                 Ok::<_, Aborted>(response.map(|body| TrackedBody::new(body, state)))
             }
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -4,6 +4,7 @@
 mod core;
 mod engine;
 mod feed;
+mod framing;
 mod load;
 mod memory;
 mod simulation;
--- a/tests/gateway/connections.rs
+++ b/tests/gateway/connections.rs
@@ -24,6 +24,8 @@
 /// Longest time from a time-out to the end of its connection; far more than it
 /// takes.
 const CLOSE_LIMIT: Duration = Duration::from_secs(10);
+/// Maximum size of a request head in the stage's configuration.
+const MAX_HEAD_BYTES: usize = 256 * 1024;
 /// Pause of a stream, in milliseconds: longer than the idle time-out and the
 /// interval at which it is checked.
 const PAUSE_MS: u64 = 1_300;
@@ -37,6 +39,7 @@
 struct Stage {
     _dir: TempDir,
     store: Store,
+    runs: Runs,
     backend: Backend,
     gateway: Gateway,
 }
@@ -44,7 +47,8 @@
 fn stage() -> Stage {
     let dir = tempfile::tempdir().unwrap();
     let (store, addr) = Store::start().unwrap();
-    let backend = Backend::start("i-1", Runs::default()).unwrap();
+    let runs = Runs::default();
+    let backend = Backend::start("i-1", runs.clone()).unwrap();
     store.put("op/config", short_timeouts(3).as_bytes());
     store.put("servers/i-1", backend.entry("ready").as_bytes());
     let gateway = Gateway::start(dir.path(), "g1", addr);
@@ -52,6 +56,7 @@
     Stage {
         _dir: dir,
         store,
+        runs,
         backend,
         gateway,
     }
@@ -63,6 +68,7 @@
         serde_json::from_str(&configuration(version, &["k1"])).unwrap();
     config["limits"]["idleTimeoutMs"] = as_ms(IDLE_TIMEOUT).into();
     config["limits"]["headerTimeoutMs"] = as_ms(HEAD_TIMEOUT).into();
+    config["limits"]["maxHeaderBytes"] = MAX_HEAD_BYTES.into();
     for route in config["routes"].as_array_mut().unwrap() {
         // No pause ends an attempt.
         route["streamResume"] = false.into();
@@ -195,3 +201,60 @@
     drop(connection);
     assert!(held.is_closed_within(LEAVE_LIMIT));
 }
+
+/// Returns a request whose body has two lengths, with a head of at least the
+/// given size.
+fn ambiguous_request(id: &str, head_bytes: usize) -> String {
+    format!(
+        "POST /once/1 HTTP/1.1\r\nHost: h.example\r\nX-Skylarkhook-Request-Id: {id}\r\n\
+         Authorization: Token k1\r\nContent-Length: 4\r\nX-Filler: {}\r\n\
+         Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "x".repeat(head_bytes)
+    )
+}
+
+#[test]
+fn a_long_head_with_two_lengths_is_refused() {
+    let stage = stage();
+    let mut connection = connected(stage.gateway.callers);
+    let request = ambiguous_request("a", MAX_HEAD_BYTES / 2);
+    connection.send(&request).unwrap();
+    let answer = connection.read_answer().unwrap();
+    assert_eq!(answer.status, 400, "{answer:?}");
+    assert_eq!(stage.runs.of("a"), 0);
+}
+
+#[test]
+fn a_pipelined_head_with_two_lengths_is_refused() {
+    let stage = stage();
+    let mut connection = connected(stage.gateway.callers);
+    let sized = request("/once/1", "a");
+    let chunked = request("/once/1", "b").replace(
+        "Content-Length: 1\r\n\r\nx",
+        "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+    );
+    let text = sized + &chunked + &ambiguous_request("c", 0);
+    connection.send(&text).unwrap();
+    for status in [200, 200, 400] {
+        let answer = connection.read_answer().unwrap();
+        assert_eq!(answer.status, status, "{answer:?}");
+    }
+    let runs = ["a", "b", "c"].map(|id| stage.runs.of(id));
+    assert_eq!(runs, [1, 1, 0]);
+}
+
+/// The first half of the second head arrives before the first response, so that
+/// no byte marks its beginning while the connection is idle.
+#[test]
+fn a_connection_stays_open_while_a_pipelined_head_arrives() {
+    let stage = stage();
+    let mut connection = connected(stage.gateway.callers);
+    let second = request("/once/1", "b");
+    let (begin, rest) = second.split_at(second.len() / 2);
+    connection.send(&(request("/once/1", "a") + begin)).unwrap();
+    assert_eq!(connection.read_answer().unwrap().status, 200);
+    thread::sleep(IDLE_TIMEOUT + Duration::from_millis(700));
+    connection.send(rest).unwrap();
+    let answer = connection.read_answer().unwrap();
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
