Decline an oversized prompt that costs others more than its utility

Cause: the placement of a prompt larger than an engine's memory computed what the streams on the chosen engines lose, and took the cheapest placement however much that was. In the incident a prompt of 351,354 tokens (utility 36) was placed on six engines at a cost of 89.5. Its parts took one forward pass of about 1.8 s on each, so some 70 streams had no output for 1.8 to 2.1 s; their attempts were ended as silent and 46 callers disconnected. More parts would not have been cheaper: the pass on twelve engines still exceeds the target gap of 250 ms, for twice the streams.

Now such a prompt is declined while its cheapest placement costs more than its utility. The core keeps it waiting for an eighth of its target, as it does when no engine has room, and then refuses it as not run with Retry-After. A prompt that a server may have run is placed all the same, and so is one on engines with little load.

Tests: the simulation reported each event as a first output, which marked every stream older than its target as late, so that its stalls cost nothing; it now reports further events as progress, as the forwarder does. an_oversized_prompt_costs_streams_at_most_its_own_utility answers the load of the incident (twelve engines with 11 to 15 streams each, then 351,000 tokens).

--- a/src/gateway/core/fleet_load.rs
+++ b/src/gateway/core/fleet_load.rs
@@ -231,6 +231,7 @@
             engine_priority: placed.urgency,
             lane: self.lane(&service, &spec, placed.prompt_tokens as f64),
             jitter: 0.0,
+            can_be_declined: false,
         };
         let helpers: Vec<(ServerKey, u64)> = placed
             .parts
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -306,6 +306,7 @@
             engine_priority: DEFAULT_ENGINE_PRIORITY,
             lane,
             jitter: (self.instances.known_count() as f64 * JITTER_PER_INSTANCE).min(MAX_JITTER),
+            can_be_declined: request.verdict == Verdict::NotRun,
         }
     }
 
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -103,6 +103,9 @@
     /// that instances that do not yet know each other's latest placements do
     /// not all pick the same engine.
     pub jitter: f64,
+    /// Whether the prompt may be declined for its cost to others: not after an
+    /// attempt that a server may have run.
+    pub can_be_declined: bool,
 }
 
 /// An engine that may be chosen.
@@ -495,6 +498,8 @@
 /// Places a prompt that exceeds every engine's memory: chooses several engines
 /// that prefill it together, and the memory to reserve on each. Prefers the
 /// engines whose other prompts are delayed least, if their memory suffices.
+/// Returns `None` if no engines can hold the prompt, or if every placement
+/// costs more than the prompt's utility, so that declining it loses less.
 fn place_oversized(
     now: Millis,
     prompt: &Prompt,
@@ -512,7 +517,16 @@
         };
         best = lower_cost(best, evaluate_oversized(now, prompt, engines, &selected));
     }
-    best
+    best.filter(|placement| !is_declined(prompt, placement))
+}
+
+/// Returns whether declining a prompt loses less utility than this placement.
+/// One that is too late for the deadline is left to the caller, which knows
+/// when the prompt would be served.
+fn is_declined(prompt: &Prompt, placement: &Placement) -> bool {
+    prompt.can_be_declined
+        && placement.first_token_at < prompt.deadline_at
+        && placement.cost > prompt.utility
 }
 
 /// Returns the first `count` engines of `options`, with the smallest ones
--- a/src/gateway/tests/engine.rs
+++ b/src/gateway/tests/engine.rs
@@ -1,6 +1,8 @@
 //! Forecasts of an engine's forward passes, compared with observed behaviour of
 //! such engines.
 
+use la_arena::RawIdx;
+
 use super::simulation::engine_spec;
 use crate::clock::Millis;
 use crate::gateway::engine::EngineLoad;
@@ -9,7 +11,10 @@
 use crate::gateway::engine::Role;
 use crate::gateway::lanes::Lane;
 use crate::gateway::placement;
+use crate::gateway::placement::Candidate;
+use crate::gateway::placement::Placement;
 use crate::gateway::placement::Prompt;
+use crate::gateway::server_table::ServerKey;
 
 /// Length above which a prompt belongs to the lane for long prompts, in tokens.
 const MAX_SHORT_PROMPT_TOKENS: f64 = 24_000.0;
@@ -31,6 +36,7 @@
             Lane::Short
         },
         jitter: 0.0,
+        can_be_declined: true,
     }
 }
 
@@ -179,3 +185,40 @@
     load.advance(Millis(60_000));
     assert_eq!(load.request_count(), 0);
 }
+
+/// Returns the placement of a prompt that exceeds an engine's memory, on twelve
+/// engines that decode `streams` requests each.
+fn place_oversized(streams: u64, can_be_declined: bool) -> Option<Placement> {
+    let mut load = EngineLoad::new(Millis(0), engine_spec());
+    for key in 0..streams {
+        load.add(Millis(0), unsplit_job(0, key, 5_000.0));
+        load.record_first_output(Millis(10), JobKey(key));
+    }
+    load.advance(Millis(20));
+    let candidates: Vec<Candidate<'_>> = (0..12)
+        .map(|index| Candidate {
+            key: ServerKey::from_raw(RawIdx::from_u32(index)),
+            load: &load,
+            cross_domain: false,
+            can_be_primary: true,
+            can_help: true,
+            lane: Lane::Long,
+            short_prompts_per_ms: 0.0,
+        })
+        .collect();
+    let prompt = Prompt {
+        max_gap_ms: 1_000.0,
+        can_be_declined,
+        ..prompt(100, 351_000.0, 2_520.0)
+    };
+    placement::place(Millis(20), &prompt, &candidates)
+}
+
+#[test]
+fn an_oversized_prompt_that_would_cost_more_than_its_utility_is_declined() {
+    assert!(place_oversized(0, true).is_some());
+    assert!(place_oversized(13, true).is_none());
+    // After an attempt that an engine may have run, it is placed all the same.
+    let placement = place_oversized(13, false).unwrap();
+    assert!(placement.cost > 36.1, "{}", placement.cost);
+}
--- a/src/gateway/tests/load.rs
+++ b/src/gateway/tests/load.rs
@@ -4,6 +4,7 @@
 use super::simulation::Outcome;
 use super::simulation::Phase;
 use super::simulation::Policy;
+use super::simulation::Request;
 use super::simulation::Simulation;
 
 /// A workload that shifts every ten seconds: mostly long prompts, mostly short
@@ -32,6 +33,16 @@
 /// hundredths.
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=4;
 
+/// Length of a prompt that exceeds an engine's memory, in tokens.
+const OVERSIZED_PROMPT_TOKENS: f64 = 351_000.0;
+/// When that prompt arrives, in ms.
+const OVERSIZED_PROMPT_AT_MS: f64 = 4_000.0;
+/// Request rate of short prompts at which each of twelve engines decodes 11 to
+/// 15 streams, relative to the profile.
+const BUSY_SHORT_FACTOR: f64 = 2.2;
+/// Request rate of short prompts that leaves most engines free for a while.
+const LIGHT_SHORT_FACTOR: f64 = 1.0;
+
 /// Returns the mean share of the possible utility that callers receive, overall
 /// and by class. `scale` multiplies the request rates of all classes.
 fn mean_utility_shares(policy: Policy, scale: f64) -> (f64, [f64; 3]) {
@@ -85,3 +96,46 @@
     let (_, [short, _, _]) = mean_utility_shares(Policy::Cores, 0.4);
     assert!(short > MIN_LIGHT_LOAD_SHARE, "{short:.3}");
 }
+
+/// Simulates short prompts on twelve engines, and after a while one prompt
+/// larger than an engine's memory, if `oversized`. Returns the short requests,
+/// and the oversized one.
+fn run_oversized(seed: u64, factor: f64, oversized: bool) -> (Vec<Request>, Option<Request>) {
+    let mut simulation = Simulation::new(Policy::Cores, 6, 12);
+    let phase = Phase {
+        until_ms: 5_000.0,
+        factors: [factor, 0.0, 0.0],
+    };
+    simulation.add_workload(seed, 1.0, &[phase]);
+    let prompt = oversized
+        .then(|| simulation.add_prompt(2, OVERSIZED_PROMPT_TOKENS, OVERSIZED_PROMPT_AT_MS));
+    simulation.run(30_000.0);
+    let mut requests = simulation.requests;
+    let prompt = prompt.map(|index| requests.remove(index));
+    (requests, prompt)
+}
+
+#[test]
+fn an_oversized_prompt_costs_streams_at_most_its_own_utility() {
+    let received =
+        |requests: &[Request]| -> f64 { requests.iter().map(Request::received_utility).sum() };
+    for seed in 1..=8 {
+        let (without, _) = run_oversized(seed, BUSY_SHORT_FACTOR, false);
+        let (with, prompt) = run_oversized(seed, BUSY_SHORT_FACTOR, true);
+        let prompt = prompt.unwrap();
+        let lost = received(&without) - received(&with);
+        assert!(lost <= prompt.utility(), "seed {seed}: {lost:.1}");
+        let abandoned = with.iter().filter(|r| r.is_abandoned()).count();
+        assert_eq!(abandoned, 0, "seed {seed}");
+        // A prompt that is declined has not run.
+        assert_ne!(prompt.outcome, Outcome::Failed, "seed {seed}");
+    }
+}
+
+#[test]
+fn an_oversized_prompt_is_served_in_time_under_light_load() {
+    for seed in 1..=8 {
+        let (_, prompt) = run_oversized(seed, LIGHT_SHORT_FACTOR, true);
+        assert_eq!(prompt.unwrap().outcome, Outcome::InTime, "seed {seed}");
+    }
+}
--- a/src/gateway/tests/simulation.rs
+++ b/src/gateway/tests/simulation.rs
@@ -743,7 +743,7 @@
             .jobs
             .retain(|job| !job.helper || job.prefill_left > 0.5);
         for (request, attempt) in decoded {
-            self.receive_event(request, attempt);
+            self.receive_event(request, attempt, false);
         }
         for key in prefilled {
             let remaining = self.parts_left.entry(key).or_default();
@@ -767,13 +767,13 @@
                 idle_engine = engine.busy_until.is_none().then_some(engine_index);
             }
         }
-        self.receive_event(request, attempt);
+        self.receive_event(request, attempt, true);
         if let Some(engine) = idle_engine {
             self.begin_pass(engine);
         }
     }
 
-    fn receive_event(&mut self, request_index: usize, attempt: u32) {
+    fn receive_event(&mut self, request_index: usize, attempt: u32, is_first: bool) {
         let now = self.now;
         let request = &mut self.requests[request_index];
         if request.outcome != Outcome::Open || request.attempt != attempt {
@@ -808,15 +808,12 @@
                 events_received,
             },
         );
-        // Every event is reported as a first output and none as progress, so the
-        // cores do not estimate slowdowns in the simulation.
-        self.push(
-            now + NETWORK_DELAY_MS,
-            Event::Input {
-                core,
-                input: Input::FirstOutput(Ticket(request_index as u64)),
-            },
-        );
+        let ticket = Ticket(request_index as u64);
+        let input = match is_first {
+            true => Input::FirstOutput(ticket),
+            false => Input::Progress(ticket, Millis((now + NETWORK_DELAY_MS) as u64)),
+        };
+        self.push(now + NETWORK_DELAY_MS, Event::Input { core, input });
     }
 }
 
@@ -872,3 +869,43 @@
     let last = addr.split(':').next().unwrap().rsplit('.').next().unwrap();
     last.parse::<usize>().unwrap() - 1
 }
+
+impl Simulation {
+    /// Adds one request with a prompt of this length. Returns its index.
+    pub fn add_prompt(&mut self, class: usize, tokens: f64, at: f64) -> usize {
+        let request = self.requests.len();
+        self.requests.push(Request {
+            class,
+            tokens,
+            events: CLASSES[class].events as u32,
+            arrived: at,
+            outcome: Outcome::Open,
+            core: request % self.cores.len(),
+            first_event: None,
+            last_event: 0.0,
+            longest_gap: 0.0,
+            events_received: 0,
+            attempt: 0,
+        });
+        self.push(at, Event::Submit(request));
+        request
+    }
+}
+
+impl Request {
+    /// Returns whether a stream was stalled for longer than its caller waits.
+    pub fn is_abandoned(&self) -> bool {
+        let class = CLASSES[self.class];
+        let patience_ms = 2_000.max(class.target_ms * 4).max(class.gap_ms * 8);
+        self.longest_gap > patience_ms as f64
+    }
+
+    /// Returns the utility that the caller receives if it disconnects when its
+    /// patience ends.
+    pub fn received_utility(&self) -> f64 {
+        match self.is_abandoned() {
+            true => 0.0,
+            false => self.achieved_utility(),
+        }
+    }
+}
