Drop servers that left after a store outage before their time limit

Cause, from the logs of both: an instance that had lost the store shortly before took the removal for one of the entries that lapse during an outage, and kept the server for the whole 2,000 ms from its own receipt of the news; the tick dropped it up to 20 ms later.

The server is now kept for 1,500 ms, and the end is checked when a server is chosen, not only at the next tick. The new test fails without the change (servers p1 to p3 receive requests 1,700 ms after the removal).

--- a/src/gateway/core/choose.rs
+++ b/src/gateway/core/choose.rs
@@ -18,6 +18,8 @@
 enum Exclusion {
     /// The server is draining.
     Draining,
+    /// The server's entry has lapsed and not returned in time.
+    Left,
     /// Operators have cordoned the server's failure domain.
     DomainOut,
     /// The server failed recently.
@@ -35,6 +37,9 @@
         if server.entry.draining {
             return Some(Exclusion::Draining);
         }
+        if self.has_left(now, &server.entry.id) {
+            return Some(Exclusion::Left);
+        }
         if self.cordoned_domains.contains(&server.entry.domain) {
             return Some(Exclusion::DomainOut);
         }
--- a/src/gateway/core/facts.rs
+++ b/src/gateway/core/facts.rs
@@ -10,6 +10,10 @@
 use crate::gateway::server_table::Change;
 use crate::gateway::server_table::ServerEntry;
 
+/// Reserve kept within the time limit for requests to a server that has left,
+/// for the delivery of the news and of requests that are on their way.
+const LEAVING_MARGIN: Millis = Millis(500);
+
 impl Core {
     pub(super) fn apply_store_updates(
         &mut self,
@@ -88,16 +92,15 @@
 
     /// Handles the removal of a server's entry. Entries lapse during a store
     /// outage and return soon after it, so a server whose entry disappears
-    /// during an outage or shortly after it is kept for the entry recovery
-    /// time.
+    /// during an outage or shortly after it is kept for a while.
     fn on_server_removed(&mut self, now: Millis, id: &str) {
         if self
             .freshness
             .recently_unavailable(now, self.bounds.entry_recovery_time)
         {
             log::info!(server = id; "backend server's entry lapsed");
-            self.lapsed_servers
-                .insert(id.to_owned(), now + self.bounds.entry_recovery_time);
+            let until = now + self.bounds.entry_recovery_time - LEAVING_MARGIN;
+            self.lapsed_servers.insert(id.to_owned(), until);
             return;
         }
         self.drop_server(id, "entry removed");
@@ -105,17 +108,11 @@
 
     /// Drops servers whose entries have not returned after a store outage.
     pub(super) fn drop_lapsed_servers(&mut self, now: Millis) {
-        if self
-            .freshness
-            .recently_unavailable(now, self.bounds.entry_recovery_time)
-        {
-            return;
-        }
         let gone: Vec<String> = self
             .lapsed_servers
-            .iter()
-            .filter(|(_, until)| now >= **until)
-            .map(|(id, _)| id.clone())
+            .keys()
+            .filter(|id| self.has_left(now, id))
+            .cloned()
             .collect();
         for id in gone {
             self.lapsed_servers.remove(&id);
@@ -123,6 +120,15 @@
         }
     }
 
+    /// Returns whether a server's entry has lapsed and not returned in time.
+    pub(super) fn has_left(&self, now: Millis, id: &str) -> bool {
+        self.freshness.is_store_answering()
+            && self
+                .lapsed_servers
+                .get(id)
+                .is_some_and(|&until| now >= until)
+    }
+
     fn drop_server(&mut self, id: &str, cause: &str) {
         if self.server_table.remove(id).is_some() {
             log::info!(server = id, cause = cause; "backend server gone");
--- a/src/gateway/tests/core.rs
+++ b/src/gateway/tests/core.rs
@@ -441,6 +441,20 @@
     assert_eq!(harness.receiving_servers("/once/1"), ["p0"]);
 }
 
+#[test]
+fn a_server_that_leaves_after_a_store_outage_gets_nothing_close_to_the_time_limit() {
+    let mut harness = Harness::new();
+    let _ = harness.handle(Input::StoreCallFailed);
+    harness.now += 400;
+    harness.apply_store_updates(Vec::new());
+    harness.now += 500;
+    let gone = |index: usize| StoreUpdate::ServerRemoved(format!("p{index}"));
+    harness.apply_store_updates((1..SERVERS).map(gone).collect());
+    // No tick comes before the next request.
+    harness.now += 1_700;
+    assert_eq!(harness.receiving_servers("/once/1"), ["p0"]);
+}
+
 #[test]
 fn a_restarted_server_replaces_its_predecessor() {
     let mut harness = Harness::new();
