Keep a stream on a cold engine until another engine takes it over

What callers saw: when an engine turned cold (one late first token, a burst of errors, a rejection as cold, the coordinator's report), answers in progress above its cold limit stopped, and ended as no_backend or deadline_unreachable if no other engine could take them: the only engine of a model, or all others full or excluded.

Cause: the core dropped the attempt first and queued the request afterwards. The cancellation cannot be undone, and only the queue finds out whether another engine may and can answer in time.

Change: the request waits in the queue while its attempt goes on. The attempt is dropped in the same step in which a capacity lease on another engine is acquired; the engine's ranking has then predicted an answer in time. If the queue refuses the request, its attempt goes on and the retry goes back to the budget. If an answer completes while it moves, the next attempt finds it complete and does not continue it.

Evidence: a_stream_on_a_cold_engine_is_not_cut_while_no_other_engine_can_ take_it failed on the code before (streams dropped at the next tick, with no other engine in the fleet).

Tests changed: requests_above_the_cold_limit_move_to_another_engine demanded the drop before another engine had room, which is the fault. It is replaced by requests_above_the_cold_limit_move_once_another_engine_has_room: the same load and the same number of moves, and each drop has to be followed, in the same outputs, by a call of that request to the other engine. That the request continues after its caller's tokens, which the old test also checked, is now checked by a_moved_request_continues_after_the_tokens_its_ caller_has.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -109,8 +109,9 @@
     pub offset: u32,
     /// Number of consecutive resumes without a new token between them.
     pub resumes: u32,
-    /// Whether it is being cancelled so that the request continues on another
-    /// backend server.
+    /// Whether the request also waits in the queue, with a retry spent, for
+    /// another backend server that takes it over. The attempt goes on until
+    /// then.
     pub migrating: bool,
 }
 
@@ -202,8 +203,8 @@
 
 impl InFlightRequest {
     /// Decides how to proceed after the end of an attempt; `model` is the model
-    /// or plain service whose budget pays for a retry. Attempts cancelled in
-    /// order to migrate do not reach this function.
+    /// or plain service whose budget pays for a retry, unless a migration has
+    /// paid for it.
     #[must_use]
     pub fn next_step(
         &self,
@@ -241,7 +242,7 @@
         if self.tries >= MAX_TRIES {
             return NextStep::Fail(Reason::BackendFailed);
         }
-        if budgets.try_withdraw(model) {
+        if running.migrating || budgets.try_withdraw(model) {
             return NextStep::RetryElsewhere;
         }
         NextStep::Fail(Reason::BackendFailed)
--- a/src/attempt/budget.rs
+++ b/src/attempt/budget.rs
@@ -61,6 +61,13 @@
         true
     }
 
+    /// Returns a spent retry that was not made.
+    pub fn refund(&mut self, model: &str) {
+        let max_saved = self.max_saved;
+        let balance = self.balance(model);
+        *balance = (*balance + 1.0).min(max_saved);
+    }
+
     fn balance(&mut self, model: &str) -> &mut f64 {
         if !self.balances.contains_key(model) {
             self.balances.insert(model.to_owned(), self.max_saved);
--- a/src/backend/http.rs
+++ b/src/backend/http.rs
@@ -89,6 +89,10 @@
             return AttemptEnd::Cancelled { offset };
         };
         match &*call.work {
+            // The end of the earlier attempt crossed the order to leave it.
+            Work::Prompt(_) if prefix.finish.is_some() => AttemptEnd::Whole {
+                tokens: prefix.offset,
+            },
             Work::Prompt(prompt) => stream::run(&self.cfg, call, prompt, &prefix, output),
             Work::Service(service) => service::run(&self.cfg, call, service, output),
         }
--- a/src/backend/http/tests/stream.rs
+++ b/src/backend/http/tests/stream.rs
@@ -34,6 +34,19 @@
     assert_eq!(body["epoch"], 3);
 }
 
+#[test]
+fn a_request_that_moves_as_its_answer_completes_is_not_continued() {
+    let script = [STREAM_HEAD, &token_frame(1, 0, "a"), &finish_frame(1, 1)].concat();
+    let (addr, requests) = backend(move |_, stream| stream.write_all(script.as_bytes()).unwrap());
+    let rig = Rig::new();
+    let whole = AttemptEnd::Whole { tokens: 1 };
+    assert_eq!(rig.run(call(addr, 1, CallStart::Fresh)), whole);
+    let moved = call(addr, 2, CallStart::Continue { offset: 1 });
+    assert_eq!(rig.run(moved), whole);
+    assert_eq!(requests.len(), 1);
+    assert_eq!(rig.text(), "a");
+}
+
 #[test]
 fn a_refused_connection_did_not_run() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/src/control.rs
+++ b/src/control.rs
@@ -11,6 +11,7 @@
 mod declare;
 mod gangs;
 mod message;
+mod migration;
 mod request;
 #[cfg(test)]
 mod tests;
--- a/src/control/attempts.rs
+++ b/src/control/attempts.rs
@@ -9,7 +9,6 @@
 use crate::admission::Dispatch;
 use crate::attempt::AttemptOutcome;
 use crate::attempt::InFlightRequest;
-use crate::attempt::MAX_TRIES;
 use crate::attempt::NextStep;
 use crate::attempt::Phase;
 use crate::attempt::RunningAttempt;
@@ -28,7 +27,6 @@
 use crate::metrics::Timing;
 use crate::quarantine::QUARANTINE_DURATION;
 use crate::quarantine::Restriction;
-use crate::routing::RoutingView;
 use crate::timeline::EventKind;
 use crate::timeline::Subject;
 use crate::verdict::Reason;
@@ -87,9 +85,20 @@
         );
         for decision in decisions {
             match decision {
-                Decision::Send(dispatch) => self.start_attempt(cx, dispatch),
-                Decision::Gang(reservation) => self.start_gang(cx, reservation),
+                Decision::Send(mut dispatch) => {
+                    self.leave_attempt(cx, &mut dispatch.job);
+                    self.start_attempt(cx, dispatch);
+                }
+                Decision::Gang(mut reservation) => {
+                    let request = reservation.job.request;
+                    self.router.record_end(cx.now, &self.fleet, request, None);
+                    self.leave_attempt(cx, &mut reservation.job);
+                    self.start_gang(cx, reservation);
+                }
                 Decision::Refuse(job, refusal) => {
+                    if self.keep_attempt(&job) {
+                        continue;
+                    }
                     if let Some(in_flight) = self.in_flight.remove(&job.request) {
                         self.fail_admitted(cx, job.request, &in_flight, refusal);
                     }
@@ -131,41 +140,6 @@
         self.send_call(cx, request);
     }
 
-    /// For each backend server that turned cold, cancels prompts above its cold
-    /// concurrency limit, if they are idempotent and have retry budget. The end
-    /// of a cancelled attempt reports the offset from which the request
-    /// continues on another server.
-    pub(super) fn move_excess_off_cold_backends(&mut self, cx: &mut Cx<'_>) {
-        let turned_cold = self.conditions.take_turned_cold();
-        let view = RoutingView {
-            now: cx.now,
-            fleet: &self.fleet,
-            conditions: &self.conditions,
-        };
-        let moving: Vec<RequestId> = turned_cold
-            .into_iter()
-            .flat_map(|backend| self.router.excess_requests(view, backend))
-            .collect();
-        for request in moving {
-            let Some(in_flight) = self.in_flight.get_mut(&request) else {
-                continue;
-            };
-            let (Phase::Running(running), Some(job)) = (&mut in_flight.phase, &in_flight.job)
-            else {
-                continue;
-            };
-            let is_prompt = matches!(*in_flight.work, Work::Prompt(_));
-            let movable = is_prompt && in_flight.idempotent && in_flight.tries < MAX_TRIES;
-            if !movable || running.migrating || !self.budgets.try_withdraw(&job.model) {
-                continue;
-            }
-            running.migrating = true;
-            cx.count(Count::Moves);
-            let attempt = running.attempt;
-            cx.out.push(Output::Drop { attempt });
-        }
-    }
-
     fn attempt_ended(&mut self, cx: &mut Cx<'_>, attempt: AttemptId, end: &AttemptEnd) {
         let request = attempt.request;
         let Some(mut in_flight) = self.in_flight.remove(&request) else {
@@ -177,14 +151,13 @@
         };
         let outcome = AttemptOutcome::from_end(&running, end);
         self.record_attempt_end(cx, &running, &outcome, end);
-        let moved = running.migrating && matches!(end, AttemptEnd::Cancelled { .. });
-        let mut next = match moved {
-            true => NextStep::RetryElsewhere,
-            false => in_flight.next_step(&running, end, &outcome, &mut self.budgets, &job.model),
-        };
+        let mut next = in_flight.next_step(&running, end, &outcome, &mut self.budgets, &job.model);
         if outcome.crashed && self.record_crash(cx, &mut job, attempt) {
             next = NextStep::Fail(Reason::Quarantined);
         }
+        if running.migrating {
+            self.end_migration(&job, next);
+        }
         in_flight.verdict = in_flight.verdict.combine(outcome.verdict);
         match next {
             NextStep::Complete => {
@@ -325,9 +298,8 @@
         if !may_still_run {
             return self.capacity.release(running.lease);
         }
-        let lease = running.lease;
         self.orphans
-            .add(cx, &self.fleet, request, lease, is_service);
+            .add(cx, &self.fleet, request, running.lease, is_service);
     }
 
     fn send_call(&mut self, cx: &mut Cx<'_>, request: RequestId) {
--- a/src/control/request.rs
+++ b/src/control/request.rs
@@ -226,8 +226,11 @@
     /// reply. A running call with a claim continues detached, so that its result
     /// is recorded.
     fn stop_work(&mut self, cx: &mut Cx<'_>, request: RequestId, mut in_flight: InFlightRequest) {
-        self.queue.remove(request);
+        let queued = self.queue.remove(request);
         let running = matches!(in_flight.phase, Phase::Running(_));
+        if let Some(job) = queued.filter(|_| running) {
+            self.budgets.refund(&job.model);
+        }
         if in_flight.claim_slot.is_some() && running && !in_flight.caller_detached {
             in_flight.caller_detached = true;
             in_flight.deadline = cx.now + ORPHANED_SERVICE_CALL_TIMEOUT;
--- a/src/control/tests/cold.rs
+++ b/src/control/tests/cold.rs
@@ -1,6 +1,6 @@
-//! Tests of engines that turn cold under load: such an engine keeps as many
-//! requests as its cold limit allows; the others continue on another engine at
-//! the token they had reached.
+//! Tests of engines that turn cold under load: requests above the cold limit
+//! continue on another engine at the token they had reached, as soon as one can
+//! take them.
 
 use super::*;
 
@@ -36,7 +36,33 @@
 }
 
 #[test]
-fn requests_above_the_cold_limit_move_to_another_engine() {
+fn a_stream_on_a_cold_engine_is_not_cut_while_no_other_engine_can_take_it() {
+    let mut control = control_with_warm_engines();
+    let _ = control.handle(Millis(3), Input::Listings(vec![engine("e1")]));
+    let mut sent = Vec::new();
+    for request in 1..=4 {
+        let out = control.handle(Millis(4), prompt(request));
+        sent.extend(calls(&out).into_iter().cloned());
+    }
+    assert_eq!(sent.len(), 4, "the engine is warm");
+    let cold = AttemptEnd::Rejected(Rejection::Cold);
+    let _ = control.handle(Millis(5), attempt_ended(&sent[0], cold));
+    for now in [6, 1_000, 5_000] {
+        let out = control.handle(Millis(now), Input::Tick);
+        assert!(dropped_requests(&out).is_empty(), "at {now} ms");
+        assert!(refusal(&out).is_none(), "at {now} ms");
+    }
+    for call in &sent[1..] {
+        let whole = AttemptEnd::Whole { tokens: 4 };
+        let out = control.handle(Millis(6_000), attempt_ended(call, whole));
+        let request = call.attempt.request;
+        let reply = Reply::Complete;
+        assert!(out.contains(&Output::Reply { request, reply }));
+    }
+}
+
+#[test]
+fn requests_above_the_cold_limit_move_once_another_engine_has_room() {
     let mut control = control_with_warm_engines();
     let mut sent = Vec::new();
     for request in 1..=7 {
@@ -48,32 +74,70 @@
         .partition(|call| call.addr == "127.0.0.1:e1");
     assert_eq!(on_first.len() + on_second.len(), 7, "both engines are warm");
     let cold = AttemptEnd::Rejected(Rejection::Cold);
-    let _ = control.handle(Millis(4), attempt_ended(&on_first[0], cold));
-    let out = control.handle(Millis(5), Input::Tick);
-    let moving = dropped_requests(&out);
+    let mut outputs = control.handle(Millis(4), attempt_ended(&on_first[0], cold));
+    outputs.extend(control.handle(Millis(5), Input::Tick));
+    outputs.extend(control.handle(Millis(6), Input::Tick));
+    for call in &on_second {
+        let whole = AttemptEnd::Whole { tokens: 4 };
+        outputs.extend(control.handle(Millis(8), attempt_ended(call, whole)));
+    }
+    outputs.extend(control.handle(Millis(60), Input::Tick));
+    assert!(refusal(&outputs).is_none());
+    let moved = dropped_requests(&outputs);
     assert_eq!(
-        moving.len(),
+        moved.len(),
         on_first.len() - 2,
         "one request stays besides the rejected one"
     );
-    assert!(dropped_requests(&control.handle(Millis(6), Input::Tick)).is_empty());
-    for call in on_first
-        .iter()
-        .filter(|call| moving.contains(&call.attempt.request.0))
-    {
-        let end = AttemptEnd::Cancelled { offset: 2 };
-        let out = control.handle(Millis(7), attempt_ended(call, end));
-        assert!(refusal(&out).is_none());
+    for (index, output) in outputs.iter().enumerate() {
+        let Output::Drop { attempt } = output else {
+            continue;
+        };
+        let after = calls(&outputs[index..]);
+        let next = after
+            .iter()
+            .find(|call| call.attempt.request == attempt.request);
+        let next = next.expect("a call on another engine");
+        assert_eq!(next.addr, "127.0.0.1:e2");
+        assert_eq!(next.attempt.number, attempt.number + 1);
     }
-    let mut resent = Vec::new();
-    for call in &on_second {
-        let whole = AttemptEnd::Whole { tokens: 4 };
-        let out = control.handle(Millis(8), attempt_ended(call, whole));
-        resent.extend(calls(&out).into_iter().cloned());
+    assert!(
+        calls(&outputs)
+            .iter()
+            .all(|call| call.addr == "127.0.0.1:e2")
+    );
+}
+
+#[test]
+fn a_moved_request_continues_after_the_tokens_its_caller_has() {
+    let mut control = control_with_warm_engines();
+    let mut sent = Vec::new();
+    for request in 1..=5 {
+        let out = control.handle(Millis(3), prompt(request));
+        sent.extend(calls(&out).into_iter().cloned());
     }
-    let continued = resent
-        .iter()
-        .filter(|call| call.start == CallStart::Continue { offset: 2 });
-    assert_eq!(continued.count(), moving.len());
-    assert!(resent.iter().all(|call| call.addr == "127.0.0.1:e2"));
+    for call in &sent {
+        for event in [
+            AttemptEvent::FirstToken,
+            AttemptEvent::Progress { offset: 2 },
+        ] {
+            let attempt = call.attempt;
+            let _ = control.handle(Millis(4), Input::Attempt { attempt, event });
+        }
+    }
+    let (on_first, on_second): (Vec<Call>, Vec<Call>) = sent
+        .into_iter()
+        .partition(|call| call.addr == "127.0.0.1:e1");
+    let (more, fewer) = match on_first.len() > on_second.len() {
+        true => (on_first, on_second),
+        false => (on_second, on_first),
+    };
+    assert_eq!((more.len(), fewer.len()), (3, 2));
+    let cold = AttemptEnd::Rejected(Rejection::Cold);
+    let _ = control.handle(Millis(5), attempt_ended(&more[0], cold));
+    let out = control.handle(Millis(6), Input::Tick);
+    let moved = calls(&out);
+    assert_eq!(moved.len(), 1, "one request stays besides the rejected one");
+    assert_eq!(moved[0].addr, fewer[0].addr);
+    assert_eq!(moved[0].start, CallStart::Continue { offset: 2 });
 }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -90,6 +90,8 @@
     pub offset: u32,
     /// Their text.
     pub text: String,
+    /// Why an earlier attempt completed the answer, if it did.
+    pub finish: Option<Finish>,
 }
 
 /// All relays of a process.
@@ -221,6 +223,7 @@
         Some(AnswerPrefix {
             offset: relay.next,
             text: relay.text.clone(),
+            finish: relay.finish,
         })
     }
 
@@ -242,10 +245,12 @@
         self.relays.count(push)
     }
 
-    /// Records why the engine ended the answer, for the final event.
+    /// Records why the engine ended the answer, for the final event, if this
+    /// attempt is the current one.
     pub fn set_finish(&self, finish: Finish) {
         let mut shard = self.relays.shard(self.attempt.request);
-        if let Some(relay) = shard.unfinished_relay(self.attempt.request) {
+        let relay = shard.unfinished_relay(self.attempt.request);
+        if let Some(relay) = relay.filter(|relay| relay.current == self.attempt.number) {
             relay.finish = Some(finish);
         }
     }
