Keep a slow service call until another server takes it over

What callers saw: an idempotent call to a plain service that took longer than half of its time limit was ended, and refused at once as no_backend if the service has one server (or as backend_failed without retry budget), although the server was about to answer and half of the time was left.

Cause: the connection's time limit without progress was half of the remaining time, so that the traffic thread closed it before the core knew whether another server could take the call. A service sends nothing before its answer, and a closed call cannot be resumed.

Change: the connection lives until the deadline. At half of the remaining time the core queues the call for another server while the attempt goes on, and leaves the attempt once it holds a capacity lease there. The signal for the server's condition is the same as before, at the same time.

Evidence: a_slow_service_call_is_not_cut_while_no_other_server_can_take_it failed on the code before (NoBackend at 29,975 of 59,950 ms). a_slow_service_call_moves_to_another_server_at_half_its_time checks that what the shorter limit was for still happens; before, only the traffic thread could cause it, so that this test failed there too.

Tests changed: the_silence_limit_of_a_service_call_follows_its_deadline demanded half of the time for the idempotent call; it is now the_silence_limit_of_a_service_call_is_its_deadline and demands the whole time, of both calls as exactly as before.

The help text of requests_moved_total names these moves too.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -113,6 +113,8 @@
     /// another backend server that takes it over. The attempt goes on until
     /// then.
     pub migrating: bool,
+    /// When the migration of an idempotent service call starts.
+    pub migrate_at: Option<Millis>,
 }
 
 /// The action after the end of an attempt.
--- a/src/attempt/tests.rs
+++ b/src/attempt/tests.rs
@@ -27,6 +27,7 @@
         offset: 0,
         resumes: 0,
         migrating: false,
+        migrate_at: None,
     }
 }
 
--- a/src/control/attempts.rs
+++ b/src/control/attempts.rs
@@ -133,6 +133,7 @@
             offset: job.offset,
             resumes: 0,
             migrating: false,
+            migrate_at: migration_time(cx.now, in_flight),
         };
         let request = job.request;
         in_flight.job = Some(job);
@@ -332,17 +333,26 @@
     }
 }
 
-/// Returns the time without progress after which a call is abandoned.
+/// Returns the time without progress after which a connection is abandoned.
 ///
 /// A plain service sends nothing before its answer, so only the deadline
-/// distinguishes a slow service from a half-open connection. An idempotent call
-/// keeps half of its remaining time for another attempt.
+/// distinguishes a slow service from a half-open connection.
 fn silence_limit(now: Millis, in_flight: &InFlightRequest) -> Millis {
-    let left = in_flight.deadline.since(now);
+    match &*in_flight.work {
+        Work::Prompt(_) => SILENCE_LIMIT,
+        Work::Service(_) => in_flight.deadline.since(now).max(SILENCE_LIMIT),
+    }
+}
+
+/// Returns when an attempt that starts now migrates if it has not ended:
+/// idempotent service calls at half of their remaining time.
+fn migration_time(now: Millis, in_flight: &InFlightRequest) -> Option<Millis> {
     match (&*in_flight.work, in_flight.idempotent) {
-        (Work::Prompt(_), _) => SILENCE_LIMIT,
-        (Work::Service(_), true) => Millis(left.0 / 2).max(SILENCE_LIMIT),
-        (Work::Service(_), false) => left.max(SILENCE_LIMIT),
+        (Work::Service(_), true) => {
+            let left = in_flight.deadline.since(now);
+            Some(now + Millis(left.0 / 2).max(SILENCE_LIMIT))
+        }
+        (Work::Service(_), false) | (Work::Prompt(_), _) => None,
     }
 }
 
--- a/src/control/components.rs
+++ b/src/control/components.rs
@@ -160,6 +160,7 @@
         self.fail_expired_requests(cx);
         self.expire_gangs(cx);
         self.move_excess_off_cold_backends(cx);
+        self.migrate_slow_attempts(cx);
         for lease in self.orphans.tick(cx, &self.fleet) {
             self.router.record_lease_released(lease.backend);
             self.capacity.release(lease);
--- a/src/control/migration.rs
+++ b/src/control/migration.rs
@@ -11,6 +11,8 @@
 use crate::attempt::NextStep;
 use crate::attempt::Phase;
 use crate::backend::Work;
+use crate::condition::Signal;
+use crate::fleet::BackendKey;
 use crate::id::RequestId;
 use crate::job::Job;
 use crate::metrics::Count;
@@ -44,6 +46,25 @@
         }
     }
 
+    /// Starts the migration of the attempts that are due for it.
+    pub(super) fn migrate_slow_attempts(&mut self, cx: &mut Cx<'_>) {
+        let mut due: Vec<(RequestId, BackendKey)> = Vec::new();
+        for (&request, in_flight) in &mut self.in_flight {
+            let Phase::Running(running) = &mut in_flight.phase else {
+                continue;
+            };
+            if running.migrate_at.take_if(|at| *at <= cx.now).is_some() {
+                due.push((request, running.lease.backend));
+            }
+        }
+        due.sort_unstable_by_key(|&(request, _)| request);
+        for (request, backend) in due {
+            self.conditions
+                .observe(cx, &self.fleet, backend, Signal::Silent);
+            self.start_migration(request);
+        }
+    }
+
     /// Ends the attempt that a migrating request leaves, and sets the offset of
     /// the job from which the next attempt continues. Does nothing for a request
     /// without an attempt.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -41,7 +41,7 @@
     Attempts = "attempts", "Calls sent to backend servers";
     Retries = "retries", "Calls sent to backend servers after a first try";
     Quarantined = "requests_quarantined", "Fingerprints that were held as they crashed backend servers";
-    Moves = "requests_moved", "Requests moved away from a backend server that turned cold under too much";
+    Moves = "requests_moved", "Requests that left an attempt in progress for another backend server";
     StoreCalls = "store_calls", "Calls sent to the platform's key-value service";
     StoreFailures = "store_failures", "Calls to the key-value service without an answer";
     PeerFramesSent = "peer_frames_sent", "Frames sent to other instances";
