Resume a silent stream until another engine takes it over

What callers saw: a stream whose engine stalled for 6 s (three connections without progress) was cancelled on the engine. Without another engine, retry budget or a try left, the answer was cut as no_backend or backend_failed, although the engine went on afterwards and the deadline was far. A stall hits all streams of an engine at once, so that the budget of 10 is soon spent.

Cause: after two resumes without a token the core cancelled the stream, and only then asked the queue for another engine.

Change: a silent stream is resumed every 2 s until its deadline. From the third time without progress on the request also waits in the queue, and its attempt is left once another engine has granted a capacity lease. A broken connection is still retried elsewhere after two resumes: resuming it at once again and again would load the engine.

Evidence: a_silent_stream_without_another_engine_is_resumed_until_its_ deadline failed on the code before (NoBackend at 6,500 of 10,000 ms). a_silent_stream_moves_to_another_engine_after_two_fruitless_resumes passes before and after.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -7,7 +7,8 @@
 //! [`MAX_ATTEMPTS_BEFORE_RUN`]. A stream whose connection broke or stopped
 //! responding is first resumed on the same engine over a new connection. If the
 //! engine has lost it, another engine continues the generation after the tokens
-//! that the caller already has.
+//! that the caller already has. A stream that stays silent is resumed until
+//! another engine takes it over or the deadline passes.
 
 mod budget;
 mod orphans;
@@ -45,7 +46,8 @@
 /// [`MAX_TRIES`], as refused connections and stale epochs cause no work on a
 /// backend server.
 pub const MAX_ATTEMPTS_BEFORE_RUN: u32 = 16;
-/// Maximum consecutive resumes on one engine without a new token.
+/// Maximum consecutive resumes on one engine without a new token before the
+/// request migrates or, after a broken connection, is retried elsewhere.
 pub const MAX_RESUMES_WITHOUT_PROGRESS: u32 = 2;
 
 /// An admitted request, from the claim of its idempotency key to its final
@@ -228,7 +230,7 @@
         if !self.idempotent && verdict != Verdict::NotRun {
             return NextStep::Fail(Reason::BackendFailed);
         }
-        if outcome.may_still_run && self.can_resume(running, outcome.offset) {
+        if outcome.may_still_run && self.can_resume(running, end, outcome.offset) {
             return NextStep::Resume;
         }
         let refused_before_run = matches!(
@@ -250,9 +252,12 @@
         NextStep::Fail(Reason::BackendFailed)
     }
 
-    fn can_resume(&self, running: &RunningAttempt, offset: u32) -> bool {
+    /// Returns whether a stream may be resumed. A silent one always may: the
+    /// engine may be sound, and another one may be unable to take over.
+    fn can_resume(&self, running: &RunningAttempt, end: &AttemptEnd, offset: u32) -> bool {
         let is_prompt = matches!(*self.work, Work::Prompt(_));
         let progressed = offset > running.offset;
-        is_prompt && (progressed || running.resumes < MAX_RESUMES_WITHOUT_PROGRESS)
+        let silent = matches!(end, AttemptEnd::Silent { .. });
+        is_prompt && (progressed || silent || running.resumes < MAX_RESUMES_WITHOUT_PROGRESS)
     }
 }
--- a/src/control/attempts.rs
+++ b/src/control/attempts.rs
@@ -9,6 +9,7 @@
 use crate::admission::Dispatch;
 use crate::attempt::AttemptOutcome;
 use crate::attempt::InFlightRequest;
+use crate::attempt::MAX_RESUMES_WITHOUT_PROGRESS;
 use crate::attempt::NextStep;
 use crate::attempt::Phase;
 use crate::attempt::RunningAttempt;
@@ -246,6 +247,7 @@
     ) {
         let request = job.request;
         let progressed = offset > running.offset;
+        let resumes = if progressed { 1 } else { running.resumes + 1 };
         in_flight.last_attempt_number += 1;
         let start = CallStart::Resume { offset };
         in_flight.phase = Phase::Running(RunningAttempt {
@@ -255,12 +257,15 @@
             },
             start,
             offset,
-            resumes: if progressed { 1 } else { running.resumes + 1 },
+            resumes,
             ..running
         });
         in_flight.job = Some(Job { offset, ..job });
         self.in_flight.insert(request, in_flight);
         self.send_call(cx, request);
+        if resumes > MAX_RESUMES_WITHOUT_PROGRESS {
+            self.start_migration(request);
+        }
     }
 
     fn retry_on_other_backend(
--- a/src/control/migration.rs
+++ b/src/control/migration.rs
@@ -128,7 +128,7 @@
 
     /// Queues a running request for another backend server, if it is idempotent
     /// and has retry budget.
-    fn start_migration(&mut self, request: RequestId) {
+    pub(super) fn start_migration(&mut self, request: RequestId) {
         let Some(in_flight) = self.in_flight.get_mut(&request) else {
             return;
         };
--- a/src/control/tests.rs
+++ b/src/control/tests.rs
@@ -162,6 +162,44 @@
     assert_eq!(third.start, CallStart::Continue { offset: 2 });
 }
 
+#[test]
+fn a_silent_stream_without_another_engine_is_resumed_until_its_deadline() {
+    let mut control = control();
+    let _ = control.handle(Millis(0), Input::Listings(vec![engine("e1")]));
+    let out = control.handle(Millis(1), prompt(1));
+    let mut call = calls(&out)[0].clone();
+    for now in [2_500, 4_500, 6_500, 8_500] {
+        let verdict = Verdict::MayHaveRun;
+        let end = AttemptEnd::Silent { verdict, offset: 2 };
+        let out = control.handle(Millis(now), attempt_ended(&call, end));
+        assert_eq!(refusal(&out), None, "at {now} ms");
+        call = calls(&out)[0].clone();
+        assert_eq!(call.start, CallStart::Resume { offset: 2 });
+    }
+    let whole = AttemptEnd::Whole { tokens: 4 };
+    let out = control.handle(Millis(9_000), attempt_ended(&call, whole));
+    let request = RequestId(1);
+    let reply = Reply::Complete;
+    assert!(out.contains(&Output::Reply { request, reply }));
+}
+
+#[test]
+fn a_silent_stream_moves_to_another_engine_after_two_fruitless_resumes() {
+    let mut control = control();
+    let out = control.handle(Millis(1), prompt(1));
+    let first = calls(&out)[0].clone();
+    let mut call = first.clone();
+    for now in [2_500, 4_500, 6_500] {
+        assert_eq!(call.addr, first.addr);
+        let verdict = Verdict::MayHaveRun;
+        let end = AttemptEnd::Silent { verdict, offset: 0 };
+        let out = control.handle(Millis(now), attempt_ended(&call, end));
+        call = calls(&out).pop().expect("a call").clone();
+    }
+    assert_ne!(call.addr, first.addr);
+    assert_eq!(call.start, CallStart::Fresh);
+}
+
 #[test]
 fn an_expired_request_is_refused_as_may_have_run_with_a_retry_delay() {
     let mut control = control();
