Resume a silent or broken stream that must not run twice

What callers saw: a prompt of a kind with `idempotent = false` failed as backend_failed after 2 s of silence or when its connection broke, although its engine kept the stream.

Cause: the rule that a request that may have run is not executed again was applied before the question whether the stream can be resumed. A resume executes nothing: it reads on at the same engine.

Change: the resume comes first. If the engine has lost the stream, the request fails as before and runs nowhere else.

Evidence: a_silent_stream_that_must_not_run_twice_is_resumed failed on the code before (backend_failed at the first silence); it also checks the failure after a lost stream.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -5,10 +5,11 @@
 //! budget. Calls that were refused before they could run (refused connection,
 //! stale epoch) are repeated without using the budget, up to
 //! [`MAX_ATTEMPTS_BEFORE_RUN`]. A stream whose connection broke or stopped
-//! responding is first resumed on the same engine over a new connection. If the
-//! engine has lost it, another engine continues the generation after the tokens
-//! that the caller already has. A stream that stays silent is resumed until
-//! another engine takes it over or the deadline passes.
+//! responding is first resumed on the same engine over a new connection, also if
+//! the request is not idempotent. If the engine has lost it, another engine
+//! continues the generation after the tokens that the caller already has. A
+//! stream that stays silent is resumed until another engine takes it over or the
+//! deadline passes.
 
 mod budget;
 mod orphans;
@@ -226,13 +227,13 @@
             }
             _ => {}
         }
+        if outcome.may_still_run && self.can_resume(running, end, outcome.offset) {
+            return NextStep::Resume;
+        }
         let verdict = self.verdict.combine(outcome.verdict);
         if !self.idempotent && verdict != Verdict::NotRun {
             return NextStep::Fail(Reason::BackendFailed);
         }
-        if outcome.may_still_run && self.can_resume(running, end, outcome.offset) {
-            return NextStep::Resume;
-        }
         let refused_before_run = matches!(
             end,
             AttemptEnd::Refused | AttemptEnd::Rejected(Rejection::StaleEpoch)
@@ -252,8 +253,9 @@
         NextStep::Fail(Reason::BackendFailed)
     }
 
-    /// Returns whether a stream may be resumed. A silent one always may: the
-    /// engine may be sound, and another one may be unable to take over.
+    /// Returns whether a stream may be resumed, which executes nothing again. A
+    /// silent one always may: the engine may be sound, and another one may be
+    /// unable to take over.
     fn can_resume(&self, running: &RunningAttempt, end: &AttemptEnd, offset: u32) -> bool {
         let is_prompt = matches!(*self.work, Work::Prompt(_));
         let progressed = offset > running.offset;
--- a/src/control/tests.rs
+++ b/src/control/tests.rs
@@ -200,6 +200,26 @@
     assert_eq!(call.start, CallStart::Fresh);
 }
 
+#[test]
+fn a_silent_stream_that_must_not_run_twice_is_resumed() {
+    let mut control = control();
+    let text = DECLARATION.replace("importance = 50", "importance = 50\nidempotent = false");
+    let declaration: Declaration = toml::from_str(&text).expect("a declaration");
+    control.apply_declaration(Millis(0), &declaration, Revision(2));
+    let out = control.handle(Millis(1), prompt(1));
+    let call = calls(&out)[0].clone();
+    let verdict = Verdict::MayHaveRun;
+    let end = AttemptEnd::Silent { verdict, offset: 2 };
+    let out = control.handle(Millis(2_500), attempt_ended(&call, end));
+    assert_eq!(refusal(&out), None);
+    assert_eq!(calls(&out)[0].start, CallStart::Resume { offset: 2 });
+    let lost = AttemptEnd::Rejected(Rejection::UnknownStream);
+    let resumed = calls(&out)[0].clone();
+    let out = control.handle(Millis(2_600), attempt_ended(&resumed, lost));
+    assert_eq!(calls(&out), Vec::<&Call>::new());
+    assert_eq!(refusal(&out).map(|r| r.verdict), Some(Verdict::MayHaveRun));
+}
+
 #[test]
 fn an_expired_request_is_refused_as_may_have_run_with_a_retry_delay() {
     let mut control = control();
