Do not cut a gang's step by the time limit of other commands

What callers saw: a prompt over one engine's memory whose engine took more than 2 s for one part of 8,192 tokens (below 4,096 tokens a second, or beside other prompts) lost its whole gang. The members' work was cancelled and the request retried without that engine, or failed.

Cause: prefill, export and import orders were sent with the time limit of load reports and cancel orders, `[backend] order_time_limit`, while the core grants a step 30 s.

Change: steps have a short time limit for the connection only, and the core's limit for the answer, so that an unreachable engine is still noticed within a second. They run on threads of their own, as cancel orders must not wait for them.

Evidence: a_slow_prefill_of_a_gang_is_not_cut_by_the_time_limit_of_other_ commands failed on the code before (GangFailed); it also checks that a load report keeps the short limit.

--- a/src/backend/http.rs
+++ b/src/backend/http.rs
@@ -2,9 +2,10 @@
 //! the protocol.
 //!
 //! Calls use `attohttpc`, whose read timeout applies to each read: it limits the
-//! time without progress but not the duration of a stream. Commands use
-//! `minreq`, whose timeout applies to the whole exchange. Each call opens its
-//! own connection, so that none reuses a half-open one.
+//! time without progress but not the duration of a stream. The steps of gangs,
+//! which take as long as an engine computes, use it too. Other commands use
+//! `minreq`, whose timeout applies to the whole exchange. Each call opens its own
+//! connection, so that none reuses a half-open one.
 
 mod frame;
 mod order;
@@ -51,7 +52,7 @@
     pub owner: String,
     /// Timeout for establishing a connection.
     pub connect_timeout: Duration,
-    /// Timeout for a whole command, in seconds.
+    /// Timeout for a whole command that is not a gang's step, in seconds.
     pub order_timeout_secs: u64,
     /// Maximum length of a plain service's answer, in bytes.
     pub max_answer_bytes: u64,
--- a/src/backend/http/order.rs
+++ b/src/backend/http/order.rs
@@ -1,7 +1,9 @@
 //! Commands to engines that are not part of an attempt.
 
 use std::io;
+use std::io::Read;
 
+use attohttpc::ErrorKind;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -12,9 +14,12 @@
 use super::HttpSettings;
 use crate::backend::CacheEvent;
 use crate::backend::Work;
+use crate::gang::STEP_TIMEOUT;
 
 /// Maximum length of a response head.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Maximum length that is read of the answer to a step of a gang.
+const MAX_STEP_ANSWER_BYTES: u64 = 64 * 1024;
 
 #[derive(Deserialize)]
 struct CacheEvents {
@@ -26,22 +31,75 @@
     segment: String,
 }
 
+/// Why a command got no answer.
+enum CommandError {
+    Refused,
+    Failed,
+}
+
 /// Sends a command and waits for the answer.
 pub(super) fn run(cfg: &HttpSettings, addr: &str, order: &BackendOrder) -> BackendAnswer {
+    let sent = match step_body(order) {
+        Some((call, body)) => send_step(cfg, addr, call, &body),
+        None => send(cfg, addr, order),
+    };
+    match sent {
+        Ok(body) => answer(order, &body).unwrap_or_else(|| failed(order, false)),
+        Err(CommandError::Refused) => failed(order, true),
+        Err(CommandError::Failed) => failed(order, false),
+    }
+}
+
+/// Sends a step of a gang. It takes as long as the engine computes, so only
+/// connecting has a short timeout.
+fn send_step(
+    cfg: &HttpSettings,
+    addr: &str,
+    call: &str,
+    body: &Value,
+) -> Result<Vec<u8>, CommandError> {
+    let sent = attohttpc::post(format!("http://{addr}/v1/{call}"))
+        .header("Content-Type", "application/json")
+        .connect_timeout(cfg.connect_timeout)
+        .read_timeout(STEP_TIMEOUT.as_duration())
+        .follow_redirects(false)
+        .proxy_settings(attohttpc::ProxySettings::builder().build())
+        .text(body.to_string())
+        .send();
+    let response = sent.map_err(|error| match error.kind() {
+        ErrorKind::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            CommandError::Refused
+        }
+        _ => CommandError::Failed,
+    })?;
+    if response.status().as_u16() != 200 {
+        return Err(CommandError::Failed);
+    }
+    let mut answer = Vec::new();
+    match response
+        .take(MAX_STEP_ANSWER_BYTES)
+        .read_to_end(&mut answer)
+    {
+        Ok(_) => Ok(answer),
+        Err(_) => Err(CommandError::Failed),
+    }
+}
+
+/// Sends a command that is not a step of a gang.
+fn send(cfg: &HttpSettings, addr: &str, order: &BackendOrder) -> Result<Vec<u8>, CommandError> {
     let request = request(addr, order)
+        .ok_or(CommandError::Failed)?
         .with_timeout(cfg.order_timeout_secs)
         .with_max_headers_size(MAX_HEAD_BYTES)
         .with_follow_redirects(false);
-    let response = match request.send() {
-        Ok(response) => response,
-        Err(error) => {
-            return failed(order, is_refused(&error));
-        }
-    };
-    if response.status_code != 200 {
-        return failed(order, false);
+    let response = request.send().map_err(|error| match is_refused(&error) {
+        true => CommandError::Refused,
+        false => CommandError::Failed,
+    })?;
+    match response.status_code {
+        200 => Ok(response.into_bytes()),
+        _ => Err(CommandError::Failed),
     }
-    answer(order, response.as_bytes()).unwrap_or_else(|| failed(order, false))
 }
 
 /// Returns the answer that reports the failure of a command.
@@ -59,23 +117,30 @@
     }
 }
 
-fn request(addr: &str, order: &BackendOrder) -> minreq::Request {
+/// Returns the request of a command, or `None` for a step of a gang.
+fn request(addr: &str, order: &BackendOrder) -> Option<minreq::Request> {
     match order {
         BackendOrder::Cancel { request, epoch } => {
             let body = json!({"request": request.to_string(), "epoch": epoch});
-            post(addr, "cancel", &body)
+            let post = minreq::post(format!("http://{addr}/v1/cancel"))
+                .with_header("Content-Type", "application/json")
+                .with_body(body.to_string());
+            Some(post)
         }
-        BackendOrder::Load => minreq::get(format!("http://{addr}/v1/load")),
+        BackendOrder::Load => Some(minreq::get(format!("http://{addr}/v1/load"))),
         BackendOrder::CacheEvents { after } => {
-            minreq::get(format!("http://{addr}/v1/cache-events?after={after}"))
+            let url = format!("http://{addr}/v1/cache-events?after={after}");
+            Some(minreq::get(url))
         }
         BackendOrder::Prefill { .. }
         | BackendOrder::Export { .. }
-        | BackendOrder::Import { .. } => gang_request(addr, order),
+        | BackendOrder::Import { .. } => None,
     }
 }
 
-fn gang_request(addr: &str, order: &BackendOrder) -> minreq::Request {
+/// Returns the call and body of a step of a gang, or `None` for another
+/// command.
+fn step_body(order: &BackendOrder) -> Option<(&'static str, Value)> {
     match order {
         BackendOrder::Prefill {
             request,
@@ -99,7 +164,7 @@
                 "from_token": from_token, "to_token": to_token,
                 "memory_tokens": memory_tokens,
             });
-            post(addr, "prefill", &body)
+            Some(("prefill", body))
         }
         BackendOrder::Export {
             request,
@@ -111,32 +176,24 @@
                 "request": request.to_string(), "epoch": epoch,
                 "from_token": from_token, "to_token": to_token,
             });
-            post(addr, "kv-export", &body)
+            Some(("kv-export", body))
         }
         BackendOrder::Import {
             request,
             epoch,
             segment,
-            addr: from,
+            addr,
         } => {
             let body = json!({
                 "request": request.to_string(), "epoch": epoch,
-                "segment": segment, "addr": from,
+                "segment": segment, "addr": addr,
             });
-            post(addr, "kv-import", &body)
-        }
-        BackendOrder::Cancel { .. } | BackendOrder::Load | BackendOrder::CacheEvents { .. } => {
-            request(addr, order)
+            Some(("kv-import", body))
         }
+        BackendOrder::Cancel { .. } | BackendOrder::Load | BackendOrder::CacheEvents { .. } => None,
     }
 }
 
-fn post(addr: &str, call: &str, body: &Value) -> minreq::Request {
-    minreq::post(format!("http://{addr}/v1/{call}"))
-        .with_header("Content-Type", "application/json")
-        .with_body(body.to_string())
-}
-
 fn answer(order: &BackendOrder, body: &[u8]) -> Option<BackendAnswer> {
     match order {
         BackendOrder::Cancel { request, .. } => {
--- a/src/backend/http/tests.rs
+++ b/src/backend/http/tests.rs
@@ -1,6 +1,7 @@
 //! Each way a connection can fail has its own verdict; `NotRun` is reported only
 //! if no backend server can have run the call.
 
+mod order;
 mod service;
 mod stream;
 
--- a/src/backend/traffic.rs
+++ b/src/backend/traffic.rs
@@ -2,7 +2,8 @@
 //!
 //! Calls block, so each runs on its own thread with a small stack; idle threads
 //! are reused. Commands outside attempts use a separate pool, so that a cancel
-//! never queues behind streams.
+//! never queues behind streams, and steps of gangs, which last as long as an
+//! engine computes, another one.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,7 +25,8 @@
 /// Minimum interval between two progress reports to the core.
 pub const PROGRESS_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Maximum number of threads for commands outside attempts.
+/// Maximum number of threads for commands outside attempts, and of those for
+/// the steps of gangs.
 const ORDER_THREADS: usize = 32;
 
 /// Adapter for calls to backend servers; all methods block.
@@ -58,6 +60,7 @@
     control: flume::Sender<Input>,
     calls: Pool,
     orders: Pool,
+    gang_steps: Pool,
 }
 
 impl Traffic {
@@ -75,6 +78,7 @@
             control,
             calls: Pool::new("call", cfg.max_calls),
             orders: Pool::new("order", ORDER_THREADS),
+            gang_steps: Pool::new("gang", ORDER_THREADS),
         }
     }
 
@@ -100,7 +104,15 @@
     pub fn order(&self, backend: String, addr: String, order: BackendOrder) {
         let client = Arc::clone(&self.client);
         let control = self.control.clone();
-        self.orders.run(move || {
+        let pool = match order {
+            BackendOrder::Prefill { .. }
+            | BackendOrder::Export { .. }
+            | BackendOrder::Import { .. } => &self.gang_steps,
+            BackendOrder::Cancel { .. } | BackendOrder::Load | BackendOrder::CacheEvents { .. } => {
+                &self.orders
+            }
+        };
+        pool.run(move || {
             let answer = client.order(&addr, &order);
             let _ = control.send(Input::Backend { backend, answer });
         });
--- a/src/config/table.rs
+++ b/src/config/table.rs
@@ -108,7 +108,7 @@
     "backend" "connect_time_limit" connect_time_limit: Millis = Some("1 s"), span(span(10, MINUTE)),
         "Time limit for a connection to a backend server";
     "backend" "order_time_limit" order_time_limit: Millis = Some("2 s"), span(span(100, MINUTE)),
-        "Time limit of an order or a load report";
+        "Time limit of an order or a load report; a step of a gang has 30 s";
     "gateway" "listen" gateway_listen: String = Some(""), address(Allowed::Address { optional: true }),
         "Address on which HTTP requests are forwarded; given: the process is a gateway and needs no other listener";
     "gateway" "status_listen" gateway_status_listen: String = Some("127.0.0.1:8083"), address(ADDRESS),
