--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -5,9 +5,11 @@
 //! budget. Calls that were refused before they could run (refused connection,
 //! stale epoch) are repeated without using the budget, up to
 //! [`MAX_ATTEMPTS_BEFORE_RUN`]. A stream whose connection broke or stopped
-//! responding is first resumed on the same engine over a new connection. If the
-//! engine has lost it, another engine continues the generation after the tokens
-//! that the caller already has.
+//! responding is first resumed on the same engine over a new connection, also if
+//! the request is not idempotent. If the engine has lost it, another engine
+//! continues the generation after the tokens that the caller already has. A
+//! stream that stays silent is resumed until another engine takes it over or the
+//! deadline passes.
 
 mod budget;
 mod orphans;
@@ -45,7 +47,8 @@
 /// [`MAX_TRIES`], as refused connections and stale epochs cause no work on a
 /// backend server.
 pub const MAX_ATTEMPTS_BEFORE_RUN: u32 = 16;
-/// Maximum consecutive resumes on one engine without a new token.
+/// Maximum consecutive resumes on one engine without a new token before the
+/// request migrates or, after a broken connection, is retried elsewhere.
 pub const MAX_RESUMES_WITHOUT_PROGRESS: u32 = 2;
 
 /// An admitted request, from the claim of its idempotency key to its final
@@ -109,9 +112,12 @@
     pub offset: u32,
     /// Number of consecutive resumes without a new token between them.
     pub resumes: u32,
-    /// Whether it is being cancelled so that the request continues on another
-    /// backend server.
+    /// Whether the request also waits in the queue, with a retry spent, for
+    /// another backend server that takes it over. The attempt goes on until
+    /// then.
     pub migrating: bool,
+    /// When the migration of an idempotent service call starts.
+    pub migrate_at: Option<Millis>,
 }
 
 /// The action after the end of an attempt.
@@ -202,8 +208,8 @@
 
 impl InFlightRequest {
     /// Decides how to proceed after the end of an attempt; `model` is the model
-    /// or plain service whose budget pays for a retry. Attempts cancelled in
-    /// order to migrate do not reach this function.
+    /// or plain service whose budget pays for a retry, unless a migration has
+    /// paid for it.
     #[must_use]
     pub fn next_step(
         &self,
@@ -221,13 +227,13 @@
             }
             _ => {}
         }
+        if outcome.may_still_run && self.can_resume(running, end, outcome.offset) {
+            return NextStep::Resume;
+        }
         let verdict = self.verdict.combine(outcome.verdict);
         if !self.idempotent && verdict != Verdict::NotRun {
             return NextStep::Fail(Reason::BackendFailed);
         }
-        if outcome.may_still_run && self.can_resume(running, outcome.offset) {
-            return NextStep::Resume;
-        }
         let refused_before_run = matches!(
             end,
             AttemptEnd::Refused | AttemptEnd::Rejected(Rejection::StaleEpoch)
@@ -241,15 +247,19 @@
         if self.tries >= MAX_TRIES {
             return NextStep::Fail(Reason::BackendFailed);
         }
-        if budgets.try_withdraw(model) {
+        if running.migrating || budgets.try_withdraw(model) {
             return NextStep::RetryElsewhere;
         }
         NextStep::Fail(Reason::BackendFailed)
     }
 
-    fn can_resume(&self, running: &RunningAttempt, offset: u32) -> bool {
+    /// Returns whether a stream may be resumed, which executes nothing again. A
+    /// silent one always may: the engine may be sound, and another one may be
+    /// unable to take over.
+    fn can_resume(&self, running: &RunningAttempt, end: &AttemptEnd, offset: u32) -> bool {
         let is_prompt = matches!(*self.work, Work::Prompt(_));
         let progressed = offset > running.offset;
-        is_prompt && (progressed || running.resumes < MAX_RESUMES_WITHOUT_PROGRESS)
+        let silent = matches!(end, AttemptEnd::Silent { .. });
+        is_prompt && (progressed || silent || running.resumes < MAX_RESUMES_WITHOUT_PROGRESS)
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -43,7 +43,7 @@
     AttemptsStalled = "attempts_stalled", "Calls whose backend server gave no output for too long";
     Successors = "attempts_successors", "Second calls, sent to another backend server while the first gave no output";
     Quarantined = "requests_quarantined", "Fingerprints that were held as they crashed backend servers";
-    Moves = "requests_moved", "Requests moved away from a backend server that turned cold under too much";
+    Moves = "requests_moved", "Requests that left an attempt in progress for another backend server";
     StoreCalls = "store_calls", "Calls sent to the platform's key-value service";
     StoreFailures = "store_failures", "Calls to the key-value service without an answer";
     PeerFramesSent = "peer_frames_sent", "Frames sent to other instances";
