Measure the times of callers' connections so that delays cannot fail a test

The lower bounds were taken from when the test saw the end of a response, less a quarter, which a delayed test thread could still miss. They now count from the sending of the request, with the whole time-out.

--- a/tests/gateway/connections.rs
+++ b/tests/gateway/connections.rs
@@ -124,14 +124,15 @@
     let stage = stage();
     stage.backend.pauses.store(PAUSE_MS, Ordering::SeqCst);
     let mut connection = connected(stage.gateway.callers);
+    let sent_at = Instant::now();
     connection.send(&request("/stream/1", "a")).unwrap();
     connection.read_answer().unwrap();
-    let ended_at = Instant::now();
     connection.wait_closed().unwrap();
-    let idle = ended_at.elapsed();
-    // The end is seen a little later here than by the gateway.
-    assert!(idle >= IDLE_TIMEOUT * 3 / 4, "closed after {idle:?}");
-    assert!(idle < CLOSE_LIMIT, "closed after {idle:?}");
+    // Delays of this thread only add to the time that is measured.
+    let after = sent_at.elapsed();
+    let pause = Duration::from_millis(PAUSE_MS);
+    assert!(after >= pause + IDLE_TIMEOUT, "closed after {after:?}");
+    assert!(after < pause + CLOSE_LIMIT, "closed after {after:?}");
 }
 
 #[test]
@@ -163,7 +164,7 @@
     for connection in [&mut used, &mut fresh] {
         connection.wait_closed().unwrap();
         let after = began_at.elapsed();
-        assert!(after >= HEAD_TIMEOUT * 3 / 4, "closed after {after:?}");
+        assert!(after >= HEAD_TIMEOUT, "closed after {after:?}");
         assert!(after < CLOSE_LIMIT, "closed after {after:?}");
     }
 }
