--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -332,7 +332,14 @@
                 fingerprint,
                 server,
             } => {
-                self.crashes.record(now, fingerprint, server);
+                let crashed = self.crashes.record(now, fingerprint, server);
+                let known = self.server_table.find_by_id_hash(server);
+                log::info!(
+                    server = known.map_or("", |key| self.server_table.get(key).entry.id.as_str()),
+                    fingerprint = format!("{fingerprint:016x}").as_str(),
+                    crashed_servers = crashed;
+                    "crash reported by another instance"
+                );
             }
             // Applied by `RevisionTracker`.
             PeerMessage::Item(_) => {}
--- a/src/gateway/core/crashes.rs
+++ b/src/gateway/core/crashes.rs
@@ -31,23 +31,26 @@
 }
 
 impl Crashes {
-    /// Records that a server crashed while it ran a request.
-    pub fn record(&mut self, now: Millis, fingerprint: u64, server: u64) {
+    /// Records that a server crashed while it ran a request. Returns the number
+    /// of distinct servers that the request crashed.
+    pub fn record(&mut self, now: Millis, fingerprint: u64, server: u64) -> usize {
         self.records
             .retain(|_, record| now.since(record.last_crash) < QUARANTINE_PERIOD);
         let record = self.records.entry(fingerprint).or_default();
         record.servers.insert(server);
         record.last_crash = now;
+        let crashed = record.servers.len();
         while self.records.len() > MAX_RECORDS {
             let oldest = self
                 .records
                 .iter()
                 .min_by_key(|(_, record)| record.last_crash);
             let Some((&fingerprint, _)) = oldest else {
-                return;
+                break;
             };
             self.records.remove(&fingerprint);
         }
+        crashed
     }
 
     /// Clears the record of a request that completed, and so is not the cause
--- a/src/gateway/core/endings.rs
+++ b/src/gateway/core/endings.rs
@@ -180,7 +180,17 @@
             }
             AttemptEnd::Broken => {
                 let hash = id_hash(&self.server_table.get(server).entry.id);
-                self.crashes.record(now, fingerprint, hash);
+                let crashed = self.crashes.record(now, fingerprint, hash);
+                let head = &self.requests[&ticket].submission.head;
+                log::info!(
+                    request = head.request_id.as_str(),
+                    server = self.server_table.get(server).entry.id.as_str(),
+                    fingerprint = format!("{fingerprint:016x}").as_str(),
+                    prompt_parts = head.describe_shared_parts().as_str(),
+                    started = attempt.first_output_seen,
+                    crashed_servers = crashed;
+                    "crash recorded"
+                );
                 self.broadcast(
                     out,
                     PeerMessage::Crashed {
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -388,11 +388,12 @@
             None => request.active_attempt = Some(attempt),
             Some(_) => request.successor = Some(attempt),
         }
-        let (id, attempts) = (request.submission.head.request_id.clone(), plan.attempt.0);
+        let (head, attempts) = (&request.submission.head, plan.attempt.0);
         log::info!(
-            request = id.as_str(),
+            request = head.request_id.as_str(),
             send = attempts,
             server = plan.server_id.as_str(),
+            prompt_parts = head.describe_shared_parts().as_str(),
             parts = parts.as_str(),
             predicted_ms = predicted_ms as i64,
             loss = placement.cost,
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -1,5 +1,6 @@
 //! Inputs and outputs of the gateway's core, and the types that they carry.
 
+use std::fmt;
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -25,11 +26,24 @@
     pub key: Option<String>,
     /// Prompt and output lengths; `None` if the request carries no prompt.
     pub prompt: Option<PromptShape>,
+    /// Parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<PromptPart>,
     /// Id of the last event that the caller received of a resumed stream. The
     /// core does not use it; the header itself is forwarded.
     pub last_event: Option<String>,
 }
 
+/// Identifies a part of a prompt that several requests may share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct PromptPart(pub u64);
+
+impl fmt::Display for PromptPart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
 /// Lengths of a prompt and its output.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -89,6 +103,15 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct AttemptNumber(pub u32);
 
+impl RequestHead {
+    /// Lists the shared parts of the prompt, for the log.
+    #[must_use]
+    pub fn describe_shared_parts(&self) -> String {
+        let ids: Vec<String> = self.shared_parts.iter().map(ToString::to_string).collect();
+        ids.join(",")
+    }
+}
+
 /// A caller's request, completely received.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Submission {
--- a/src/gateway/tests/core.rs
+++ b/src/gateway/tests/core.rs
@@ -201,7 +201,7 @@
                     max_output_tokens: 500,
                     expected_output_tokens: Some(430),
                 }),
-                last_event: None,
+                ..RequestHead::default()
             },
             host: "host".to_owned(),
             path: path.to_owned(),
