Add failing tests for a prompt part that crashes servers

- The backend server stand-in reads and writes its connections itself.
It can crash on a part of prompts and start again under a new id, end answers with their connection, and reset it.
- The simulated engines crash with all their requests and are replaced.
- The soak sends prompts with a crashing part among sound ones and counts crashes and sound prompts that are quarantined.

--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -2,6 +2,7 @@
 //! servers, on a virtual clock.
 
 mod core;
+mod crashes;
 mod engine;
 mod feed;
 mod framing;
--- /dev/null
+++ b/src/gateway/tests/crashes.rs
@@ -0,0 +1,154 @@
+//! Simulates fleets in which a part of some prompts crashes engines, and crashes
+//! that no prompt causes. Checks how many engines crash, and that other requests
+//! are still served.
+
+use super::simulation::Outcome;
+use super::simulation::Phase;
+use super::simulation::Policy;
+use super::simulation::Simulation;
+use crate::gateway::message::PromptPart;
+use crate::verdict::Reason;
+
+/// Part that all prompts of the workload share.
+const COMMON_PART: PromptPart = PromptPart(1);
+const CRASHING_PART: PromptPart = PromptPart(13);
+/// First of the parts that some prompts of the workload share.
+const FIRST_TOPIC: u64 = 100;
+/// When the first prompt with the crashing part arrives, in ms.
+const CRASHES_FROM_MS: f64 = 8_000.0;
+/// End of the workload, in ms.
+const END_MS: f64 = 30_000.0;
+/// Length of a prompt with the crashing part, in tokens.
+const CRASHING_PROMPT_TOKENS: f64 = 4_000.0;
+/// Crashes after which an instance must not send a prompt with their cause any
+/// more, and the time that it has for that.
+const CRASH_LIMIT: usize = 5;
+const QUARANTINE_LIMIT_MS: f64 = 3_000.0;
+/// Prompts that may be sent later all the same.
+const MAX_LATE_ATTEMPTS: usize = 3;
+
+/// Adds short, medium and long prompts. Each shares one of `topics` parts with
+/// others.
+fn fleet(seed: u64, cores: usize, topics: u64) -> Simulation {
+    let mut simulation = Simulation::new(Policy::Cores, cores, 18);
+    let phase = Phase {
+        until_ms: END_MS,
+        factors: [0.5, 0.5, 0.2],
+    };
+    simulation.add_workload(seed, 1.0, &[phase]);
+    for (request, at) in simulation.requests.iter_mut().zip(0_u64..) {
+        let topic = PromptPart(FIRST_TOPIC + at.wrapping_mul(0x9e37_79b9_7f4a_7c15) % topics);
+        request.shared_parts = vec![COMMON_PART, topic];
+    }
+    simulation
+}
+
+/// Adds prompts with the crashing part at this interval.
+fn add_crashing_prompts(simulation: &mut Simulation, interval_ms: f64, parts: &[PromptPart]) {
+    simulation.crashing_part = Some(CRASHING_PART);
+    let mut at = CRASHES_FROM_MS;
+    while at < END_MS {
+        let request = simulation.add_prompt(0, CRASHING_PROMPT_TOKENS, at);
+        simulation.requests[request].shared_parts = parts.to_vec();
+        at += interval_ms;
+    }
+}
+
+/// Returns the share of sound requests that begin to be answered, among those
+/// that arrive in a time span and for which `includes` is true.
+fn begun_share(
+    simulation: &Simulation,
+    span_ms: std::ops::Range<f64>,
+    includes: impl Fn(&[PromptPart]) -> bool,
+) -> f64 {
+    let sound: Vec<_> = (0..simulation.requests.len())
+        .filter(|&request| !simulation.is_crashing(request))
+        .map(|request| &simulation.requests[request])
+        .filter(|request| span_ms.contains(&request.arrived) && includes(&request.shared_parts))
+        .collect();
+    assert!(sound.len() >= 20, "{} sound requests", sound.len());
+    let begun = sound.iter().filter(|request| request.first_event.is_some());
+    begun.count() as f64 / sound.len() as f64
+}
+
+/// Checks that few prompts with the crashing part are sent after the fifth
+/// crash, and that sound requests go on being served.
+fn check_quarantine(simulation: &Simulation, includes: impl Fn(&[PromptPart]) -> bool) {
+    let crashes = &simulation.part_crashes;
+    let last_counted = crashes.get(CRASH_LIMIT - 1).or(crashes.last());
+    let at = *last_counted.expect("no engine crashed");
+    let late = simulation
+        .part_attempts
+        .iter()
+        .filter(|&&sent| sent > at + QUARANTINE_LIMIT_MS);
+    let (late, crashed) = (late.count(), crashes.len());
+    assert!(late <= MAX_LATE_ATTEMPTS, "{late} late, {crashed} crashes");
+    let before = begun_share(simulation, 2_000.0..CRASHES_FROM_MS, |_| true);
+    let after = begun_share(simulation, at + 2.0 * QUARANTINE_LIMIT_MS..END_MS, includes);
+    assert!(after >= before / 2.0, "{after:.2} of {before:.2} begin");
+}
+
+#[test]
+fn a_prompt_part_that_crashes_engines_is_quarantined() {
+    for (seed, cores, interval_ms) in [
+        (1, 6, 600.0),
+        (2, 6, 200.0),
+        (3, 6, 1_500.0),
+        (4, 40, 250.0),
+    ] {
+        let mut simulation = fleet(seed, cores, 40);
+        let parts = [COMMON_PART, CRASHING_PART];
+        add_crashing_prompts(&mut simulation, interval_ms, &parts);
+        simulation.run(50_000.0);
+        check_quarantine(&simulation, |_| true);
+        let quarantined = (0..simulation.requests.len())
+            .filter(|&request| !simulation.is_crashing(request))
+            .filter(|&request| simulation.requests[request].refusal == Some(Reason::Quarantined));
+        assert_eq!(quarantined.count(), 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_sound_part_beside_the_one_that_crashes_engines_is_served() {
+    for (seed, order) in [(5, true), (6, false)] {
+        let mut simulation = fleet(seed, 6, 4);
+        let topic = PromptPart(FIRST_TOPIC + 2);
+        let parts = match order {
+            true => [COMMON_PART, topic, CRASHING_PART],
+            false => [CRASHING_PART, topic, COMMON_PART],
+        };
+        add_crashing_prompts(&mut simulation, 500.0, &parts);
+        simulation.run(50_000.0);
+        check_quarantine(&simulation, |parts| parts.contains(&topic));
+    }
+}
+
+#[test]
+fn a_prompt_part_that_crashes_engines_during_other_crashes_is_quarantined() {
+    for seed in 7..=8 {
+        let mut simulation = fleet(seed, 6, 40);
+        add_crashing_prompts(&mut simulation, 500.0, &[COMMON_PART, CRASHING_PART]);
+        for crash in 0..12 {
+            simulation.add_crash(crash % 18, 7_000.0 + 900.0 * crash as f64);
+        }
+        simulation.run(50_000.0);
+        check_quarantine(&simulation, |_| true);
+    }
+}
+
+#[test]
+fn parts_of_prompts_on_engines_that_crash_together_are_not_quarantined() {
+    for (seed, topics) in [(9, 1), (10, 400)] {
+        let mut simulation = fleet(seed, 6, topics);
+        // A failure domain is lost, and again after its return.
+        for at in [8_000.0, 12_000.0, 16_000.0] {
+            (0..6).for_each(|engine| simulation.add_crash(engine, at + engine as f64));
+        }
+        simulation.run(50_000.0);
+        let requests = simulation.requests.iter();
+        let refused = requests.filter(|request| request.refusal == Some(Reason::Quarantined));
+        assert_eq!(refused.count(), 0, "seed {seed}");
+        let open = simulation.requests.iter();
+        assert!(!open.clone().any(|r| r.outcome == Outcome::Open));
+    }
+}
--- a/src/gateway/tests/simulation.rs
+++ b/src/gateway/tests/simulation.rs
@@ -2,7 +2,8 @@
 //!
 //! The engine model is written independently of the forecast that it checks:
 //! engines run forward passes, admit requests by memory and report each event.
-//! Datagrams between cores are delivered after one millisecond.
+//! An engine that begins to answer a prompt with the crashing part ends, breaks
+//! off all its requests and is replaced a few seconds later. Datagrams between cores are delivered after one millisecond.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -24,6 +25,7 @@
 use crate::gateway::message::AttemptPlan;
 use crate::gateway::message::Input;
 use crate::gateway::message::Output;
+use crate::gateway::message::PromptPart;
 use crate::gateway::message::PromptShape;
 use crate::gateway::message::RequestHead;
 use crate::gateway::message::StoreUpdate;
@@ -38,11 +40,14 @@
 use crate::gateway::server_table::ServerEntry;
 use crate::gateway::settings::Bounds;
 use crate::metrics::Metrics;
+use crate::verdict::Reason;
 
 /// Network delay of datagrams, requests and responses, in ms.
 const NETWORK_DELAY_MS: f64 = 1.0;
 /// Maximum delay with which an engine executes an order.
 const MAX_ORDER_DELAY: Millis = Millis(1_500);
+/// Time after which an engine that crashed is replaced by a new one.
+const RESTART_MS: f64 = 2_500.0;
 /// Fraction of a request's utility that remains if it is late.
 const LATE_UTILITY_FRACTION: f64 = 0.25;
 
@@ -184,9 +189,13 @@
     pub events: u32,
     pub arrived: f64,
     pub outcome: Outcome,
+    /// Why it was refused.
+    pub refusal: Option<Reason>,
+    /// Parts of the prompt that other requests share.
+    pub shared_parts: Vec<PromptPart>,
     core: usize,
     /// When the first event arrived, in ms.
-    first_event: Option<f64>,
+    pub first_event: Option<f64>,
     /// When the latest event arrived, in ms.
     last_event: f64,
     /// Longest gap between two events, in ms.
@@ -234,6 +243,10 @@
     /// Memory held by reservations, by request.
     reserved: BTreeMap<(usize, u32), f64>,
     busy_until: Option<f64>,
+    /// Number of crashes.
+    crashes: u32,
+    /// Until when it is down after a crash.
+    down_until: f64,
 }
 
 #[derive(Debug)]
@@ -245,9 +258,16 @@
     },
     Arrive {
         engine: usize,
+        /// Number of crashes of the engine when the request was sent.
+        crashes: u32,
         job: Job,
     },
-    PassEnds(usize),
+    PassEnds {
+        engine: usize,
+        crashes: u32,
+    },
+    Crash(usize),
+    Restart(usize),
     OutputDue {
         request: usize,
         attempt: u32,
@@ -283,6 +303,12 @@
     now: f64,
     /// Prompt parts that are not prefilled yet, by request and attempt.
     parts_left: HashMap<(usize, u32), usize>,
+    /// Part that crashes each engine that begins to answer a prompt with it.
+    pub crashing_part: Option<PromptPart>,
+    /// When engines crashed because of that part.
+    pub part_crashes: Vec<f64>,
+    /// When attempts with that part were sent to engines.
+    pub part_attempts: Vec<f64>,
 }
 
 impl Simulation {
@@ -298,9 +324,12 @@
             next_event_id: 0,
             now: 0.0,
             parts_left: HashMap::new(),
+            crashing_part: None,
+            part_crashes: Vec::new(),
+            part_attempts: Vec::new(),
         };
         let mut updates = vec![StoreUpdate::Routes(Arc::new(route_table()))];
-        updates.extend((0..engines).map(|index| StoreUpdate::Server(entry(index))));
+        updates.extend((0..engines).map(|index| StoreUpdate::Server(entry(index, 0))));
         updates.extend((0..cores).map(|index| {
             StoreUpdate::Instance(Member {
                 name: core_name(index),
@@ -357,6 +386,8 @@
             events,
             arrived: at,
             outcome: Outcome::Open,
+            refusal: None,
+            shared_parts: Vec::new(),
             core: rng.random_range(0..self.cores.len()),
             first_event: None,
             last_event: 0.0,
@@ -405,17 +436,30 @@
         match event {
             Event::Submit(request) => self.submit(request),
             Event::Input { core, input } => self.handle_input(core, input),
-            Event::Arrive { engine, job } => {
+            Event::Arrive {
+                engine,
+                crashes,
+                job,
+            } => {
                 let live_attempts = &self.requests[job.request].live_attempts;
                 if !live_attempts.contains(&job.attempt) {
                     return;
                 }
+                if self.engines[engine].crashes != crashes {
+                    return self.end_attempt(job.request, job.attempt, AttemptEnd::Broken);
+                }
                 self.engines[engine].jobs.push(job);
                 if self.engines[engine].busy_until.is_none() {
                     self.begin_pass(engine);
                 }
             }
-            Event::PassEnds(engine) => self.end_pass(engine),
+            Event::PassEnds { engine, crashes } => {
+                if self.engines[engine].crashes == crashes {
+                    self.end_pass(engine);
+                }
+            }
+            Event::Crash(engine) => self.crash(engine),
+            Event::Restart(engine) => self.restart(engine),
             Event::OutputDue {
                 request,
                 attempt,
@@ -456,6 +500,7 @@
         }
         let submission = Submission {
             head: RequestHead {
+                shared_parts: request.shared_parts.clone(),
                 request_id: format!("r{request_index}"),
                 deadline: Some(Millis(class.deadline_ms)),
                 prompt: Some(PromptShape {
@@ -491,8 +536,9 @@
                     }
                 }
                 Output::Send(ticket, plan) => self.send(ticket.0 as usize, plan),
-                Output::Refuse(ticket, _) => {
+                Output::Refuse(ticket, refusal) => {
                     let request = &mut self.requests[ticket.0 as usize];
+                    request.refusal = Some(refusal.reason);
                     request.outcome = match request.first_event {
                         None => Outcome::Refused,
                         Some(_) => Outcome::Failed,
@@ -509,10 +555,19 @@
     fn send(&mut self, request_index: usize, plan: AttemptPlan) {
         let attempt = plan.attempt.0;
         self.requests[request_index].live_attempts.push(attempt);
+        let helpers = plan.helpers.iter().map(|helper| &helper.addr);
+        let mut engines = helpers.chain([&plan.addr]).map(|addr| engine_of(addr));
+        if engines.any(|engine| self.now < self.engines[engine].down_until) {
+            self.end_attempt(request_index, attempt, AttemptEnd::NotSent);
+            return;
+        }
         if !self.reserve(request_index, &plan) {
             self.end_attempt(request_index, attempt, AttemptEnd::NoMemory);
             return;
         }
+        if self.is_crashing(request_index) {
+            self.part_attempts.push(self.now);
+        }
         let request = &self.requests[request_index];
         let prompt_tokens = request.tokens;
         let primary = engine_of(&plan.addr);
@@ -546,6 +601,7 @@
             self.now + NETWORK_DELAY_MS,
             Event::Arrive {
                 engine: primary,
+                crashes: self.engines[primary].crashes,
                 job: job(false),
             },
         );
@@ -554,6 +610,7 @@
                 self.now + NETWORK_DELAY_MS,
                 Event::Arrive {
                     engine,
+                    crashes: self.engines[engine].crashes,
                     job: job(true),
                 },
             );
@@ -726,7 +783,12 @@
         }
         engine.busy_until = has_work.then_some(self.now + duration_ms);
         if has_work {
-            self.push(self.now + duration_ms, Event::PassEnds(engine_index));
+            let crashes = engine.crashes;
+            let ends = Event::PassEnds {
+                engine: engine_index,
+                crashes,
+            };
+            self.push(self.now + duration_ms, ends);
         }
     }
 
@@ -759,10 +821,23 @@
                 self.begin_decode(key);
             }
         }
-        self.begin_pass(engine_index);
+        if self.now >= self.engines[engine_index].down_until {
+            self.begin_pass(engine_index);
+        }
     }
 
     fn begin_decode(&mut self, (request, attempt): (usize, u32)) {
+        if self.is_crashing(request) {
+            let decodes = |engine: &Engine| {
+                let mut jobs = engine.jobs.iter();
+                jobs.any(|job| (job.request, job.attempt, job.helper) == (request, attempt, false))
+            };
+            if let Some(engine) = self.engines.iter().position(decodes) {
+                self.part_crashes.push(self.now);
+                self.crash(engine);
+            }
+            return;
+        }
         let mut idle_engine = None;
         for (engine_index, engine) in self.engines.iter_mut().enumerate() {
             let found = engine
@@ -827,8 +902,8 @@
     let due = Millis(now as u64 + class.deadline_ms);
     AttemptPlan {
         attempt: AttemptNumber::default(),
-        addr: entry(engine).addr,
-        server_id: entry(engine).id,
+        addr: entry(engine, 0).addr,
+        server_id: entry(engine, 0).id,
         max_connections: 100,
         helpers: Vec::new(),
         reservations: Vec::new(),
@@ -855,9 +930,9 @@
     Core::new(local, Bounds::default(), Arc::new(Metrics::new()))
 }
 
-fn entry(index: usize) -> ServerEntry {
+fn entry(index: usize, crashes: u32) -> ServerEntry {
     ServerEntry {
-        id: format!("e{index}"),
+        id: entry_id(index, crashes),
         service: "engines".to_owned(),
         addr: format!("10.0.0.{}:80", index + 1),
         domain: "a".to_owned(),
@@ -868,12 +943,69 @@
     }
 }
 
+/// Returns the id of an engine after its `crashes`-th restart.
+fn entry_id(index: usize, crashes: u32) -> String {
+    match crashes {
+        0 => format!("e{index}"),
+        _ => format!("e{index}.{crashes}"),
+    }
+}
+
 fn engine_of(addr: &str) -> usize {
     let last = addr.split(':').next().unwrap().rsplit('.').next().unwrap();
     last.parse::<usize>().unwrap() - 1
 }
 
 impl Simulation {
+    /// Crashes an engine at this time.
+    pub fn add_crash(&mut self, engine: usize, at: f64) {
+        self.push(at, Event::Crash(engine));
+    }
+
+    /// Returns whether a request has the part that crashes engines.
+    pub fn is_crashing(&self, request: usize) -> bool {
+        let part = self.crashing_part.as_ref();
+        part.is_some_and(|part| self.requests[request].shared_parts.contains(part))
+    }
+
+    /// Ends an engine with all its requests.
+    fn crash(&mut self, engine_index: usize) {
+        let engine = &mut self.engines[engine_index];
+        if self.now < engine.down_until {
+            return;
+        }
+        engine.crashes += 1;
+        engine.down_until = self.now + RESTART_MS;
+        engine.busy_until = None;
+        engine.reserved.clear();
+        let jobs = std::mem::take(&mut engine.jobs);
+        for job in jobs {
+            let live_attempts = &self.requests[job.request].live_attempts;
+            if live_attempts.contains(&job.attempt) {
+                self.end_attempt(job.request, job.attempt, AttemptEnd::Broken);
+            }
+        }
+        self.push(self.now + RESTART_MS, Event::Restart(engine_index));
+    }
+
+    /// Lists an engine that crashed under a new id.
+    fn restart(&mut self, engine_index: usize) {
+        let crashes = self.engines[engine_index].crashes;
+        let updates = vec![
+            StoreUpdate::ServerRemoved(entry_id(engine_index, crashes - 1)),
+            StoreUpdate::Server(entry(engine_index, crashes)),
+        ];
+        for core in 0..self.cores.len() {
+            let input = Input::StoreUpdates {
+                proved_at: Some(Millis(self.now as u64)),
+                config_revision: 1,
+                entries_digest: 0,
+                updates: updates.clone(),
+            };
+            self.push(self.now, Event::Input { core, input });
+        }
+    }
+
     /// Adds one request with a prompt of this length. Returns its index.
     pub fn add_prompt(&mut self, class: usize, tokens: f64, at: f64) -> usize {
         let request = self.requests.len();
@@ -883,6 +1015,8 @@
             events: CLASSES[class].events as u32,
             arrived: at,
             outcome: Outcome::Open,
+            refusal: None,
+            shared_parts: Vec::new(),
             core: request % self.cores.len(),
             first_event: None,
             last_event: 0.0,
--- /dev/null
+++ b/tests/gateway/backend.rs
@@ -0,0 +1,334 @@
+//! Stand-ins for backend servers on loopback, which count what they run and can
+//! fail in the ways that the platform documents.
+
+use std::collections::HashMap;
+use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::Duration;
+
+use socket2::SockRef;
+
+use crate::platform::Store;
+
+/// What backend servers ran, by request id.
+#[derive(Clone, Default)]
+pub struct Runs(Arc<Mutex<HashMap<String, u32>>>);
+
+impl Runs {
+    pub fn of(&self, id: &str) -> u32 {
+        self.0.lock().unwrap().get(id).copied().unwrap_or(0)
+    }
+
+    fn count(&self, id: &str) {
+        *self.0.lock().unwrap().entry(id.to_owned()).or_default() += 1;
+    }
+}
+
+/// A backend server: plain paths answer at once, `/stream/` in events.
+pub struct Backend {
+    pub addr: SocketAddr,
+    pub faults: Arc<Faults>,
+    /// Its id before its first crash.
+    pub id: String,
+}
+
+/// Events of a stream.
+pub const EVENTS: usize = 6;
+
+/// What a backend server does wrong.
+#[derive(Default)]
+pub struct Faults {
+    /// Answers left that it breaks off in the middle.
+    pub broken: AtomicU64,
+    /// Time in ms for which it pauses in the middle of a stream, and before any
+    /// other answer.
+    pub pauses: AtomicU64,
+    /// Whether its answers have neither length nor chunks and end with their
+    /// connections.
+    pub unframed: AtomicBool,
+    /// Part of prompts that crashes it when it begins to answer. It starts again
+    /// at once, under a new id that it writes to the store.
+    pub crashing_part: Mutex<Option<(String, Store)>>,
+    /// Number of crashes.
+    pub crashes: AtomicU64,
+    /// Open connections by their callers' addresses; a crash ends them.
+    connections: Mutex<HashMap<SocketAddr, TcpStream>>,
+}
+
+impl Faults {
+    /// Returns the id of a server after its latest crash.
+    fn current_id(&self, id: &str) -> String {
+        match self.crashes.load(Ordering::SeqCst) {
+            0 => id.to_owned(),
+            crashes => format!("{id}.{crashes}"),
+        }
+    }
+
+    fn crash(&self, id: &str, addr: SocketAddr, store: &Store) {
+        let ended = self.current_id(id);
+        self.crashes.fetch_add(1, Ordering::SeqCst);
+        for (_, connection) in self.connections.lock().unwrap().drain() {
+            // Ends the thread that reads requests from it.
+            let _ = connection.shutdown(Shutdown::Read);
+        }
+        let started = self.current_id(id);
+        store.remove(&format!("servers/{ended}"));
+        store.put(
+            &format!("servers/{started}"),
+            entry(addr, "ready").as_bytes(),
+        );
+    }
+}
+
+impl Backend {
+    pub fn start(id: &str, runs: Runs) -> io::Result<Backend> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let addr = listener.local_addr()?;
+        let faults = Arc::new(Faults::default());
+        let (name, served) = (id.to_owned(), Arc::clone(&faults));
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let (name, runs, faults) = (name.clone(), runs.clone(), Arc::clone(&served));
+                thread::spawn(move || {
+                    // The gateway may close a connection at any time.
+                    let _ = serve(stream, &name, &runs, &faults);
+                });
+            }
+        });
+        Ok(Backend {
+            addr,
+            faults,
+            id: id.to_owned(),
+        })
+    }
+
+    pub fn entry(&self, state: &str) -> String {
+        entry(self.addr, state)
+    }
+}
+
+fn entry(addr: SocketAddr, state: &str) -> String {
+    serde_json::json!({
+        "service": "s", "address": addr.to_string(), "zone": "a", "version": "v1",
+        "slots": 8, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1,
+    })
+    .to_string()
+}
+
+/// A request as read by a backend server; its body is dropped.
+struct Request {
+    path: String,
+    /// Headers by name in lower case.
+    headers: HashMap<String, String>,
+}
+
+impl Request {
+    fn read(reader: &mut impl BufRead) -> io::Result<Request> {
+        let mut line = String::new();
+        let mut read_line = |reader: &mut dyn BufRead| -> io::Result<String> {
+            line.clear();
+            match reader.read_line(&mut line)? {
+                0 => Err(io::ErrorKind::UnexpectedEof.into()),
+                _ => Ok(line.trim_end().to_owned()),
+            }
+        };
+        let first = read_line(reader)?;
+        let path = first.split(' ').nth(1).unwrap_or_default().to_owned();
+        let mut headers = HashMap::new();
+        loop {
+            let line = read_line(reader)?;
+            let Some((name, value)) = line.split_once(':') else {
+                break;
+            };
+            headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+        }
+        let request = Request { path, headers };
+        let length = request.header("content-length").parse().unwrap_or(0);
+        io::copy(&mut reader.take(length), &mut io::sink())?;
+        Ok(request)
+    }
+
+    /// Returns a header's value; empty if it is missing.
+    fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+
+    fn has_shared_part(&self, part: &str) -> bool {
+        let parts = self.header("x-skylarkhook-prompt-prefix");
+        let shared = parts.rsplit_once(',').map_or("", |(shared, _)| shared);
+        shared
+            .split(',')
+            .any(|shared| shared.split(':').next() == Some(part))
+    }
+}
+
+/// How a connection goes on after an answer.
+enum After {
+    KeepAlive,
+    /// It is closed, as after an answer that ends with it.
+    Close,
+    /// It is reset, as by a server that dies.
+    Reset,
+}
+
+fn serve(stream: TcpStream, name: &str, runs: &Runs, faults: &Faults) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let caller = stream.peer_addr()?;
+    let clone = stream.try_clone()?;
+    faults.connections.lock().unwrap().insert(caller, clone);
+    let mut reader = BufReader::new(stream);
+    let after = loop {
+        let request = match Request::read(&mut reader) {
+            Ok(request) => request,
+            Err(_) => break After::Close,
+        };
+        match answer(name, runs, faults, &request, reader.get_mut()) {
+            Ok(After::KeepAlive) => {}
+            Ok(after) => break after,
+            Err(_) => break After::Close,
+        }
+    };
+    faults.connections.lock().unwrap().remove(&caller);
+    if let After::Reset = after {
+        SockRef::from(reader.get_ref()).set_linger(Some(Duration::ZERO))?;
+    }
+    Ok(())
+}
+
+/// Answers a request.
+fn answer(
+    name: &str,
+    runs: &Runs,
+    faults: &Faults,
+    request: &Request,
+    writer: &mut TcpStream,
+) -> io::Result<After> {
+    let id = request.header("x-skylarkhook-request-id");
+    let current_id = faults.current_id(name);
+    if request.header("x-skylarkhook-expect-instance") != current_id {
+        writer.write_all(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")?;
+        return Ok(After::KeepAlive);
+    }
+    let after: usize = request.header("last-event-id").parse().unwrap_or(0);
+    let streams = request.path.starts_with("/stream/");
+    runs.count(id);
+    let breaks = take_one(&faults.broken);
+    let mut text = format!("{name} {}", request.path);
+    if streams {
+        let events = (after + 1..=EVENTS).map(|n| format!("id: {n}\ndata: token {n}\n\n"));
+        text = events.collect();
+    }
+    let mut head = format!(
+        "HTTP/1.1 200 OK\r\nX-Skylarkhook-Request-Id: {id}\r\nX-Skylarkhook-Server-Stamp: {name}.1\r\n"
+    );
+    if streams {
+        head += "Content-Type: text/event-stream\r\n";
+    }
+    let unframed = faults.unframed.load(Ordering::SeqCst);
+    head += &match unframed {
+        true => "Connection: close\r\n\r\n".to_owned(),
+        false => format!("Content-Length: {}\r\n\r\n", text.len()),
+    };
+    let pause = Duration::from_millis(faults.pauses.load(Ordering::SeqCst));
+    // Inside an event if it is a stream.
+    let (first_half, second_half) = text.as_bytes().split_at(text.len() / 2 + 1);
+    if !streams {
+        thread::sleep(pause);
+    }
+    writer.write_all(head.as_bytes())?;
+    let crashing_part = faults.crashing_part.lock().unwrap().clone();
+    if let Some((part, store)) = crashing_part
+        && request.has_shared_part(&part)
+    {
+        faults.crash(name, writer.local_addr()?, &store);
+        return Ok(After::Close);
+    }
+    writer.write_all(first_half)?;
+    if streams {
+        thread::sleep(pause);
+    }
+    if breaks || faults.current_id(name) != current_id {
+        return Ok(match unframed {
+            true => After::Reset,
+            false => After::Close,
+        });
+    }
+    writer.write_all(second_half)?;
+    Ok(match unframed {
+        true => After::Close,
+        false => After::KeepAlive,
+    })
+}
+
+/// Takes one from a count of what is left; returns whether any was left.
+fn take_one(left: &AtomicU64) -> bool {
+    left.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| {
+        left.checked_sub(1)
+    })
+    .is_ok()
+}
+
+/// A backend server that answers one request with the first event of a stream
+/// and then only waits until its connection is closed.
+pub struct HeldStream {
+    pub entry: String,
+    closed: Receiver<()>,
+}
+
+impl HeldStream {
+    pub fn start(id: &str) -> io::Result<HeldStream> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let addr = listener.local_addr()?;
+        let (closed_tx, closed) = channel();
+        let name = id.to_owned();
+        thread::spawn(move || {
+            if hold_stream(&listener, &name).is_ok() {
+                // The test may have ended.
+                let _ = closed_tx.send(());
+            }
+        });
+        Ok(HeldStream {
+            entry: entry(addr, "ready"),
+            closed,
+        })
+    }
+
+    /// Returns whether the connection is closed within the limit.
+    pub fn is_closed_within(&self, limit: Duration) -> bool {
+        self.closed.recv_timeout(limit).is_ok()
+    }
+}
+
+fn hold_stream(listener: &TcpListener, name: &str) -> io::Result<()> {
+    let (stream, _) = listener.accept()?;
+    let mut reader = BufReader::new(stream);
+    let request = Request::read(&mut reader)?;
+    let id = request.header("x-skylarkhook-request-id");
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nX-Skylarkhook-Request-Id: {id}\r\n\
+         X-Skylarkhook-Server-Stamp: {name}.1\r\nContent-Type: text/event-stream\r\n\
+         Content-Length: 1000\r\n\r\nid: 1\ndata: token 1\n\n"
+    );
+    reader.get_mut().write_all(head.as_bytes())?;
+    // What is left of the request is read too.
+    match reader.read_to_end(&mut Vec::new()) {
+        Ok(_) => Ok(()),
+        Err(error) if error.kind() == io::ErrorKind::ConnectionReset => Ok(()),
+        Err(error) => Err(error),
+    }
+}
--- a/tests/gateway/connections.rs
+++ b/tests/gateway/connections.rs
@@ -8,10 +8,10 @@
 
 use tempfile::TempDir;
 
-use crate::platform::Backend;
-use crate::platform::EVENTS;
-use crate::platform::HeldStream;
-use crate::platform::Runs;
+use crate::backend::Backend;
+use crate::backend::EVENTS;
+use crate::backend::HeldStream;
+use crate::backend::Runs;
 use crate::platform::Store;
 use crate::platform::configuration;
 use crate::process::Connection;
@@ -107,7 +107,11 @@
 #[test]
 fn a_connection_is_usable_after_a_stream_with_a_pause() {
     let stage = stage();
-    stage.backend.pauses.store(PAUSE_MS, Ordering::SeqCst);
+    stage
+        .backend
+        .faults
+        .pauses
+        .store(PAUSE_MS, Ordering::SeqCst);
     let mut connection = connected(stage.gateway.callers);
     connection.send(&request("/stream/1", "a")).unwrap();
     let answer = connection.read_answer().unwrap();
@@ -122,7 +126,11 @@
 #[test]
 fn idle_time_counts_from_the_end_of_the_response() {
     let stage = stage();
-    stage.backend.pauses.store(PAUSE_MS, Ordering::SeqCst);
+    stage
+        .backend
+        .faults
+        .pauses
+        .store(PAUSE_MS, Ordering::SeqCst);
     let mut connection = connected(stage.gateway.callers);
     let sent_at = Instant::now();
     connection.send(&request("/stream/1", "a")).unwrap();
@@ -172,7 +180,7 @@
 #[test]
 fn an_aborted_response_is_logged() {
     let stage = stage();
-    stage.backend.broken.store(10, Ordering::SeqCst);
+    stage.backend.faults.broken.store(10, Ordering::SeqCst);
     let mut connection = connected(stage.gateway.callers);
     // The stand-in leaves the connection open, so that the deadline ends it.
     let request = request_within(Duration::from_secs(1), "/stream/1", "a");
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! The gateway as a process, between stand-ins of the users' platform.
 
+mod backend;
 mod connections;
 mod path;
 mod platform;
--- a/tests/gateway/path.rs
+++ b/tests/gateway/path.rs
@@ -1,14 +1,15 @@
 //! The whole path of a request, from the store to the last event of a stream.
 
 use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
 use tempfile::TempDir;
 
-use crate::platform::Backend;
-use crate::platform::EVENTS;
-use crate::platform::Runs;
+use crate::backend::Backend;
+use crate::backend::EVENTS;
+use crate::backend::Runs;
 use crate::platform::Store;
 use crate::platform::configuration;
 use crate::process::Answer;
@@ -16,6 +17,10 @@
 use crate::process::call;
 use crate::process::raw;
 
+/// Servers that one prompt part may crash: five, and three before every instance
+/// has heard of it.
+const CRASHES_PER_PART: u64 = 8;
+
 struct Stage {
     _dir: TempDir,
     store: Store,
@@ -25,12 +30,15 @@
 }
 
 fn stage() -> Stage {
+    stage_of(2)
+}
+
+fn stage_of(backends: usize) -> Stage {
     let dir = tempfile::tempdir().unwrap();
     let (store, addr) = Store::start().unwrap();
     let runs = Runs::default();
-    let backends: Vec<Backend> = ["i-1", "i-2"]
-        .into_iter()
-        .map(|id| Backend::start(id, runs.clone()).unwrap())
+    let backends: Vec<Backend> = (1..=backends)
+        .map(|at| Backend::start(&format!("i-{at}"), runs.clone()).unwrap())
         .collect();
     store.put("op/config", configuration(3, &["k1"]).as_bytes());
     for backend in &backends {
@@ -98,10 +106,10 @@
 fn a_stream_that_breaks_off_goes_on_elsewhere_without_a_gap() {
     let stage = stage();
     for backend in &stage.backends {
-        backend.broken.store(1, Ordering::SeqCst);
+        backend.faults.broken.store(1, Ordering::SeqCst);
     }
     // Only one of the two may break off, as two sends are allowed.
-    stage.backends[1].broken.store(0, Ordering::SeqCst);
+    stage.backends[1].faults.broken.store(0, Ordering::SeqCst);
     for id in ["a", "b"] {
         let answer = call(
             stage.gateway.callers,
@@ -120,7 +128,7 @@
 fn a_call_whose_answer_breaks_off_may_have_run_and_is_not_repeated() {
     let stage = stage();
     for backend in &stage.backends {
-        backend.broken.store(1, Ordering::SeqCst);
+        backend.faults.broken.store(1, Ordering::SeqCst);
     }
     let answer = call(stage.gateway.callers, "POST", "/once/1", &headers("a"), "x").unwrap();
     // The server may leave the connection open, so that only time tells.
@@ -138,7 +146,7 @@
     }
     let pause_ms = u64::try_from(pause.as_millis()).unwrap();
     for backend in &stage.backends {
-        backend.pauses.store(pause_ms, Ordering::SeqCst);
+        backend.faults.pauses.store(pause_ms, Ordering::SeqCst);
     }
     let mut headers = headers("a");
     headers[1].1 = "4000";
@@ -249,3 +257,72 @@
     assert_eq!(answer.status, 200);
     assert_eq!(stage.gateway.wait(), Some(0));
 }
+
+#[test]
+fn a_prompt_part_that_crashes_servers_is_refused_and_sound_prompts_are_served() {
+    let stage = stage_of(6);
+    let part = Some(("bad".to_owned(), stage.store.clone()));
+    for backend in &stage.backends {
+        backend
+            .faults
+            .crashing_part
+            .lock()
+            .unwrap()
+            .clone_from(&part);
+    }
+    let ask = |id: &str, part: &str| {
+        let parts = format!("aa:40,{part}:4000,{id}:9");
+        let mut headers = headers(id).to_vec();
+        headers.push(("X-Skylarkhook-Token-Count", "4049,100"));
+        headers.push(("X-Skylarkhook-Prompt-Prefix", &parts));
+        call(stage.gateway.callers, "POST", "/stream/1", &headers, id).unwrap()
+    };
+    let mut quarantined = 0;
+    for n in 0..30 {
+        let answer = ask(&format!("b{n}"), "bad");
+        quarantined += u32::from(answer.body.contains("quarantined"));
+        // Servers that ended are avoided for a moment.
+        thread::sleep(Duration::from_millis(60));
+        let sound = ask(&format!("a{n}"), "cc");
+        assert!(sound.status == 200 || quarantined == 0, "{sound:?}");
+    }
+    let backends = stage.backends.iter();
+    let crashes: u64 = backends
+        .map(|backend| backend.faults.crashes.load(Ordering::SeqCst))
+        .sum();
+    assert!(crashes <= CRASHES_PER_PART, "{crashes}");
+    assert!(quarantined >= 20, "{quarantined}");
+    let sound = ask("last", "cc");
+    assert_eq!((sound.status, sound.whole), (200, true));
+}
+
+#[test]
+fn a_stream_that_ends_with_its_connection_is_whole_unless_it_ends_inside_an_event() {
+    let stage = stage();
+    for backend in &stage.backends {
+        backend.faults.unframed.store(true, Ordering::SeqCst);
+    }
+    let callers = stage.gateway.callers;
+    let answer = call(callers, "POST", "/stream/1", &headers("a"), "x").unwrap();
+    assert_eq!((answer.whole, answer.body), (true, whole_stream()));
+    let answer = call(callers, "POST", "/again/1", &headers("b"), "x").unwrap();
+    assert_eq!((answer.status, answer.whole), (200, true));
+    stage.backends[0].faults.broken.store(1, Ordering::SeqCst);
+    stage.backends[1].faults.broken.store(1, Ordering::SeqCst);
+    let answer = call(callers, "POST", "/stream/1", &headers("c"), "x").unwrap();
+    assert!(!answer.whole, "{answer:?}");
+}
+
+#[test]
+fn a_stream_that_ends_with_its_connection_before_its_first_event_is_broken_off() {
+    let stage = stage();
+    for backend in &stage.backends {
+        backend.faults.unframed.store(true, Ordering::SeqCst);
+        let part = Some(("bad".to_owned(), stage.store.clone()));
+        *backend.faults.crashing_part.lock().unwrap() = part;
+    }
+    let mut headers = headers("a").to_vec();
+    headers.push(("X-Skylarkhook-Prompt-Prefix", "bad:4000,1:9"));
+    let answer = call(stage.gateway.callers, "POST", "/stream/1", &headers, "x").unwrap();
+    assert_eq!(answer.status, 502, "{answer:?}");
+}
--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -1,12 +1,14 @@
 //! A soak with random faults over real processes.
 //!
 //! Gateways are killed, stopped for a while, told to leave and started again,
-//! the store goes down, backend servers break answers off, the configuration
-//! changes: in series and overlapping. Callers send calls and streams all the
+//! the store goes down, backend servers break answers off or leave their length
+//! open, one part of prompts crashes them, the configuration changes: in series
+//! and overlapping. Callers send calls and streams all the
 //! while. What is checked is what callers and backend servers see: a call that
 //! may not be repeated runs once at most, a refusal that promises "not run" is
 //! true, a stream has no gap and no double event, a whole answer is the whole
-//! one.
+//! one, no prompt but those with the crashing part is quarantined, and those are
+//! not sent on for long.
 //!
 //! `SOAK_SEEDS=50 cargo test --test gateway soak -- --nocapture` plays more
 //! seeds; `SOAK_FROM` is the first. A seed that ever failed is kept below.
@@ -25,9 +27,9 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::platform::Backend;
-use crate::platform::EVENTS;
-use crate::platform::Runs;
+use crate::backend::Backend;
+use crate::backend::EVENTS;
+use crate::backend::Runs;
 use crate::platform::Store;
 use crate::platform::configuration;
 use crate::process::Answer;
@@ -40,6 +42,13 @@
 const FAULTS: usize = 12;
 const GATEWAYS: usize = 3;
 const CALLERS: u64 = 4;
+/// Part of some prompts that crashes backend servers.
+const CRASHING_PART: &str = "bad";
+/// Servers that it may crash, and further ones for each time that a gateway
+/// starts, stops for a while or loses the store, and so may have missed the
+/// reports of others.
+const CRASHES_PER_PART: u64 = 8;
+const CRASHES_PER_FAULT: u64 = 3;
 
 struct Fleet {
     gateways: Mutex<Vec<Gateway>>,
@@ -97,6 +106,11 @@
             thread::spawn(move || call_until_over(&fleet, seed, caller))
         })
         .collect();
+    let part = Some((CRASHING_PART.to_owned(), store.clone()));
+    for backend in &backends {
+        let crashing_part = &backend.faults.crashing_part;
+        crashing_part.lock().unwrap().clone_from(&part);
+    }
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     for step in 0..FAULTS {
         fault(&mut rng, &fleet, &store, &backends, &start, step as u64);
@@ -106,6 +120,14 @@
     for caller in callers {
         caller.join().unwrap();
     }
+    let crashes: u64 = backends
+        .iter()
+        .map(|backend| backend.faults.crashes.load(Ordering::SeqCst))
+        .sum();
+    let limit = CRASHES_PER_PART + CRASHES_PER_FAULT * FAULTS as u64;
+    if crashes > limit {
+        fleet.broken(format!("one part crashed servers {crashes} times"));
+    }
     let broken = fleet.broken_rules.lock().unwrap();
     assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
     let answered = fleet.answered.load(Ordering::SeqCst);
@@ -146,8 +168,11 @@
         4 => {
             let backend = &backends[rng.random_range(0..backends.len())];
             backend
+                .faults
                 .broken
                 .store(rng.random_range(1..6), Ordering::SeqCst);
+            let unframed = rng.random_range(0..2) == 0;
+            backend.faults.unframed.store(unframed, Ordering::SeqCst);
         }
         _ => {
             store.put("op/config", configuration(2 + step, &["k1"]).as_bytes());
@@ -173,13 +198,29 @@
             gateways[rng.random_range(0..gateways.len())].callers
         };
         let path = ["/once/1", "/again/1", "/stream/1"][rng.random_range(0..3)];
+        let part = match rng.random_range(0..16) {
+            0 => CRASHING_PART,
+            1..5 => "rare",
+            _ => "good",
+        };
+        let parts = format!("aa:40,{part}:4000,{n:x}:9");
         let headers = [
+            ("X-Skylarkhook-Prompt-Prefix", parts.as_str()),
             ("X-Skylarkhook-Request-Id", id.as_str()),
             ("X-Skylarkhook-Deadline-Ms", "3000"),
             ("Authorization", "Token k1"),
         ];
-        let answer = call(addr, "POST", path, &headers, "x");
+        let headers = match path {
+            "/stream/1" => &headers[..],
+            _ => &headers[1..],
+        };
+        let answer = call(addr, "POST", path, headers, &id);
         fleet.check(&id, path, answer.as_ref().ok());
+        let is_quarantined = |answer: &Answer| answer.body.contains("quarantined");
+        let is_sound = part != CRASHING_PART || path != "/stream/1";
+        if is_sound && answer.is_ok_and(|answer| is_quarantined(&answer)) {
+            fleet.broken(format!("{id}: a sound prompt is quarantined"));
+        }
         thread::sleep(Duration::from_millis(2));
     }
 }
