Quarantine prompt parts that crash backend servers

Cause: the quarantine identified a request by the hash of its whole content, so that no request with the part ever reached the limit of three crashes. Class of fault: a cause that many requests share was looked for in each alone.

Crashes are now also recorded against each part that a prompt shares with others, if the engine ended before the answer went on. An answer that goes on clears its parts everywhere, so that only the cause adds up; a server that answers later requests disproves its crash; servers that end together count once. Of two parts that always crashed together, one alone is sent and shows which it was. Instances repeat their records to each other, so that one that has started or was cut off learns them. A request is also checked before each retry and before a second attempt beside a stalled one.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -5,12 +5,13 @@
 //! report for each server, and the requests of its own callers.
 
 mod choose;
-mod crashes;
+pub(super) mod crashes;
 mod endings;
 mod facts;
 mod fleet_load;
 mod freshness;
 mod health;
+mod quarantine;
 mod requests;
 mod stalls;
 
@@ -26,6 +27,7 @@
 use self::requests::Request;
 use crate::attempt::RetryBudgets;
 use crate::clock::Millis;
+use crate::gateway::instances::CrashSuspect;
 use crate::gateway::instances::Instances;
 use crate::gateway::instances::MIN_HEARTBEAT_PERIOD;
 use crate::gateway::instances::Member;
@@ -106,6 +108,8 @@
     /// Digest of the backend servers' entries in the store, by which instances
     /// detect lost broadcasts.
     entries_digest: u64,
+    /// Index of the next instance to which crash records are repeated.
+    next_repeat_to: usize,
 }
 
 impl Core {
@@ -138,6 +142,7 @@
             next_heartbeat: Millis::ZERO,
             next_periodic_update: Millis::ZERO,
             entries_digest: 0,
+            next_repeat_to: 0,
         }
     }
 
@@ -150,7 +155,9 @@
             Input::FirstOutput(ticket, attempt) => {
                 self.on_first_output(now, ticket, attempt, &mut out);
             }
-            Input::Progress(ticket, attempt, at) => self.on_progress(ticket, attempt, at),
+            Input::Progress(ticket, attempt, at) => {
+                self.on_progress(now, ticket, attempt, at, &mut out);
+            }
             Input::ColdReported(ticket, attempt, left) => {
                 self.on_cold_reported(now, ticket, attempt, left);
             }
@@ -220,6 +227,7 @@
             period_ms: period.0,
         };
         self.broadcast(out, message);
+        self.repeat_crash_records(now, out);
         let instances = self.instances.known_count() as f64;
         self.budgets
             .set_max_saved((self.bounds.retry_extra * RETRY_LIMIT_SHARE / instances).max(1.0));
@@ -332,15 +340,10 @@
                 fingerprint,
                 server,
             } => {
-                let crashed = self.crashes.record(now, fingerprint, server);
-                let known = self.server_table.find_by_id_hash(server);
-                log::info!(
-                    server = known.map_or("", |key| self.server_table.get(key).entry.id.as_str()),
-                    fingerprint = format!("{fingerprint:016x}").as_str(),
-                    crashed_servers = crashed;
-                    "crash reported by another instance"
-                );
+                let suspect = CrashSuspect::Request(fingerprint);
+                self.crashes.record(now, suspect, server);
             }
+            PeerMessage::CrashRecords(records) => self.on_crash_records(now, &records),
             // Applied by `RevisionTracker`.
             PeerMessage::Item(_) => {}
             PeerMessage::Suspect { server, avoid_ms } => {
--- a/src/gateway/core/crashes.rs
+++ b/src/gateway/core/crashes.rs
@@ -1,70 +1,257 @@
 //! Quarantine of requests that crash the backend servers that run them.
 //!
-//! A request is identified by a hash of its content. Instances report to each
-//! other which request crashed a server. A request that crashed several servers
-//! is refused for a while, whichever caller sends it.
+//! A crash is recorded against the request, identified by a hash of its content,
+//! and, if the server had hardly begun to answer, against each part that its
+//! prompt shares with other requests. The part that caused it is not known. It
+//! is found because each part that an answer went on with is sound, so that only
+//! the crashes of the cause add up. Once enough crashes are recorded against a
+//! request or a part, requests with it are refused for a while.
+//!
+//! Connections also break for other reasons. A server that answers a request
+//! sent after its supposed crash did not crash, and servers that end at the same
+//! moment were not crashed by a part of a prompt. Instances send each other their
+//! records at once and repeat them, so that an instance that has started or was
+//! cut off learns them.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use crate::clock::Millis;
+use crate::gateway::instances::Crash;
+use crate::gateway::instances::CrashRecord;
+use crate::gateway::instances::CrashSuspect;
 
-/// Distinct servers crashed by a request before it is refused. The platform
-/// allows a request to crash at most three servers.
+/// Crashes recorded against a request or a part before it is quarantined.
 const CRASH_LIMIT: usize = 3;
-/// Time after a request's last crash for which its crashes count and it stays
-/// quarantined.
-const QUARANTINE_PERIOD: Millis = Millis(60_000);
-/// Maximum number of fingerprints kept. The oldest is evicted first.
+/// Servers that end within this time of each other count as one crash of a
+/// part: many requests share a part, and a failure domain may end at once.
+const SIMULTANEOUS_CRASHES: Millis = Millis(50);
+/// Time after the last crash for which a quarantine holds.
+const QUARANTINE_PERIOD: Millis = Millis(600_000);
+/// Time for which crashes are remembered. After its quarantine, a request or
+/// part is quarantined again at its first further crash.
+const RECORD_LIFETIME: Millis = Millis(3_600_000);
+/// Maximum number of records. The one with the oldest crash is evicted first.
 const MAX_RECORDS: usize = 4_096;
+/// Maximum number of crashes kept for a request or part.
+const MAX_CRASHES_PER_RECORD: usize = 8;
 
-/// Requests that crashed servers, by fingerprint.
+/// Crashes by the requests and prompt parts that may have caused them. Times are
+/// kept with [`RECORD_LIFETIME`] added, so that crashes before the start of this
+/// process can be told apart.
 #[derive(Debug, Default)]
 pub struct Crashes {
-    records: BTreeMap<u64, Record>,
+    records: BTreeMap<CrashSuspect, Record>,
 }
 
 #[derive(Debug, Default)]
 struct Record {
-    servers: BTreeSet<u64>,
+    /// Servers that crashed, with the times of their crashes.
+    servers: BTreeMap<u64, Millis>,
     last_crash: Millis,
+    /// When an answer last showed that the request or part is sound.
+    sound_at: Option<Millis>,
+    /// Whether another instance still counts crashes that `sound_at` clears.
+    is_contested: bool,
 }
 
 impl Crashes {
     /// Records that a server crashed while it ran a request. Returns the number
-    /// of distinct servers that the request crashed.
-    pub fn record(&mut self, now: Millis, fingerprint: u64, server: u64) -> usize {
+    /// of crashes that count against the suspect.
+    pub fn record(&mut self, now: Millis, suspect: CrashSuspect, server: u64) -> usize {
+        let now = offset(now);
+        let record = self.records.entry(suspect).or_default();
+        record.add(server, now);
+        let count = record.count(suspect);
+        self.evict(now);
+        count
+    }
+
+    /// Records that an answer showed a suspect to be sound. Returns whether this
+    /// clears any crashes.
+    pub fn record_sound(&mut self, now: Millis, suspect: CrashSuspect) -> bool {
+        let Some(record) = self.records.get_mut(&suspect) else {
+            return false;
+        };
+        record.sound_at = Some(offset(now));
+        !std::mem::take(&mut record.servers).is_empty()
+    }
+
+    /// Records that a server answered a request sent at `sent_at`, which
+    /// disproves earlier crashes.
+    pub fn record_alive(&mut self, sent_at: Millis, server: u64) {
+        let sent_at = offset(sent_at);
+        for record in self.records.values_mut() {
+            if record.servers.get(&server).is_some_and(|&at| at < sent_at) {
+                record.servers.remove(&server);
+            }
+        }
+    }
+
+    /// Adds what another instance knows about a suspect. Returns whether it is
+    /// quarantined here now, and was not before.
+    pub fn merge(&mut self, now: Millis, received: &CrashRecord) -> bool {
+        let suspect = received.suspect;
+        let was_quarantined = self.quarantine_left(now, suspect).is_some();
+        let time = |age_ms| offset(now) - Millis(age_ms);
+        let record = self.records.entry(suspect).or_default();
+        record.sound_at = record.sound_at.max(received.sound_age_ms.map(time));
+        for crash in &received.crashes {
+            record.add(crash.server, time(crash.age_ms));
+        }
+        if let Some(sound_at) = record.sound_at {
+            let crashes = record.servers.len();
+            record.servers.retain(|_, &mut at| at > sound_at);
+            let is_news = received.sound_age_ms.map(time) == Some(sound_at);
+            record.is_contested |= !is_news && record.servers.len() < crashes;
+        }
+        self.evict(offset(now));
+        !was_quarantined && self.quarantine_left(now, suspect).is_some()
+    }
+
+    /// Returns what is known about a suspect, for the other instances.
+    #[must_use]
+    pub fn describe(&self, now: Millis, suspect: CrashSuspect) -> Option<CrashRecord> {
+        let record = self.records.get(&suspect)?;
+        let age_ms = |at: Millis| offset(now).since(at).0;
+        let crash = |(&server, &at): (&u64, &Millis)| Crash {
+            server,
+            age_ms: age_ms(at),
+        };
+        Some(CrashRecord {
+            suspect,
+            crashes: record.servers.iter().map(crash).collect(),
+            sound_age_ms: record.sound_at.map(age_ms),
+        })
+    }
+
+    /// Returns the records to repeat to other instances, at most `limit`: those
+    /// that another instance contests, then those with the most crashes.
+    pub fn take_repeats(&mut self, now: Millis, limit: usize) -> Vec<CrashRecord> {
+        let mut suspects = Vec::new();
+        for (&suspect, record) in &mut self.records {
+            let is_contested = std::mem::take(&mut record.is_contested);
+            let count = record.count(suspect);
+            if is_contested || count > 0 {
+                suspects.push((is_contested, count, suspect));
+            }
+        }
+        suspects.sort_unstable();
+        let first = suspects.iter().rev().take(limit);
+        first
+            .filter_map(|&(.., suspect)| self.describe(now, suspect))
+            .collect()
+    }
+
+    /// Returns which of a request's suspects is quarantined, and for how long
+    /// still, or `None` if the request may be sent.
+    ///
+    /// A part whose crashes all have another quarantined part in common that this
+    /// request does not contain is not the likelier cause; the request is sent
+    /// and shows whether the part is sound.
+    #[must_use]
+    pub fn find_quarantined(
+        &self,
+        now: Millis,
+        suspects: &[CrashSuspect],
+    ) -> Option<(CrashSuspect, Millis)> {
+        suspects
+            .iter()
+            .filter_map(|&suspect| Some((suspect, self.quarantine_left(now, suspect)?)))
+            .find(|&(suspect, _)| !self.has_likelier_cause(now, suspect, suspects))
+    }
+
+    /// Returns the remaining quarantine of a suspect.
+    fn quarantine_left(&self, now: Millis, suspect: CrashSuspect) -> Option<Millis> {
+        let record = self.records.get(&suspect)?;
+        let left = (record.last_crash + QUARANTINE_PERIOD).since(offset(now));
+        (record.count(suspect) >= CRASH_LIMIT && left > Millis::ZERO).then_some(left)
+    }
+
+    fn has_likelier_cause(
+        &self,
+        now: Millis,
+        suspect: CrashSuspect,
+        suspects: &[CrashSuspect],
+    ) -> bool {
+        let (CrashSuspect::Part(_), Some(record)) = (suspect, self.records.get(&suspect)) else {
+            return false;
+        };
+        self.records.iter().any(|(other, other_record)| {
+            let mut servers = record.servers.keys();
+            !suspects.contains(other)
+                && servers.all(|server| other_record.servers.contains_key(server))
+                && self.quarantine_left(now, *other).is_some()
+        })
+    }
+
+    fn evict(&mut self, now: Millis) {
         self.records
-            .retain(|_, record| now.since(record.last_crash) < QUARANTINE_PERIOD);
-        let record = self.records.entry(fingerprint).or_default();
-        record.servers.insert(server);
-        record.last_crash = now;
-        let crashed = record.servers.len();
+            .retain(|_, record| now.since(record.last_crash) < RECORD_LIFETIME);
         while self.records.len() > MAX_RECORDS {
             let oldest = self
                 .records
                 .iter()
                 .min_by_key(|(_, record)| record.last_crash);
-            let Some((&fingerprint, _)) = oldest else {
-                break;
+            let Some((&suspect, _)) = oldest else {
+                return;
             };
-            self.records.remove(&fingerprint);
+            self.records.remove(&suspect);
+        }
+    }
+}
+
+/// Returns a time of the core's clock as records keep it.
+fn offset(at: Millis) -> Millis {
+    at + RECORD_LIFETIME
+}
+
+impl Record {
+    fn add(&mut self, server: u64, at: Millis) {
+        self.last_crash = self.last_crash.max(at);
+        self.servers.entry(server).or_insert(at);
+        while self.servers.len() > MAX_CRASHES_PER_RECORD {
+            self.drop_oldest_crash();
         }
-        crashed
     }
 
-    /// Clears the record of a request that completed, and so is not the cause
-    /// of the crashes.
-    pub fn clear(&mut self, fingerprint: u64) {
-        self.records.remove(&fingerprint);
+    /// Drops the oldest crash that happened together with another one, or the
+    /// oldest of all if none did.
+    fn drop_oldest_crash(&mut self) {
+        let mut crashes: Vec<(Millis, u64)> = self
+            .servers
+            .iter()
+            .map(|(&server, &at)| (at, server))
+            .collect();
+        crashes.sort_unstable();
+        let oldest = crashes
+            .windows(2)
+            .find(|pair| pair[1].0.since(pair[0].0) <= SIMULTANEOUS_CRASHES)
+            .map_or_else(|| crashes.first(), |pair| pair.first());
+        if let Some((_, server)) = oldest {
+            self.servers.remove(server);
+        }
     }
 
-    /// Returns the remaining quarantine of a request, or `None` if it is not
-    /// quarantined.
-    #[must_use]
-    pub fn quarantine_remaining(&self, now: Millis, fingerprint: u64) -> Option<Millis> {
-        let record = self.records.get(&fingerprint)?;
-        let remaining = (record.last_crash + QUARANTINE_PERIOD).since(now);
-        (record.servers.len() >= CRASH_LIMIT && remaining > Millis::ZERO).then_some(remaining)
+    /// Returns the number of crashes that count against the suspect.
+    fn count(&self, suspect: CrashSuspect) -> usize {
+        match suspect {
+            CrashSuspect::Request(_) => self.servers.len(),
+            CrashSuspect::Part(_) => self.count_moments(),
+        }
+    }
+
+    /// Returns the number of crashes, simultaneous ones counted once.
+    fn count_moments(&self) -> usize {
+        let mut times: Vec<Millis> = self.servers.values().copied().collect();
+        times.sort_unstable();
+        let mut count = 0;
+        let mut last_counted = None;
+        for at in times {
+            if last_counted.is_none_or(|last| at.since(last) > SIMULTANEOUS_CRASHES) {
+                last_counted = Some(at);
+                count += 1;
+            }
+        }
+        count
     }
 }
--- a/src/gateway/core/endings.rs
+++ b/src/gateway/core/endings.rs
@@ -163,11 +163,10 @@
         out: &mut Vec<Output>,
     ) {
         let server = attempt.server;
-        let fingerprint = self.requests[&ticket].submission.fingerprint;
         match end {
             AttemptEnd::Whole => {
                 self.health.record_success(server);
-                self.crashes.clear(fingerprint);
+                self.record_sound(now, ticket, false, out);
                 return;
             }
             AttemptEnd::CallerGone
@@ -178,28 +177,9 @@
                 let id = self.server_table.get(server).entry.id.clone();
                 log::warn!(server = id.as_str(); "address belongs to another backend server");
             }
-            AttemptEnd::Broken => {
-                let hash = id_hash(&self.server_table.get(server).entry.id);
-                let crashed = self.crashes.record(now, fingerprint, hash);
-                let head = &self.requests[&ticket].submission.head;
-                log::info!(
-                    request = head.request_id.as_str(),
-                    server = self.server_table.get(server).entry.id.as_str(),
-                    fingerprint = format!("{fingerprint:016x}").as_str(),
-                    prompt_parts = head.describe_shared_parts().as_str(),
-                    started = attempt.first_output_seen,
-                    crashed_servers = crashed;
-                    "crash recorded"
-                );
-                self.broadcast(
-                    out,
-                    PeerMessage::Crashed {
-                        fingerprint,
-                        server: hash,
-                    },
-                );
-            }
-            AttemptEnd::NotSent | AttemptEnd::Refused | AttemptEnd::Silent => {}
+            AttemptEnd::Broken => self.record_crash(now, ticket, attempt, out),
+            AttemptEnd::Refused => self.record_alive(attempt.sent_at, server),
+            AttemptEnd::NotSent | AttemptEnd::Silent => {}
         }
         let avoid_for = match end {
             // Recorded when the attempt stalled.
@@ -280,6 +260,7 @@
             None if end == AttemptEnd::Failed && self.choose_placement(now, ticket).is_none() => {
                 RetryBlocker::NoServer
             }
+            None if self.is_quarantined(now, &self.requests[&ticket]) => RetryBlocker::Quarantined,
             None if self.budgets.try_withdraw(&service) => {
                 return self.place_request(now, ticket, out);
             }
@@ -428,6 +409,8 @@
     Budget,
     /// No other backend server can be chosen.
     NoServer,
+    /// The request, or a part of its prompt, is quarantined.
+    Quarantined,
 }
 
 /// Returns why a request must not be sent again after `attempts` that servers
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -7,6 +7,7 @@
 use super::fleet_load::utility_of_prompt;
 use crate::clock::Millis;
 use crate::gateway::engine::JobKey;
+use crate::gateway::instances::CrashSuspect;
 use crate::gateway::instances::PeerMessage;
 use crate::gateway::instances::Placed;
 use crate::gateway::lanes::Lane;
@@ -60,6 +61,8 @@
 const MAX_JITTER: f64 = 0.12;
 /// Longest acceptable gap, in ms, on a route without a target gap.
 const NO_GAP_LIMIT_MS: f64 = 60_000.0;
+/// Message to the caller of a quarantined request.
+const QUARANTINED_MESSAGE: &str = "requests like this one crashed several backend servers";
 /// Default priority at engines, the middle of their scale; 0 comes first.
 const DEFAULT_ENGINE_PRIORITY: u8 = 5;
 
@@ -120,6 +123,8 @@
     /// `None` if no memory is reserved.
     pub(super) memory_unused_until: Option<Millis>,
     pub(super) first_output_seen: bool,
+    /// Whether further output followed the first.
+    pub(super) output_continued: bool,
     /// When another server was last sought because the attempt is stalled;
     /// `None` if it has not been stalled.
     pub(super) stall_checked_at: Option<Millis>,
@@ -138,6 +143,14 @@
     }
 }
 
+/// Returns the refusal of a request that has not run.
+fn quarantine_refusal(suspect: CrashSuspect) -> Refusal {
+    Refusal::not_run(
+        Reason::Quarantined,
+        format!("{QUARANTINED_MESSAGE}: {suspect}"),
+    )
+}
+
 impl Core {
     pub(super) fn submit(
         &mut self,
@@ -194,15 +207,8 @@
             let message = "the request has no id";
             return refuse(Refusal::not_run(Reason::BadRequest, message));
         }
-        if let Some(left) = self
-            .crashes
-            .quarantine_remaining(now, submission.fingerprint)
-        {
-            let refusal = Refusal::not_run(
-                Reason::Quarantined,
-                "the request crashed several backend servers",
-            );
-            return refuse(refusal.retry_after(left));
+        if let Some((suspect, left)) = self.quarantine(now, &submission) {
+            return refuse(quarantine_refusal(suspect).retry_after(left));
         }
         let Some(service) = route.pick_service(id_hash(&id)) else {
             let message = "the route has no service";
@@ -243,6 +249,13 @@
             );
             return self.refuse(now, ticket, refusal, out);
         }
+        if let Some((suspect, left)) = self.quarantine(now, &request.submission) {
+            let refusal = match request.verdict {
+                Verdict::NotRun => quarantine_refusal(suspect).retry_after(left),
+                _ => final_refusal(request, Reason::BackendFailed, QUARANTINED_MESSAGE),
+            };
+            return self.refuse(now, ticket, refusal, out);
+        }
         self.fleet_load.advance(now);
         let Some(chosen) = self.choose_placement(now, ticket) else {
             return self.wait_or_refuse(now, ticket, out);
@@ -380,6 +393,7 @@
             memory_unused_until: (!plan.reservations.is_empty())
                 .then_some(plan.first_output_deadline),
             first_output_seen: false,
+            output_continued: false,
             stall_checked_at: None,
             last_output: now,
             longest_gap: Millis::ZERO,
@@ -551,6 +565,7 @@
             "first output"
         );
         self.metrics.observe(Timing::FirstOutput, &route, waited);
+        self.record_alive(attempt.sent_at, attempt.server);
         self.fleet_load
             .record_first_output(now, attempt.job, &attempt.servers());
         if self.fleet_load.engine(attempt.server).is_none() {
@@ -565,7 +580,14 @@
         self.broadcast(out, message);
     }
 
-    pub(super) fn on_progress(&mut self, ticket: Ticket, number: AttemptNumber, at: Millis) {
+    pub(super) fn on_progress(
+        &mut self,
+        now: Millis,
+        ticket: Ticket,
+        number: AttemptNumber,
+        at: Millis,
+        out: &mut Vec<Output>,
+    ) {
         let Some(request) = self.requests.get_mut(&ticket) else {
             return;
         };
@@ -577,8 +599,12 @@
         attempt.longest_gap = attempt.longest_gap.max(at.since(attempt.last_output));
         attempt.last_output = at;
         attempt.stall_checked_at = None;
+        let is_second = !std::mem::replace(&mut attempt.output_continued, true);
         self.fleet_load
             .record_progress(at, attempt.job, attempt.server);
+        if is_second {
+            self.record_sound(now, ticket, true, out);
+        }
     }
 
     pub(super) fn on_cold_reported(
--- a/src/gateway/core/stalls.rs
+++ b/src/gateway/core/stalls.rs
@@ -109,6 +109,9 @@
         if let Some(blocker) = retry_blocker(now, request, attempts) {
             return Err(StallBlocker::Retry(blocker));
         }
+        if self.is_quarantined(now, request) {
+            return Err(StallBlocker::Retry(RetryBlocker::Quarantined));
+        }
         if request.attempts_not_run > MAX_RETRIES_NOT_RUN {
             return Err(StallBlocker::Retry(RetryBlocker::AttemptLimit));
         }
--- a/src/gateway/instances.rs
+++ b/src/gateway/instances.rs
@@ -7,6 +7,7 @@
 //! limits are divided into shares per instance and need no messages.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -14,6 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Millis;
+use crate::gateway::message::PromptPart;
 
 /// Heartbeat period of an instance that watches the store closely, and the
 /// minimum for all instances. A heartbeat reports liveness and the age of the
@@ -97,6 +99,49 @@
         /// How long to avoid it, in ms.
         avoid_ms: u64,
     },
+    /// Crashes of backend servers and what may have caused them.
+    CrashRecords(Vec<CrashRecord>),
+}
+
+/// What may have caused the crash of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+pub enum CrashSuspect {
+    /// A request, by the hash of its content.
+    Request(u64),
+    /// A part that prompts share.
+    Part(PromptPart),
+}
+
+impl fmt::Display for CrashSuspect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CrashSuspect::Request(fingerprint) => write!(f, "request {fingerprint:016x}"),
+            CrashSuspect::Part(part) => write!(f, "prompt part {part}"),
+        }
+    }
+}
+
+/// A crash of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Crash {
+    /// Hash of the server's id and start time.
+    pub server: u64,
+    /// Time since the crash, in ms.
+    pub age_ms: u64,
+}
+
+/// What an instance knows about a suspect.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct CrashRecord {
+    /// The suspect.
+    pub suspect: CrashSuspect,
+    /// Crashes recorded against it.
+    pub crashes: Vec<Crash>,
+    /// Time since an answer showed that it is sound, in ms.
+    pub sound_age_ms: Option<u64>,
 }
 
 /// A change of a store item.
--- a/src/gateway/server_table.rs
+++ b/src/gateway/server_table.rs
@@ -8,6 +8,7 @@
 use la_arena::Arena;
 use la_arena::Idx;
 use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Millis;
 
@@ -126,6 +127,14 @@
         &self.servers[key]
     }
 
+    /// Returns the hash that identifies this start of a server in messages between
+    /// instances.
+    #[must_use]
+    pub fn incarnation_hash(&self, key: ServerKey) -> u64 {
+        let entry = &self.servers[key].entry;
+        xxh3_64_with_seed(entry.id.as_bytes(), entry.started_unix_ms)
+    }
+
     /// Extends the time for which a server is treated as cold.
     pub fn mark_cold(&mut self, key: ServerKey, until: Millis) {
         let server = &mut self.servers[key];
--- a/src/gateway/tests/crashes.rs
+++ b/src/gateway/tests/crashes.rs
@@ -6,12 +6,16 @@
 use super::simulation::Phase;
 use super::simulation::Policy;
 use super::simulation::Simulation;
+use crate::clock::Millis;
+use crate::gateway::core::crashes::Crashes;
+use crate::gateway::instances::CrashSuspect;
 use crate::gateway::message::PromptPart;
 use crate::verdict::Reason;
 
 /// Part that all prompts of the workload share.
 const COMMON_PART: PromptPart = PromptPart(1);
 const CRASHING_PART: PromptPart = PromptPart(13);
+const PART: CrashSuspect = CrashSuspect::Part(CRASHING_PART);
 /// First of the parts that some prompts of the workload share.
 const FIRST_TOPIC: u64 = 100;
 /// When the first prompt with the crashing part arrives, in ms.
@@ -152,3 +156,103 @@
         assert!(!open.clone().any(|r| r.outcome == Outcome::Open));
     }
 }
+
+fn record(crashes: &mut Crashes, at: u64, suspect: CrashSuspect, server: u64) {
+    let _ = crashes.record(Millis(at), suspect, server);
+}
+
+fn is_quarantined(crashes: &Crashes, at: u64, suspects: &[CrashSuspect]) -> bool {
+    crashes.find_quarantined(Millis(at), suspects).is_some()
+}
+
+#[test]
+fn an_answer_clears_the_crashes_of_a_sound_part() {
+    let mut crashes = Crashes::default();
+    for n in 0..10 {
+        record(&mut crashes, 1_000 * n, PART, n);
+        if n % 2 == 1 {
+            assert!(crashes.record_sound(Millis(1_000 * n + 500), PART));
+        }
+        assert!(!is_quarantined(&crashes, 1_000 * n, &[PART]), "{n}");
+    }
+}
+
+#[test]
+fn servers_that_end_together_count_as_one_crash_of_a_part() {
+    let mut crashes = Crashes::default();
+    for moment in 0..3 {
+        assert!(
+            !is_quarantined(&crashes, 1_000 * moment, &[PART]),
+            "{moment}"
+        );
+        for n in 0..7 {
+            record(&mut crashes, 1_000 * moment + n, PART, 10 * moment + n);
+        }
+    }
+    assert!(is_quarantined(&crashes, 3_000, &[PART]));
+}
+
+#[test]
+fn a_server_that_answers_after_its_supposed_crash_disproves_it() {
+    let mut crashes = Crashes::default();
+    for n in 0..3 {
+        record(&mut crashes, 1_000 * n, PART, n);
+    }
+    crashes.record_alive(Millis(1_000), 1);
+    assert!(
+        is_quarantined(&crashes, 3_000, &[PART]),
+        "sent before the crash"
+    );
+    crashes.record_alive(Millis(1_001), 1);
+    assert!(!is_quarantined(&crashes, 3_000, &[PART]));
+}
+
+#[test]
+fn an_instance_that_started_after_the_crashes_learns_the_quarantine() {
+    let mut first = Crashes::default();
+    for n in 0..3 {
+        record(&mut first, 100_000 + 1_000 * n, PART, n);
+    }
+    let mut second = Crashes::default();
+    let records = first.take_repeats(Millis(105_000), 8);
+    assert_eq!(records.len(), 1);
+    assert!(second.merge(Millis(700), &records[0]));
+    assert!(is_quarantined(&second, 700, &[PART]));
+    assert!(!second.merge(Millis(1_200), &records[0]), "known already");
+}
+
+#[test]
+fn an_instance_that_missed_an_answer_learns_that_a_part_is_sound() {
+    let mut informed = Crashes::default();
+    for n in 0..3 {
+        record(&mut informed, 1_000 * n, PART, n);
+    }
+    let mut uninformed = Crashes::default();
+    for record in informed.take_repeats(Millis(2_000), 8) {
+        uninformed.merge(Millis(2_000), &record);
+    }
+    assert!(informed.record_sound(Millis(2_500), PART));
+    for record in uninformed.take_repeats(Millis(3_000), 8) {
+        informed.merge(Millis(3_000), &record);
+    }
+    assert!(!is_quarantined(&informed, 3_000, &[PART]));
+    for record in informed.take_repeats(Millis(3_500), 8) {
+        uninformed.merge(Millis(3_500), &record);
+    }
+    assert!(!is_quarantined(&uninformed, 3_500, &[PART]));
+    assert_eq!(informed.take_repeats(Millis(4_000), 8), []);
+}
+
+#[test]
+fn a_quarantine_resumes_at_the_first_crash_after_its_end() {
+    let mut crashes = Crashes::default();
+    for n in 0..3 {
+        record(&mut crashes, 1_000 * n, PART, n);
+    }
+    let (suspect, left) = crashes.find_quarantined(Millis(2_000), &[PART]).unwrap();
+    assert_eq!(suspect, PART);
+    let end = 2_000 + left.0;
+    assert!(!is_quarantined(&crashes, end, &[PART]));
+    record(&mut crashes, end, PART, 9);
+    assert!(is_quarantined(&crashes, end, &[PART]));
+}
