Treat a stream that ends with its connection before an event as broken off

Callers got an empty stream as a whole answer when a server ended after the head of a response with neither length nor chunks.

Cause: the end of such a body is the end of its connection, also if the server has died, and only streams that end inside an event counted as broken off. A stream has at least one event, so that one without any is broken off as well.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::header;
@@ -359,6 +360,12 @@
                 }
             }
         }
+        // A body that ends with its connection does not say that it is complete,
+        // and a stream has at least one event.
+        if stream.first_chunk.is_none() && !has_framing(&stream.parts.headers) {
+            log::info!(request = self.request_id(); "stream ended before its first event");
+            return Err(AttemptEnd::Broken.into());
+        }
         Ok(OpenAttempt::Stream(stream))
     }
 
@@ -390,6 +397,11 @@
     }
 }
 
+/// Returns whether a response states where its body ends.
+fn has_framing(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Reads the rest of a refusal, so that its connection can be reused.
 async fn drain_refusal(body: Incoming, connection: PooledConnection, idle_timeout: Option<Millis>) {
     let body = Limited::new(body, MAX_FAILURE_BYTES).collect();
