Limit the memory that an endless answer of a server takes

A server in trouble may send bytes without end, in a head or a body.

Bodies are limited to 8 MiB, events to 1 MiB and heads to 64 KiB (the HTTP library's limit was about 400 KiB); beyond that the connection is closed and the attempt counts as broken off. The time was limited before, by the caller's deadline. The end of an event is sought in new bytes only, as the search in the whole buffer at each chunk took quadratic time.

An answer that is no stream and larger than 8 MiB is no longer forwarded.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -45,6 +45,9 @@
 
 /// Time limit for reading the rest of a refusal's body.
 const REFUSAL_DRAIN_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum size of a response that is no event stream, in bytes. It is buffered
+/// so that another server can be tried if it breaks off.
+const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 /// Maximum size of a buffered failure response of a backend server, in bytes.
 const MAX_FAILURE_BYTES: usize = 1024 * 1024;
 
@@ -329,7 +332,7 @@
                 }))
                 .await;
         }
-        match body.collect().await {
+        match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
             Ok(body) => {
                 connection.return_to_pool(idle_timeout);
                 let mut response = Response::new(body.to_bytes());
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -1,11 +1,17 @@
 //! Splits a server-sent event stream into complete events.
 //!
 //! A connection may break in the middle of an event. Only complete events are
-//! forwarded, so that another server can resume after the last of them.
+//! forwarded, so that another server can resume after the last of them. The size
+//! of an event is limited, because the rest of a stream may never come.
 
 use bytes::Bytes;
 use bytes::BytesMut;
 
+/// Maximum size of an event, in bytes.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+/// Length of the longest end of an event, `\r\n\r\n`, in bytes.
+const LONGEST_EVENT_END: usize = 4;
 /// Field that holds an event's id.
 const ID_FIELD: &[u8] = b"id:";
 
@@ -16,16 +22,28 @@
     last_id: Option<String>,
 }
 
+/// An event is larger than [`MAX_EVENT_BYTES`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EventTooLarge;
+
 impl EventSplitter {
     /// Appends bytes and returns all events that are now complete, if any.
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the incomplete event has become too large.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, EventTooLarge> {
+        let searched = self.buf.len().saturating_sub(LONGEST_EVENT_END - 1);
         self.buf.extend_from_slice(bytes);
-        let end = last_event_end(&self.buf)?;
-        let complete = self.buf.split_to(end).freeze();
-        if let Some(id) = last_id_in(&complete) {
+        let complete = last_event_end(&self.buf[searched..])
+            .map(|end| self.buf.split_to(searched + end).freeze());
+        if self.buf.len() > MAX_EVENT_BYTES {
+            return Err(EventTooLarge);
+        }
+        if let Some(id) = complete.as_ref().and_then(|events| last_id_in(events)) {
             self.last_id = Some(id);
         }
-        Some(complete)
+        Ok(complete)
     }
 
     /// Returns the id of the last complete event that has one.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -41,6 +41,7 @@
 use crate::gateway::attempt::OpeningAttempts;
 use crate::gateway::attempt::log_time_limit;
 use crate::gateway::events::EventSplitter;
+use crate::gateway::events::EventTooLarge;
 use crate::gateway::message::AttemptEnd;
 use crate::gateway::message::AttemptNumber;
 use crate::gateway::message::Input;
@@ -423,8 +424,13 @@
                     }
                 },
             };
-            let Some(events) = self.events.push(&data) else {
-                continue;
+            let events = match self.events.push(&data) {
+                Ok(Some(events)) => events,
+                Ok(None) => continue,
+                Err(EventTooLarge) => {
+                    log::warn!(request = self.request_id(); "stream broken off: an event is too large");
+                    return StreamEnd::Ended(AttemptEnd::Broken);
+                }
             };
             self.stop_openings(attempts);
             if first_output_seen {
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -4,6 +4,7 @@
 mod core;
 mod crashes;
 mod engine;
+mod events;
 mod feed;
 mod framing;
 mod load;
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -48,6 +48,8 @@
 /// closed: one round trip, plus the rounding of a timeout stated in whole
 /// seconds.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
+/// Maximum size of a response head, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum size of a response that is buffered completely, in bytes; the
 /// largest are pages of the store.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
@@ -298,7 +300,9 @@
             Err(_) => return Err(not_sent(&"connect timed out")),
         };
         set_socket_options(&stream);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| not_sent(&error))?;
         let task = spawn_local(async move {
--- a/tests/gateway/backend.rs
+++ b/tests/gateway/backend.rs
@@ -66,11 +66,46 @@
     pub crashing_part: Mutex<Option<(String, Store)>>,
     /// Number of crashes.
     pub crashes: AtomicU64,
+    /// Part of its answers that does not end.
+    pub endless: Mutex<Option<Endless>>,
+    /// Bytes written of endless answers.
+    pub endless_bytes: AtomicU64,
     /// Open connections by their callers' addresses; a crash ends them.
     connections: Mutex<HashMap<SocketAddr, TcpStream>>,
 }
 
+/// Part of an answer that goes on until the gateway closes the connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Endless {
+    /// Header lines.
+    Head,
+    /// One header line.
+    HeaderLine,
+    /// A body without an event's end.
+    Body,
+}
+
+/// Bytes of an endless answer after which the stand-in gives up.
+const MAX_ENDLESS_BYTES: u64 = 256 * 1024 * 1024;
+
 impl Faults {
+    /// Writes an answer that does not end.
+    fn write_endless(&self, kind: Endless, head: &str, writer: &mut TcpStream) -> io::Result<()> {
+        let (start, line) = match kind {
+            Endless::Head => (head, "X-Padding: 0123456789\r\n"),
+            Endless::HeaderLine => (head, "x-padding-0123456789"),
+            Endless::Body => (&*format!("{head}Connection: close\r\n\r\n"), "0123456789\n"),
+        };
+        writer.write_all(start.as_bytes())?;
+        let chunk = line.repeat(1_000);
+        while self.endless_bytes.load(Ordering::SeqCst) < MAX_ENDLESS_BYTES {
+            writer.write_all(chunk.as_bytes())?;
+            let written = chunk.len() as u64;
+            self.endless_bytes.fetch_add(written, Ordering::SeqCst);
+        }
+        Ok(())
+    }
+
     /// Returns the id of a server after its latest crash.
     fn current_id(&self, id: &str) -> String {
         match self.crashes.load(Ordering::SeqCst) {
@@ -239,6 +274,11 @@
     if streams {
         head += "Content-Type: text/event-stream\r\n";
     }
+    let endless = *faults.endless.lock().unwrap();
+    if let Some(kind) = endless {
+        faults.write_endless(kind, &head, writer)?;
+        return Ok(After::Close);
+    }
     let unframed = faults.unframed.load(Ordering::SeqCst);
     head += &match unframed {
         true => "Connection: close\r\n\r\n".to_owned(),
--- a/tests/gateway/path.rs
+++ b/tests/gateway/path.rs
@@ -9,6 +9,7 @@
 
 use crate::backend::Backend;
 use crate::backend::EVENTS;
+use crate::backend::Endless;
 use crate::backend::Runs;
 use crate::platform::Store;
 use crate::platform::configuration;
@@ -21,6 +22,12 @@
 /// has heard of it.
 const CRASHES_PER_PART: u64 = 8;
 
+/// Bytes of endless answers that five attempts may read, with what socket
+/// buffers hold.
+const MAX_ENDLESS_BYTES: u64 = 5 * 16 * 1024 * 1024;
+/// Memory of an instance on the platform.
+const MAX_MEMORY_BYTES: u64 = 260 * 1024 * 1024;
+
 struct Stage {
     _dir: TempDir,
     store: Store,
@@ -326,3 +333,38 @@
     let answer = call(stage.gateway.callers, "POST", "/stream/1", &headers, "x").unwrap();
     assert_eq!(answer.status, 502, "{answer:?}");
 }
+
+#[test]
+fn endless_answers_are_broken_off_before_they_fill_the_memory() {
+    for kind in [Endless::Head, Endless::HeaderLine, Endless::Body] {
+        // One more than there are attempts, which each avoid a server.
+        let stage = stage_of(6);
+        let set = |endless: Option<Endless>| {
+            for backend in &stage.backends {
+                *backend.faults.endless.lock().unwrap() = endless;
+            }
+        };
+        set(Some(kind));
+        for path in ["/once/1", "/again/1", "/stream/1"] {
+            let answer = call(stage.gateway.callers, "POST", path, &headers(path), "x").unwrap();
+            assert_eq!(answer.status, 502, "{kind:?} {path} {}", answer.head);
+        }
+        let backends = stage.backends.iter();
+        let written: u64 = backends
+            .map(|backend| backend.faults.endless_bytes.load(Ordering::SeqCst))
+            .sum();
+        assert!(written <= MAX_ENDLESS_BYTES, "{kind:?} {written}");
+        let peak = stage.gateway.peak_memory_bytes();
+        assert!(peak <= MAX_MEMORY_BYTES, "{kind:?} {peak}");
+        set(None);
+        let answer = call(
+            stage.gateway.callers,
+            "POST",
+            "/stream/1",
+            &headers("a"),
+            "x",
+        )
+        .unwrap();
+        assert_eq!((answer.status, answer.whole), (200, true), "{kind:?}");
+    }
+}
--- a/tests/gateway/process.rs
+++ b/tests/gateway/process.rs
@@ -123,6 +123,14 @@
         panic!("not ready: {:#?}", self.lines.lock().unwrap());
     }
 
+    /// Returns the most memory that the process has used.
+    pub fn peak_memory_bytes(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.trim().split(' ').next()?.parse().ok());
+        kilobytes.map(|kilobytes: u64| kilobytes * 1024).unwrap()
+    }
+
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(i32::try_from(self.child.id()).unwrap());
         kill(pid, signal).unwrap();
