Read and log what servers state about themselves in their answers

What a server states in its answers is one type now (ServerNotice: remaining cold time, rate limit), decoded at the platform's edge and handled in one place of the core. Each answer's notice is an input that does not wake the control thread; a change of a limit is logged. No decision uses the limit yet. A cold time is also applied now if its attempt has ended meanwhile.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -22,6 +22,7 @@
 pub mod message;
 pub mod peers;
 pub mod placement;
+pub mod rate_limits;
 pub mod response;
 pub mod route;
 pub mod server;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -48,6 +48,8 @@
 /// Maximum size of a response that is no event stream, in bytes. It is buffered
 /// so that another server can be tried if it breaks off.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+/// Status of a server that is not the one that the request expects.
+const MISDIRECTED: u16 = 421;
 /// Maximum size of a buffered failure response of a backend server, in bytes.
 const MAX_FAILURE_BYTES: usize = 1024 * 1024;
 
@@ -230,6 +232,7 @@
         } else {
             Reuse::NewOnly
         };
+        let sent_at = self.traffic.clock.now();
         let upstream = &self.traffic.upstream;
         let sent = upstream.send(&plan.addr, request, reuse, plan.max_connections);
         match sent.await {
@@ -242,7 +245,8 @@
                 Err(AttemptEnd::Broken.into())
             }
             Ok((response, connection)) => {
-                self.read_response(plan, response, connection, memory).await
+                self.read_response(plan, sent_at, response, connection, memory)
+                    .await
             }
         }
     }
@@ -276,18 +280,20 @@
     async fn read_response(
         &self,
         plan: &AttemptPlan,
+        sent_at: Millis,
         response: Response<Incoming>,
         connection: PooledConnection,
         memory: HeldMemory,
     ) -> Opened {
         let (parts, body) = response.into_parts();
         let head = headers::decode_response_head(parts.status.as_u16(), &parts.headers);
-        if let Some(remaining) = head
-            .cold_remaining
-            .filter(|remaining| *remaining > Millis::ZERO)
-        {
-            self.traffic
-                .send_input(Input::ColdReported(self.ticket, plan.attempt, remaining));
+        // Another server answers with this status.
+        if head.status != MISDIRECTED {
+            self.traffic.send_deferred_input(Input::ServerNotice {
+                server_id: plan.server_id.clone(),
+                sent_at,
+                notice: head.notice,
+            });
         }
         let is_same_request = head.request_id.as_deref() == Some(self.request_id());
         if head.request_id.is_some() && !is_same_request {
@@ -300,7 +306,7 @@
                 drain_refusal(body, connection, head.idle_timeout).await;
             }
             return match head.status {
-                421 => Err(AttemptEnd::Misdirected.into()),
+                MISDIRECTED => Err(AttemptEnd::Misdirected.into()),
                 _ => Err(AttemptEnd::Refused.into()),
             };
         }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -11,6 +11,7 @@
 mod fleet_load;
 mod freshness;
 mod health;
+mod notices;
 mod quarantine;
 mod requests;
 mod stalls;
@@ -37,6 +38,7 @@
 use crate::gateway::message::Output;
 use crate::gateway::message::Ticket;
 use crate::gateway::message::Watching;
+use crate::gateway::rate_limits::RateLimits;
 use crate::gateway::route::RouteTable;
 use crate::gateway::server_table::ServerKey;
 use crate::gateway::server_table::ServerTable;
@@ -99,6 +101,7 @@
     instances: Instances,
     budgets: RetryBudgets,
     cold_shares: ColdShares,
+    rate_limits: RateLimits,
     requests: BTreeMap<Ticket, Request>,
     watching: Watching,
     draining: bool,
@@ -135,6 +138,7 @@
             instances: Instances::default(),
             budgets,
             cold_shares: ColdShares::default(),
+            rate_limits: RateLimits::default(),
             requests: BTreeMap::new(),
             watching: Watching::Loosely,
             draining: false,
@@ -158,9 +162,11 @@
             Input::Progress(ticket, attempt, at) => {
                 self.on_progress(now, ticket, attempt, at, &mut out);
             }
-            Input::ColdReported(ticket, attempt, left) => {
-                self.on_cold_reported(now, ticket, attempt, left);
-            }
+            Input::ServerNotice {
+                server_id,
+                sent_at,
+                notice,
+            } => self.on_server_notice(now, &server_id, sent_at, notice),
             Input::FreeMemoryReported { addr, free } => self.on_memory_reported(now, &addr, free),
             Input::AttemptEnded(ticket, attempt, end) => {
                 self.on_attempt_ended(now, ticket, attempt, end, &mut out);
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -607,23 +607,6 @@
         }
     }
 
-    pub(super) fn on_cold_reported(
-        &mut self,
-        now: Millis,
-        ticket: Ticket,
-        number: AttemptNumber,
-        cold_remaining: Millis,
-    ) {
-        let attempt = self.requests.get(&ticket).and_then(|request| {
-            let mut attempts = request.active_attempt.iter().chain(&request.successor);
-            attempts.find(|attempt| attempt.number == number)
-        });
-        if let Some(attempt) = attempt {
-            self.server_table
-                .mark_cold(attempt.server, now + cold_remaining);
-        }
-    }
-
     pub(super) fn on_memory_reported(&mut self, now: Millis, addr: &str, free: u64) {
         if let Some(server) = self.server_table.find_by_addr(addr) {
             self.fleet_load.observe_free_memory(now, server, free);
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -69,7 +69,7 @@
 }
 
 /// The fields of a backend server's response head that the gateway uses.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ResponseHead {
     /// HTTP status.
     pub status: u16,
@@ -84,8 +84,8 @@
     /// Whether the body has a content encoding, which only an intermediary
     /// would add.
     pub encoded: bool,
-    /// Remaining time of the backend server in the cold state.
-    pub cold_remaining: Option<Millis>,
+    /// What the backend server states about itself.
+    pub notice: ServerNotice,
     /// Address of the failed backend server, if it is not the sender.
     pub at_fault: Option<String>,
     /// Keep-alive timeout of the connection.
@@ -94,6 +94,16 @@
     pub closes: bool,
 }
 
+/// What a backend server states about itself in a response.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ServerNotice {
+    /// Remaining time in the cold state.
+    pub cold_remaining: Option<Millis>,
+    /// Requests per second that it accepts from all instances together; `None`
+    /// if it names no limit.
+    pub rate_limit: Option<f64>,
+}
+
 /// Identifies a caller's request within this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
@@ -264,8 +274,15 @@
     FirstOutput(Ticket, AttemptNumber),
     /// A further event of a stream arrived at this time.
     Progress(Ticket, AttemptNumber, Millis),
-    /// A response reported how long its backend server stays cold.
-    ColdReported(Ticket, AttemptNumber, Millis),
+    /// A response to a request told about its backend server.
+    ServerNotice {
+        /// Id of the backend server.
+        server_id: String,
+        /// When the request was sent.
+        sent_at: Millis,
+        /// What the server stated.
+        notice: ServerNotice,
+    },
     /// An engine reported its free memory.
     FreeMemoryReported {
         /// Address, `ip:port`.
