--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -9,4 +9,5 @@
 mod framing;
 mod load;
 mod memory;
+mod rate_limits;
 mod simulation;
--- a/src/gateway/tests/simulation.rs
+++ b/src/gateway/tests/simulation.rs
@@ -3,7 +3,8 @@
 //! The engine model is written independently of the forecast that it checks:
 //! engines run forward passes, admit requests by memory and report each event.
 //! An engine that begins to answer a prompt with the crashing part ends, breaks
-//! off all its requests and is replaced a few seconds later. Datagrams between cores are delivered after one millisecond.
+//! off all its requests and is replaced a few seconds later. Engines may name a
+//! rate limit when they begin to answer. Datagrams between cores are delivered after one millisecond.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -28,6 +29,7 @@
 use crate::gateway::message::PromptPart;
 use crate::gateway::message::PromptShape;
 use crate::gateway::message::RequestHead;
+use crate::gateway::message::ServerNotice;
 use crate::gateway::message::StoreUpdate;
 use crate::gateway::message::Submission;
 use crate::gateway::message::Ticket;
@@ -238,7 +240,7 @@
 }
 
 #[derive(Debug, Default)]
-struct Engine {
+pub struct Engine {
     jobs: Vec<Job>,
     /// Memory held by reservations, by request.
     reserved: BTreeMap<(usize, u32), f64>,
@@ -247,6 +249,12 @@
     crashes: u32,
     /// Until when it is down after a crash.
     down_until: f64,
+    /// Requests per second that it accepts, and when it names this limit.
+    pub rate_limit: Option<(f64, std::ops::Range<f64>)>,
+    /// When requests were sent to it, and by which core.
+    pub sent: Vec<(f64, usize)>,
+    /// When each core first got an answer that names the limit.
+    pub told: BTreeMap<usize, f64>,
 }
 
 #[derive(Debug)]
@@ -295,7 +303,7 @@
     policy: Policy,
     pub requests: Vec<Request>,
     cores: Vec<Core>,
-    engines: Vec<Engine>,
+    pub engines: Vec<Engine>,
     spec: EngineSpec,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: HashMap<u64, Event>,
@@ -565,6 +573,10 @@
             self.end_attempt(request_index, attempt, AttemptEnd::NoMemory);
             return;
         }
+        let core = self.requests[request_index].core;
+        self.engines[engine_of(&plan.addr)]
+            .sent
+            .push((self.now, core));
         if self.is_crashing(request_index) {
             self.part_attempts.push(self.now);
         }
@@ -849,6 +861,7 @@
                 idle_engine = engine.busy_until.is_none().then_some(engine_index);
             }
         }
+        self.send_notice(request, attempt);
         self.receive_event(request, attempt, true);
         if let Some(engine) = idle_engine {
             self.begin_pass(engine);
@@ -957,6 +970,35 @@
 }
 
 impl Simulation {
+    /// Sends the notice of an engine that begins to answer to the request's core.
+    fn send_notice(&mut self, request: usize, attempt: u32) {
+        let (now, core) = (self.now, self.requests[request].core);
+        for (index, engine) in self.engines.iter_mut().enumerate() {
+            let mut jobs = engine.jobs.iter();
+            if !jobs.any(|job| (job.request, job.attempt, job.helper) == (request, attempt, false))
+            {
+                continue;
+            }
+            let limit = engine.rate_limit.as_ref();
+            let limit = limit.filter(|(_, named)| named.contains(&now));
+            let rate_limit = limit.map(|&(per_s, _)| per_s);
+            if rate_limit.is_some() {
+                engine.told.entry(core).or_insert(now);
+            }
+            let sent = engine.sent.iter().rev().find(|(_, by)| *by == core);
+            let input = Input::ServerNotice {
+                server_id: entry_id(index, engine.crashes),
+                sent_at: Millis(sent.map_or(0.0, |(at, _)| *at) as u64),
+                notice: ServerNotice {
+                    rate_limit,
+                    ..ServerNotice::default()
+                },
+            };
+            self.push(now + NETWORK_DELAY_MS, Event::Input { core, input });
+            return;
+        }
+    }
+
     /// Crashes an engine at this time.
     pub fn add_crash(&mut self, engine: usize, at: f64) {
         self.push(at, Event::Crash(engine));
--- a/tests/gateway/backend.rs
+++ b/tests/gateway/backend.rs
@@ -66,6 +66,8 @@
     pub crashing_part: Mutex<Option<(String, Store)>>,
     /// Number of crashes.
     pub crashes: AtomicU64,
+    /// Rate limit that its answers name, in requests per second.
+    pub rate_limit: Mutex<Option<f64>>,
     /// Part of its answers that does not end.
     pub endless: Mutex<Option<Endless>>,
     /// Bytes written of endless answers.
@@ -274,6 +276,9 @@
     if streams {
         head += "Content-Type: text/event-stream\r\n";
     }
+    if let Some(per_s) = *faults.rate_limit.lock().unwrap() {
+        head += &format!("Server-Limit: {per_s}\r\n");
+    }
     let endless = *faults.endless.lock().unwrap();
     if let Some(kind) = endless {
         faults.write_endless(kind, &head, writer)?;
--- a/tests/gateway/path.rs
+++ b/tests/gateway/path.rs
@@ -28,6 +28,11 @@
 /// Memory of an instance on the platform.
 const MAX_MEMORY_BYTES: u64 = 260 * 1024 * 1024;
 
+/// Requests in four seconds that a limit of 1.5 a second allows.
+const REQUESTS_AT_RATE_LIMIT: usize = 14;
+/// Calls after which a server that names no limit any more has been used.
+const MAX_CALLS_UNTIL_LIFTED: u32 = 500;
+
 struct Stage {
     _dir: TempDir,
     store: Store,
@@ -368,3 +373,36 @@
         assert_eq!((answer.status, answer.whole), (200, true), "{kind:?}");
     }
 }
+
+#[test]
+fn a_server_that_names_a_rate_limit_gets_few_requests_until_it_names_none() {
+    let stage = stage();
+    let ask = |n: u32, path: &str| {
+        let answer = call(
+            stage.gateway.callers,
+            "POST",
+            path,
+            &headers(&n.to_string()),
+            "x",
+        );
+        let answer = answer.unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}");
+        answer.head.contains("i-1.1")
+    };
+    let limit = |per_s: Option<f64>| {
+        *stage.backends[0].faults.rate_limit.lock().unwrap() = per_s;
+    };
+    limit(Some(1.5));
+    let count = |from: u32, path: &str| (from..from + 60).filter(|&n| ask(n, path)).count();
+    assert!(count(0, "/again/1") <= REQUESTS_AT_RATE_LIMIT);
+    assert!(count(100, "/stream/1") <= REQUESTS_AT_RATE_LIMIT);
+    limit(None);
+    // The server is asked again once its limit allows a request.
+    let used_again = (0..MAX_CALLS_UNTIL_LIFTED).any(|n| {
+        thread::sleep(Duration::from_millis(20));
+        ask(1_000 + 10 * n, "/again/1")
+            && ask(1_001 + 10 * n, "/again/1")
+            && ask(1_002 + 10 * n, "/again/1")
+    });
+    assert!(used_again);
+}
--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -2,7 +2,8 @@
 //!
 //! Gateways are killed, stopped for a while, told to leave and started again,
 //! the store goes down, backend servers break answers off or leave their length
-//! open, one part of prompts crashes them, the configuration changes: in series
+//! open or name rate limits, one part of prompts crashes them, the configuration
+//! changes: in series
 //! and overlapping. Callers send calls and streams all the
 //! while. What is checked is what callers and backend servers see: a call that
 //! may not be repeated runs once at most, a refusal that promises "not run" is
@@ -173,6 +174,8 @@
                 .store(rng.random_range(1..6), Ordering::SeqCst);
             let unframed = rng.random_range(0..2) == 0;
             backend.faults.unframed.store(unframed, Ordering::SeqCst);
+            let is_limited = rng.random_range(0..2) == 0;
+            *backend.faults.rate_limit.lock().unwrap() = is_limited.then_some(10.0);
         }
         _ => {
             store.put("op/config", configuration(2 + step, &["k1"]).as_bytes());
