Keep the rate limits that backend servers name

Cause: nothing read the limit, so that the server was placed on like any other and, while it was idle, more often. Class of fault: what a server says of itself in its answers did not reach the decision where to send; the only such thing that did, the cold time, had a path of its own. The other hypotheses: there was no limit per instance whose sum was too high, and retries played no part (all counted requests were first attempts).

A limit is now divided between as many instances as it has requests a second and two more, so that it holds without messages; instances tell each other of it through one message for all notices. An answer ends it only if its request was sent after the last one that named it. Servers with a limit do not help others. If limits alone keep a request from being sent it is refused at once, with the time until the first allows it, spread over callers.

A property test adds up the shares of up to 100 instances.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -166,7 +166,7 @@
                 server_id,
                 sent_at,
                 notice,
-            } => self.on_server_notice(now, &server_id, sent_at, notice),
+            } => self.on_server_notice(now, &server_id, sent_at, notice, &mut out),
             Input::FreeMemoryReported { addr, free } => self.on_memory_reported(now, &addr, free),
             Input::AttemptEnded(ticket, attempt, end) => {
                 self.on_attempt_ended(now, ticket, attempt, end, &mut out);
@@ -211,6 +211,7 @@
         }
         if now >= self.next_periodic_update {
             self.next_periodic_update = now + MIN_HEARTBEAT_PERIOD;
+            self.expire_rate_limits(now);
             self.update_watching(now, out);
             self.update_gauges(now);
         }
@@ -349,6 +350,9 @@
                 let suspect = CrashSuspect::Request(fingerprint);
                 self.crashes.record(now, suspect, server);
             }
+            PeerMessage::ServerNotice { server, notice } => {
+                self.on_peer_notice(now, server, notice);
+            }
             PeerMessage::CrashRecords(records) => self.on_crash_records(now, &records),
             // Applied by `RevisionTracker`.
             PeerMessage::Item(_) => {}
--- a/src/gateway/core/choose.rs
+++ b/src/gateway/core/choose.rs
@@ -24,6 +24,9 @@
     DomainOut,
     /// The server failed recently.
     Avoided,
+    /// The rate limit that the server names allows no request of this instance
+    /// now.
+    RateLimited,
     /// An earlier attempt of the request went to the server, even if nothing
     /// was sent.
     Tried,
@@ -33,6 +36,43 @@
     /// Returns why a backend server is not eligible for the request, or `None`
     /// if it is.
     fn exclusion(&self, now: Millis, request: &Request, key: ServerKey) -> Option<Exclusion> {
+        let exclusion = self.exclusion_without_rate_limit(now, request, key);
+        exclusion.or_else(|| {
+            let waits = self.rate_limit_wait(now, key) > Millis::ZERO;
+            waits.then_some(Exclusion::RateLimited)
+        })
+    }
+
+    /// Returns the time until a rate limit allows the request, if rate limits are
+    /// all that keeps it from being sent.
+    pub(super) fn wait_for_rate_limits(&self, now: Millis, request: &Request) -> Option<Millis> {
+        let mut shortest = None;
+        for (key, server) in self.server_table.listed() {
+            if server.entry.service != request.service {
+                continue;
+            }
+            match self.exclusion(now, request, key) {
+                None | Some(Exclusion::Avoided) => return None,
+                Some(Exclusion::RateLimited) => {
+                    let wait = self.rate_limit_wait(now, key);
+                    shortest = Some(shortest.map_or(wait, |shortest: Millis| shortest.min(wait)));
+                }
+                Some(
+                    Exclusion::Draining | Exclusion::Left | Exclusion::DomainOut | Exclusion::Tried,
+                ) => {}
+            }
+        }
+        shortest
+    }
+
+    /// Returns why a backend server is not eligible for the request, whatever
+    /// rate limit it names.
+    fn exclusion_without_rate_limit(
+        &self,
+        now: Millis,
+        request: &Request,
+        key: ServerKey,
+    ) -> Option<Exclusion> {
         let server = self.server_table.get(key);
         if server.entry.draining {
             return Some(Exclusion::Draining);
@@ -112,7 +152,7 @@
                 load,
                 cross_domain: server.entry.domain != self.local.domain,
                 can_be_primary: warm || self.has_cold_capacity(now, routes, key),
-                can_help: warm,
+                can_help: warm && self.rate_limits.per_s(key).is_none(),
                 lane: Lane::Long,
                 short_prompts_per_ms: 0.0,
             });
--- a/src/gateway/core/endings.rs
+++ b/src/gateway/core/endings.rs
@@ -292,20 +292,27 @@
     /// Lets a request wait for a backend server, for a small part of its
     /// latency target.
     pub(super) fn wait_or_refuse(&mut self, now: Millis, ticket: Ticket, out: &mut Vec<Output>) {
-        let Some(request) = self.requests.get_mut(&ticket) else {
+        let Some(request) = self.requests.get(&ticket) else {
             return;
         };
         let until = request.submission.arrived
             + Millis(request.route.target_latency.0 / PLACEMENT_WAIT_DIVISOR);
-        if now < until {
-            request.wait_until = Some(until);
+        let rate_limit_wait = self.wait_for_rate_limits(now, &self.requests[&ticket]);
+        if now < until && rate_limit_wait.is_none_or(|wait| now + wait < until) {
+            if let Some(request) = self.requests.get_mut(&ticket) {
+                request.wait_until = Some(until);
+            }
             return;
         }
-        let refusal = final_refusal(
+        let request = &self.requests[&ticket];
+        let mut refusal = final_refusal(
             request,
             Reason::NoBackend,
             "no backend server is available for the request",
         );
+        if let Some(wait) = rate_limit_wait {
+            refusal = refusal.retry_after(spread_retry_after(request, wait));
+        }
         let servers = self.describe_exclusions(now, &self.requests[&ticket]);
         let id = self.requests[&ticket].submission.head.request_id.as_str();
         log::info!(request = id, servers = servers.as_str(); "no backend server");
@@ -446,6 +453,14 @@
     }
 }
 
+/// Returns a delay between `wait` and twice that which differs between requests,
+/// so that callers who are refused together do not return together.
+fn spread_retry_after(request: &Request, wait: Millis) -> Millis {
+    let wait = wait.min(DEFAULT_RETRY_AFTER);
+    let hash = id_hash(&request.submission.head.request_id);
+    wait + Millis(hash % wait.0.max(1))
+}
+
 fn cap_retry_after(now: Millis, request: &Request, refusal: Refusal) -> Refusal {
     if refusal.verdict != Verdict::NotRun {
         return refusal;
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -369,6 +369,7 @@
         if is_cold {
             self.cold_shares.record(now, placement.primary);
         }
+        self.record_sent(now, placement.primary);
         let load = self.fleet_load.describe(placement.primary);
         let service = self.requests[&ticket].service.clone();
         match prompt {
--- a/src/gateway/instances.rs
+++ b/src/gateway/instances.rs
@@ -13,9 +13,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Millis;
 use crate::gateway::message::PromptPart;
+use crate::gateway::message::ServerNotice;
 
 /// Heartbeat period of an instance that watches the store closely, and the
 /// minimum for all instances. A heartbeat reports liveness and the age of the
@@ -101,6 +103,13 @@
     },
     /// Crashes of backend servers and what may have caused them.
     CrashRecords(Vec<CrashRecord>),
+    /// What a backend server stated about itself.
+    ServerNotice {
+        /// Hash of the backend server's id.
+        server: u64,
+        /// What it stated.
+        notice: ServerNotice,
+    },
 }
 
 /// What may have caused the crash of a backend server.
@@ -291,6 +300,16 @@
         self.count_before(name, |peer| peer.store_answers)
     }
 
+    /// Returns the number of known instances, lost ones included, that precede
+    /// `name` in a hash order that depends on `seed`.
+    #[must_use]
+    pub fn rank_among_known(&self, name: &str, seed: u64) -> usize {
+        let hash = |name: &str| xxh3_64_with_seed(name.as_bytes(), seed);
+        let own_hash = hash(name);
+        let others = self.peers.keys();
+        others.filter(|other| hash(other) < own_hash).count()
+    }
+
     /// Returns whether any other live instance can reach the store.
     #[must_use]
     pub fn any_reaches_store(&self) -> bool {
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -96,6 +96,7 @@
 
 /// What a backend server states about itself in a response.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ServerNotice {
     /// Remaining time in the cold state.
     pub cold_remaining: Option<Millis>,
--- a/src/gateway/tests/core.rs
+++ b/src/gateway/tests/core.rs
@@ -18,6 +18,7 @@
 use crate::gateway::message::Output;
 use crate::gateway::message::PromptShape;
 use crate::gateway::message::RequestHead;
+use crate::gateway::message::ServerNotice;
 use crate::gateway::message::StoreUpdate;
 use crate::gateway::message::Submission;
 use crate::gateway::message::Ticket;
@@ -28,6 +29,7 @@
 use crate::gateway::route::Service;
 use crate::gateway::route::Workspace;
 use crate::gateway::server_table::ServerEntry;
+use crate::gateway::server_table::id_hash;
 use crate::gateway::settings::Bounds;
 use crate::metrics::Metrics;
 use crate::verdict::Reason;
@@ -679,6 +681,98 @@
     assert!(refused.retry_after.unwrap() > Millis::ZERO);
 }
 
+/// Lets servers of the plain service state a rate limit, or none.
+fn name_rate_limit(
+    harness: &mut Harness,
+    servers: std::ops::Range<usize>,
+    rate_limit: Option<f64>,
+) {
+    for index in servers {
+        let _ = harness.handle(Input::ServerNotice {
+            server_id: format!("p{index}"),
+            sent_at: Millis(harness.now),
+            notice: ServerNotice {
+                rate_limit,
+                ..ServerNotice::default()
+            },
+        });
+    }
+}
+
+#[test]
+fn a_request_is_refused_at_once_when_rate_limits_allow_none_for_long() {
+    let mut harness = Harness::new();
+    name_rate_limit(&mut harness, 0..SERVERS, Some(0.5));
+    let (_, out) = harness.submit("/once/1", "k");
+    let refused = refusal(&out).expect("refused at once");
+    assert_eq!(
+        (refused.reason.status(), refused.verdict),
+        (503, Verdict::NotRun)
+    );
+    assert!(refused.retry_after.unwrap() > Millis::ZERO);
+    // Servers without a limit take the rest.
+    name_rate_limit(&mut harness, 0..1, None);
+    assert_eq!(harness.receiving_servers("/once/1"), ["p0"]);
+    harness.now += 2_000;
+    assert_eq!(harness.receiving_servers("/once/1").len(), SERVERS);
+}
+
+#[test]
+fn a_rate_limit_that_another_instance_reports_is_kept() {
+    let mut harness = Harness::new();
+    let report = |rate_limit| {
+        Input::Peer(PeerMessage::ServerNotice {
+            server: id_hash("p0"),
+            notice: ServerNotice {
+                rate_limit,
+                ..ServerNotice::default()
+            },
+        })
+    };
+    let _ = harness.handle(report(Some(1.0)));
+    assert_eq!(harness.receiving_servers("/once/1"), ["p1", "p2", "p3"]);
+    let _ = harness.handle(report(None));
+    assert_eq!(harness.receiving_servers("/once/1").len(), SERVERS);
+}
+
+#[test]
+fn a_rate_limit_is_announced_to_the_other_instances() {
+    let mut harness = Harness::new();
+    let _ = harness.handle(Input::Peer(PeerMessage::Alive {
+        name: "other".to_owned(),
+        addr: "10.9.0.2:1".to_owned(),
+        config_revision: 5,
+        proof_age_ms: 0,
+        store_answers: true,
+        entries_digest: None,
+        period_ms: 500,
+    }));
+    let mut announce = |rate_limit, advance: u64| {
+        harness.now += advance;
+        let out = harness.handle(Input::ServerNotice {
+            server_id: "p0".to_owned(),
+            sent_at: Millis(harness.now),
+            notice: ServerNotice {
+                rate_limit,
+                ..ServerNotice::default()
+            },
+        });
+        let mut messages = out.into_iter().filter_map(|output| match output {
+            Output::Broadcast(_, PeerMessage::ServerNotice { server, notice }) => {
+                Some((server, notice.rate_limit))
+            }
+            _ => None,
+        });
+        messages.next()
+    };
+    let server = id_hash("p0");
+    assert_eq!(announce(None, 0), None, "nothing has changed");
+    assert_eq!(announce(Some(2.0), 10), Some((server, Some(2.0))));
+    assert_eq!(announce(Some(2.0), 10), None, "announced just now");
+    assert_eq!(announce(Some(2.0), 600), Some((server, Some(2.0))));
+    assert_eq!(announce(None, 10), Some((server, None)));
+}
+
 fn attempt_ends() -> impl Strategy<Value = AttemptEnd> {
     prop_oneof![
         Just(AttemptEnd::Whole),
--- a/src/gateway/tests/rate_limits.rs
+++ b/src/gateway/tests/rate_limits.rs
@@ -1,10 +1,18 @@
 //! Simulates fleets in which engines name rate limits. Checks that the limits are
 //! kept and used, and that other engines serve the rest.
 
+use proptest::prelude::*;
+
 use super::simulation::Engine;
 use super::simulation::Phase;
 use super::simulation::Policy;
 use super::simulation::Simulation;
+use crate::clock::Millis;
+use crate::gateway::rate_limits::Change;
+use crate::gateway::rate_limits::RateLimits;
+use crate::gateway::rate_limits::Source;
+use crate::gateway::rate_limits::rate_share;
+use crate::gateway::server_table::ServerKey;
 
 /// End of the workload, in ms.
 const END_MS: f64 = 40_000.0;
@@ -128,3 +136,65 @@
         assert!(after > 0.9, "seed {seed}: {after:.2}");
     }
 }
+
+fn server() -> ServerKey {
+    ServerKey::from_raw(0.into())
+}
+
+/// Returns how many requests an instance that always has one to send sends
+/// within a window that begins after an idle time.
+fn sent_in_window(per_s: f64, share_per_s: f64) -> usize {
+    let mut limits = RateLimits::default();
+    limits.apply_notice(Millis::ZERO, server(), Source::Peer, Some(per_s));
+    let idle_until = 10_000;
+    let window = idle_until..idle_until + WINDOW_MS as u64;
+    let mut sent = 0;
+    for now in window.map(Millis) {
+        while limits.wait(now, server(), share_per_s) == Millis::ZERO {
+            limits.record_sent(now, server(), share_per_s);
+            sent += 1;
+        }
+    }
+    sent
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(40))]
+    /// All instances together keep a limit, also if each begins with what it has
+    /// saved, and together they may use it.
+    #[test]
+    fn shares_of_a_rate_limit_add_up_to_it(per_s in 0.0_f64..30.0, instances in 1_usize..100) {
+        let shares: Vec<f64> = (0..instances)
+            .map(|rank| rate_share(per_s, instances, rank))
+            .collect();
+        prop_assert!((shares.iter().sum::<f64>() - per_s).abs() < 1e-6);
+        let sent: usize = shares.iter().map(|&share| sent_in_window(per_s, share)).sum();
+        prop_assert!(sent <= allowed(per_s), "{sent}");
+    }
+}
+
+#[test]
+fn an_answer_that_was_on_its_way_does_not_end_a_rate_limit() {
+    let mut limits = RateLimits::default();
+    let mut apply = |now, sent_at, per_s| {
+        let source = Source::Response(Millis(sent_at));
+        limits.apply_notice(Millis(now), server(), source, per_s)
+    };
+    assert_eq!(apply(100, 50, Some(2.0)), Some(Change::Limited(2.0)));
+    assert_eq!(apply(101, 60, None), None);
+    assert_eq!(apply(150, 110, Some(2.0)), None);
+    assert_eq!(apply(160, 120, None), None);
+    assert_eq!(apply(300, 200, None), Some(Change::Lifted));
+    assert_eq!(apply(301, 201, None), None);
+}
+
+#[test]
+fn a_rate_limit_that_no_instance_reports_again_is_dropped() {
+    let mut limits = RateLimits::default();
+    limits.apply_notice(Millis(0), server(), Source::Peer, Some(1.0));
+    assert_eq!(limits.expire(Millis(59_000)), []);
+    limits.apply_notice(Millis(59_000), server(), Source::Peer, Some(1.0));
+    assert_eq!(limits.expire(Millis(60_000)), []);
+    assert_eq!(limits.expire(Millis(119_000)), [server()]);
+    assert_eq!(limits.per_s(server()), None);
+}
