Tell requests apart by their prompts before one is quarantined

And three servers that end together at once quarantined any request that ran on all of them, for instance a status call that many callers make.

The fingerprint now covers the shared parts of the prompt, and servers that end together count once against a request that was answered before. Its records are bounded like the others.

--- a/src/gateway/core/crashes.rs
+++ b/src/gateway/core/crashes.rs
@@ -22,15 +22,17 @@
 
 /// Crashes recorded against a request or a part before it is quarantined.
 const CRASH_LIMIT: usize = 3;
-/// Servers that end within this time of each other count as one crash of a
-/// part: many requests share a part, and a failure domain may end at once.
+/// Servers that end within this time of each other count as one crash of a part,
+/// or of a request that was answered before: many callers may send it at once,
+/// and a failure domain may end at once.
 const SIMULTANEOUS_CRASHES: Millis = Millis(50);
 /// Time after the last crash for which a quarantine holds.
 const QUARANTINE_PERIOD: Millis = Millis(600_000);
 /// Time for which crashes are remembered. After its quarantine, a request or
 /// part is quarantined again at its first further crash.
 const RECORD_LIFETIME: Millis = Millis(3_600_000);
-/// Maximum number of records. The one with the oldest crash is evicted first.
+/// Maximum number of records, those of answered requests included. One without
+/// crashes, or else the one with the oldest crash, is evicted first.
 const MAX_RECORDS: usize = 4_096;
 /// Maximum number of crashes kept for a request or part.
 const MAX_CRASHES_PER_RECORD: usize = 8;
@@ -55,6 +57,12 @@
 }
 
 impl Crashes {
+    /// Returns the number of requests and parts that are remembered.
+    #[cfg(test)]
+    pub fn record_count(&self) -> usize {
+        self.records.len()
+    }
+
     /// Records that a server crashed while it ran a request. Returns the number
     /// of crashes that count against the suspect.
     pub fn record(&mut self, now: Millis, suspect: CrashSuspect, server: u64) -> usize {
@@ -69,11 +77,11 @@
     /// Records that an answer showed a suspect to be sound. Returns whether this
     /// clears any crashes.
     pub fn record_sound(&mut self, now: Millis, suspect: CrashSuspect) -> bool {
-        let Some(record) = self.records.get_mut(&suspect) else {
-            return false;
-        };
+        let record = self.records.entry(suspect).or_default();
         record.sound_at = Some(offset(now));
-        !std::mem::take(&mut record.servers).is_empty()
+        let is_cleared = !std::mem::take(&mut record.servers).is_empty();
+        self.evict(offset(now));
+        is_cleared
     }
 
     /// Records that a server answered a request sent at `sent_at`, which
@@ -186,12 +194,12 @@
 
     fn evict(&mut self, now: Millis) {
         self.records
-            .retain(|_, record| now.since(record.last_crash) < RECORD_LIFETIME);
+            .retain(|_, record| now.since(record.last_event()) < RECORD_LIFETIME);
         while self.records.len() > MAX_RECORDS {
             let oldest = self
                 .records
                 .iter()
-                .min_by_key(|(_, record)| record.last_crash);
+                .min_by_key(|(_, record)| (record.last_crash, record.sound_at));
             let Some((&suspect, _)) = oldest else {
                 return;
             };
@@ -232,11 +240,18 @@
         }
     }
 
+    /// Returns when it last crashed a server or was answered.
+    fn last_event(&self) -> Millis {
+        self.last_crash.max(self.sound_at.unwrap_or_default())
+    }
+
     /// Returns the number of crashes that count against the suspect.
     fn count(&self, suspect: CrashSuspect) -> usize {
-        match suspect {
-            CrashSuspect::Request(_) => self.servers.len(),
-            CrashSuspect::Part(_) => self.count_moments(),
+        match (suspect, self.sound_at) {
+            (CrashSuspect::Request(_), None) => self.servers.len(),
+            (CrashSuspect::Request(_), Some(_)) | (CrashSuspect::Part(_), _) => {
+                self.count_moments()
+            }
         }
     }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -185,6 +185,9 @@
     hash.update(parts.method.as_str().as_bytes());
     hash.update(parts.uri.to_string().as_bytes());
     hash.update(head.key.as_deref().unwrap_or_default().as_bytes());
+    for part in &head.shared_parts {
+        hash.update(&part.0.to_le_bytes());
+    }
     hash.update(body);
     hash.digest()
 }
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -134,7 +134,8 @@
     pub path: String,
     /// Arrival time of the head.
     pub arrived: Millis,
-    /// Hash of method, URI, key and body; identifies repetitions of a request.
+    /// Hash of method, URI, key, shared prompt parts and body; identifies
+    /// repetitions of a request.
     pub fingerprint: u64,
 }
 
--- a/src/gateway/tests/crashes.rs
+++ b/src/gateway/tests/crashes.rs
@@ -256,3 +256,34 @@
     record(&mut crashes, end, PART, 9);
     assert!(is_quarantined(&crashes, end, &[PART]));
 }
+
+#[test]
+fn a_request_that_was_answered_before_is_not_blamed_for_servers_that_end_together() {
+    let request = CrashSuspect::Request(7);
+    let mut crashes = Crashes::default();
+    let _ = crashes.record_sound(Millis(500), request);
+    for moment in 1..4 {
+        assert!(
+            !is_quarantined(&crashes, 1_000 * moment, &[request]),
+            "{moment}"
+        );
+        for n in 0..4 {
+            record(&mut crashes, 1_000 * moment + n, request, 10 * moment + n);
+        }
+    }
+    assert!(is_quarantined(&crashes, 4_000, &[request]));
+}
+
+#[test]
+fn memory_of_requests_is_bounded() {
+    let mut crashes = Crashes::default();
+    for n in 0..10_000 {
+        let _ = crashes.record_sound(Millis(n), CrashSuspect::Request(n));
+        record(&mut crashes, n, CrashSuspect::Request(1_000_000 + n), n);
+    }
+    assert!(
+        crashes.record_count() <= 4_096,
+        "{}",
+        crashes.record_count()
+    );
+}
--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -217,7 +217,8 @@
             "/stream/1" => &headers[..],
             _ => &headers[1..],
         };
-        let answer = call(addr, "POST", path, headers, &id);
+        // Many callers send the same body.
+        let answer = call(addr, "POST", path, headers, "x");
         fleet.check(&id, path, answer.as_ref().ok());
         let is_quarantined = |answer: &Answer| answer.body.contains("quarantined");
         let is_sound = part != CRASHING_PART || path != "/stream/1";
