Notice the silent end of a server after two keepalive probes

Cause: the request's first engine went dark 0.1 s after it had received the request. All data was acknowledged, so that only keepalive probes could notice it; the default of nine, a second apart, came after the eight-second limit for unused memory. The acknowledgement timeout does not limit probes everywhere. Orders to the dark engine timed out meanwhile, and its entry was removed after three seconds; neither ends a request in progress.

Two probes notice the end 3 s after the last data; the memory is free a second before it counts as leaked, and the request is sent to another engine 4 s earlier. The new test fails with the default number of probes (10 s against 4 s).

--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -11,3 +11,4 @@
 mod memory;
 mod rate_limits;
 mod simulation;
+mod upstream;
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -42,6 +42,10 @@
 /// Idle time before the first TCP keepalive probe, and interval between probes;
 /// the operating system supports whole seconds only.
 const KEEPALIVE_PERIOD: Duration = Duration::from_secs(1);
+/// Unanswered keepalive probes after which a connection to a backend server is
+/// considered broken. Memory reserved for its request has to be free again within
+/// four seconds of the server's end.
+const SERVER_KEEPALIVE_PROBES: u32 = 2;
 /// Keep-alive timeout assumed for a server that states none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time before the server's keep-alive timeout at which an idle connection is
@@ -300,6 +304,7 @@
             Err(_) => return Err(not_sent(&"connect timed out")),
         };
         set_socket_options(&stream);
+        limit_keepalive_probes(&stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
@@ -364,6 +369,16 @@
     }
 }
 
+/// Limits the time until the silent end of a server is noticed while a request
+/// waits for it. Not all systems apply the acknowledgement timeout to keepalive
+/// probes.
+pub(super) fn limit_keepalive_probes(stream: &TcpStream) {
+    let keepalive = TcpKeepalive::new().with_retries(SERVER_KEEPALIVE_PROBES);
+    if let Err(error) = SockRef::from(stream).set_tcp_keepalive(&keepalive) {
+        log::debug!(error:% = error; "cannot limit TCP keepalive probes");
+    }
+}
+
 /// Sets the socket options of every gateway connection: no delay of small
 /// writes, and termination if the peer acknowledges nothing, also while the
 /// connection only waits for data.
