--- a/src/control/tests.rs
+++ b/src/control/tests.rs
@@ -245,3 +245,37 @@
     );
     assert!(out.contains(&Output::Stopped));
 }
+
+/// Submits a prompt that crashes each engine that runs it; returns how many
+/// engines it crashes.
+fn crash_engines(control: &mut Control, now: Millis, request: u64) -> usize {
+    let mut crashes = 0;
+    let mut out = control.handle(now, prompt(request));
+    while let Some(call) = calls(&out).first().map(|&call| call.clone()) {
+        let verdict = Verdict::MayHaveRun;
+        let broken = AttemptEnd::Broken { verdict, offset: 0 };
+        out = control.handle(now, attempt_ended(&call, broken));
+        let Some(resumed) = calls(&out).first().map(|&call| call.clone()) else {
+            continue;
+        };
+        if matches!(resumed.start, CallStart::Resume { .. }) {
+            crashes += 1;
+            let lost = AttemptEnd::Rejected(Rejection::UnknownStream);
+            out = control.handle(now, attempt_ended(&resumed, lost));
+        }
+    }
+    crashes
+}
+
+#[test]
+fn prompts_with_a_common_beginning_that_crash_engines_are_quarantined() {
+    let mut control = control();
+    let mut crashes = 0;
+    for request in 0..30 {
+        let now = Millis::from_secs(15 * request);
+        let _ = control.handle(now, Input::Listings(vec![engine("e1"), engine("e2")]));
+        let _ = control.handle(now, Input::Tick);
+        crashes += crash_engines(&mut control, now, request);
+    }
+    assert!(crashes <= 8, "{crashes} engines crashed");
+}
