--- a/src/gateway/instances.rs
+++ b/src/gateway/instances.rs
@@ -85,7 +85,8 @@
         /// Time until the sender's next heartbeat, in ms.
         period_ms: u64,
     },
-    /// A request crashed a backend server.
+    /// A request crashed a backend server. Sent by earlier versions; replaced by
+    /// [`PeerMessage::CrashRecords`].
     Crashed {
         /// Fingerprint of the request.
         fingerprint: u64,
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -94,7 +94,8 @@
     pub closes: bool,
 }
 
-/// What a backend server states about itself in a response.
+/// What a backend server states about itself in a response; also sent between
+/// instances.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct ServerNotice {
--- a/src/gateway/tests/simulation.rs
+++ b/src/gateway/tests/simulation.rs
@@ -4,7 +4,8 @@
 //! engines run forward passes, admit requests by memory and report each event.
 //! An engine that begins to answer a prompt with the crashing part ends, breaks
 //! off all its requests and is replaced a few seconds later. Engines may name a
-//! rate limit when they begin to answer. Datagrams between cores are delivered after one millisecond.
+//! rate limit when they begin to answer. Datagrams between cores are delivered
+//! after one millisecond.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
