--- a/tests/gateway/backend.rs
+++ b/tests/gateway/backend.rs
@@ -158,7 +158,7 @@
         store.remove(&format!("servers/{ended}"));
         store.put(
             &format!("servers/{started}"),
-            entry(addr, "ready").as_bytes(),
+            entry(addr, "ready", 1).as_bytes(),
         );
     }
 }
@@ -196,14 +196,19 @@
     }
 
     pub fn entry(&self, state: &str) -> String {
-        entry(self.addr, state)
+        entry(self.addr, state, 1)
+    }
+
+    /// Returns the entry that the server writes as its `sequence`th.
+    pub fn entry_written(&self, state: &str, sequence: u64) -> String {
+        entry(self.addr, state, sequence)
     }
 }
 
-fn entry(addr: SocketAddr, state: &str) -> String {
+fn entry(addr: SocketAddr, state: &str, sequence: u64) -> String {
     serde_json::json!({
         "service": "s", "address": addr.to_string(), "zone": "a", "version": "v1",
-        "slots": 8, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1,
+        "slots": 8, "state": state, "coldRemainingMs": 0, "sequence": sequence, "born": 1,
     })
     .to_string()
 }
@@ -412,7 +417,7 @@
             }
         });
         Ok(HeldStream {
-            entry: entry(addr, "ready"),
+            entry: entry(addr, "ready", 1),
             closed,
         })
     }
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -23,7 +23,7 @@
 /// Time for which a silent connection stays so; longer than any test.
 const SILENCE: Duration = Duration::from_secs(60);
 
-/// The store: items with revisions, and watches that poll them.
+/// The store: items with revisions, leases, and watches that poll them.
 #[derive(Clone, Default)]
 pub struct Store {
     state: Arc<Mutex<Items>>,
@@ -33,13 +33,27 @@
     silenced: Arc<AtomicU64>,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Items {
+    /// How often the store has returned from an older copy.
+    era: u64,
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    last_lease: u64,
+}
+
+#[derive(Clone, Default)]
+struct Item {
+    /// `None`: removed.
+    value: Option<Vec<u8>>,
     revision: u64,
-    /// Value and revision of each key; no value: removed.
-    items: BTreeMap<String, (Option<Vec<u8>>, u64)>,
+    /// 0: none.
+    lease: u64,
 }
 
+/// The store's content at some moment.
+pub struct Copy(Items);
+
 impl Store {
     pub fn start() -> io::Result<(Store, SocketAddr)> {
         let store = Store::default();
@@ -50,7 +64,36 @@
     }
 
     pub fn put(&self, key: &str, value: &[u8]) {
-        self.change(key, Some(value.to_vec()));
+        self.change(key, Some(value.to_vec()), 0);
+    }
+
+    /// Copies the content, to return to it later.
+    pub fn copy(&self) -> Copy {
+        Copy(self.state.lock().unwrap().clone())
+    }
+
+    /// Returns to an older content: what was written since is lost, and revisions
+    /// and leases are given out again.
+    pub fn restore(&self, copy: &Copy) {
+        let mut state = self.state.lock().unwrap();
+        let era = state.era + 1;
+        *state = copy.0.clone();
+        state.era = era;
+    }
+
+    /// Goes away for a while and comes back from an older copy.
+    pub fn return_from(&self, copy: &Copy, away: Duration) {
+        self.down.store(true, Ordering::SeqCst);
+        thread::sleep(away);
+        self.restore(copy);
+        self.down.store(false, Ordering::SeqCst);
+    }
+
+    /// Returns whether an item exists.
+    pub fn holds(&self, key: &str) -> bool {
+        let state = self.state.lock().unwrap();
+        let item = state.items.get(key);
+        item.is_some_and(|item| item.value.is_some())
     }
 
     /// Lets all connections on which a watch waits go silent.
@@ -59,19 +102,24 @@
     }
 
     pub fn remove(&self, key: &str) {
-        self.change(key, None);
+        self.change(key, None, 0);
     }
 
-    fn change(&self, key: &str, value: Option<Vec<u8>>) {
+    fn change(&self, key: &str, value: Option<Vec<u8>>, lease: u64) {
         let mut state = self.state.lock().unwrap();
         state.revision += 1;
-        let revision = state.revision;
-        state.items.insert(key.to_owned(), (value, revision));
+        let item = Item {
+            value,
+            revision: state.revision,
+            lease,
+        };
+        state.items.insert(key.to_owned(), item);
     }
 
     fn answer(&self, mut request: Request) {
+        let era = self.state.lock().unwrap().era;
         if self.down.load(Ordering::SeqCst) {
-            return respond(request, 503, "{}".to_owned());
+            return respond(request, 503, era, "{}".to_owned());
         }
         let url = request.url().to_owned();
         let (path, query) = url.split_once('?').unwrap_or((&url, ""));
@@ -79,7 +127,7 @@
             .split('&')
             .filter_map(|pair| pair.split_once('='))
             .collect();
-        let text = match path.trim_start_matches("/skylarkhook/") {
+        let (era, text) = match path.trim_start_matches("/skylarkhook/") {
             "kv-range" => self.page("items", 0, query.get("prefix").copied().unwrap_or("")),
             "kv-watch" => {
                 let number = |name| query.get(name).and_then(|n| n.parse().ok()).unwrap_or(0);
@@ -92,54 +140,86 @@
                     if self.silenced.load(Ordering::SeqCst) != began {
                         thread::sleep(SILENCE);
                     }
+                    let now = self.state.lock().unwrap().era;
+                    if self.down.load(Ordering::SeqCst) || now != era {
+                        return respond(request, 503, now, "{}".to_owned());
+                    }
+                }
+                if after > self.state.lock().unwrap().revision {
+                    return respond(request, 410, era, "{}".to_owned());
                 }
                 self.page("events", after, prefix)
             }
-            "kv-lease" => r#"{"lease":1,"ttlMs":30000}"#.to_owned(),
+            "kv-lease" => {
+                let mut state = self.state.lock().unwrap();
+                state.last_lease += 1;
+                let text = format!(r#"{{"lease":{},"ttlMs":30000}}"#, state.last_lease);
+                (state.era, text)
+            }
             "kv-txn" => {
                 let mut text = String::new();
                 let _ = request.as_reader().read_to_string(&mut text);
                 let txn: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
                 for put in txn["puts"].as_array().into_iter().flatten() {
+                    let lease = put["lease"].as_u64().unwrap_or_default();
+                    if !self.has_lease(lease) {
+                        return respond(request, 404, era, "{}".to_owned());
+                    }
                     let value = STANDARD.decode(put["value"].as_str().unwrap_or_default());
-                    self.put(
+                    self.change(
                         put["key"].as_str().unwrap_or_default(),
-                        &value.unwrap_or_default(),
+                        Some(value.unwrap_or_default()),
+                        lease,
                     );
                 }
-                r#"{"revision":1}"#.to_owned()
+                let state = self.state.lock().unwrap();
+                (state.era, format!(r#"{{"revision":{}}}"#, state.revision))
+            }
+            path => {
+                let lease = path.strip_prefix("kv-keep/").and_then(|id| id.parse().ok());
+                if lease.is_some_and(|lease| !self.has_lease(lease)) {
+                    return respond(request, 404, era, "{}".to_owned());
+                }
+                (era, r#"{"ttlMs":30000}"#.to_owned())
             }
-            _ => r#"{"ttlMs":30000}"#.to_owned(),
         };
-        respond(request, 200, text);
+        respond(request, 200, era, text);
+    }
+
+    fn has_lease(&self, lease: u64) -> bool {
+        lease <= self.state.lock().unwrap().last_lease
     }
 
     fn changed(&self, prefix: &str, after: u64) -> bool {
         let state = self.state.lock().unwrap();
         let mut items = state.items.iter();
-        items.any(|(key, (_, revision))| key.starts_with(prefix) && *revision > after)
+        items.any(|(key, item)| key.starts_with(prefix) && item.revision > after)
     }
 
-    fn page(&self, name: &str, after: u64, prefix: &str) -> String {
+    /// Returns a page of items or events, and the era that it shows.
+    fn page(&self, name: &str, after: u64, prefix: &str) -> (u64, String) {
         let state = self.state.lock().unwrap();
         let mut items: Vec<_> = state
             .items
             .iter()
             .filter(|(key, _)| key.starts_with(prefix))
-            .filter(|(_, (value, revision))| *revision > after && (after > 0 || value.is_some()))
+            .filter(|(_, item)| item.revision > after && (after > 0 || item.value.is_some()))
             .collect();
-        items.sort_by_key(|(_, (_, revision))| *revision);
+        items.sort_by_key(|(_, item)| item.revision);
         let items: Vec<serde_json::Value> = items
             .into_iter()
-            .map(|(key, (value, revision))| match value {
+            .map(|(key, item)| match &item.value {
                 Some(value) => serde_json::json!({
-                    "key": key, "value": STANDARD.encode(value), "revision": revision,
-                    "created": 1, "lease": 0 }),
-                None => serde_json::json!({ "key": key, "revision": revision, "deleted": true }),
+                    "key": key, "value": STANDARD.encode(value), "revision": item.revision,
+                    "created": 1, "lease": item.lease }),
+                None => {
+                    serde_json::json!({ "key": key, "revision": item.revision, "deleted": true })
+                }
             })
             .collect();
-        serde_json::json!({ name: items, "hasMore": false, "currentRev": state.revision })
-            .to_string()
+        let page =
+            serde_json::json!({ name: items, "hasMore": false, "currentRev": state.revision });
+        (state.era, page.to_string())
     }
 }
 
@@ -159,18 +239,25 @@
     Ok(addr)
 }
 
-fn respond(request: Request, status: u16, text: String) {
+fn respond(request: Request, status: u16, era: u64, text: String) {
     let json = Header::from_bytes("Content-Type", "application/json").unwrap();
+    let era = Header::from_bytes("Store-Era", era.to_string()).unwrap();
     // A caller that has left needs no answer.
     let _ = request.respond(
         Response::from_string(text)
             .with_status_code(status)
-            .with_header(json),
+            .with_header(json)
+            .with_header(era),
     );
 }
 
-/// Returns a configuration of one service with a plain and a streaming route.
+/// Returns a configuration of one service with plain routes and a streaming one.
 pub fn configuration(version: u64, keys: &[&str]) -> String {
+    configuration_with(version, keys, &["once", "again", "stream"])
+}
+
+/// Returns a configuration with these routes.
+pub fn configuration_with(version: u64, keys: &[&str], routes: &[&str]) -> String {
     let route = |name: &str, kind: &str, resume: bool| {
         serde_json::json!({
             "name": name, "host": "h.example", "prefix": format!("/{name}/"), "routeType": kind,
@@ -178,12 +265,17 @@
             "streamResume": resume, "service": "s",
         })
     };
+    let routes: Vec<serde_json::Value> = routes
+        .iter()
+        .map(|name| match *name {
+            "once" => route(name, "non_idempotent", false),
+            "stream" => route(name, "streaming", true),
+            _ => route(name, "idempotent", false),
+        })
+        .collect();
     serde_json::json!({
         "version": version,
-        "routes": [
-            route("once", "non_idempotent", false), route("again", "idempotent", false),
-            route("stream", "streaming", true),
-        ],
+        "routes": routes,
         "services": [{ "name": "s", "healthCheck": "/health", "maxConnections": 64, "coldPerS": 0 }],
         "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000,
             "idleTimeoutMs": 15000 },
