Log the store's era and items that are dropped as older

Nothing showed that a change was dropped, nor that the store had returned from an older copy. The era of each answer is read and a rise logged; an item below the known revision is logged with both. No decision changes.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -19,6 +19,7 @@
 
 use bytes::Bytes;
 use flume::Sender;
+use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
 use http::header;
@@ -37,6 +38,7 @@
 use crate::gateway::instances::Item;
 use crate::gateway::instances::Member;
 use crate::gateway::message::Input;
+use crate::gateway::message::StoreEra;
 use crate::gateway::message::Watching;
 use crate::gateway::upstream::CallError;
 use crate::gateway::upstream::Upstream;
@@ -85,6 +87,8 @@
 
 #[derive(Debug, Default)]
 struct TrackerState {
+    /// Era that the store named last; `None` if it has named none.
+    era: Option<StoreEra>,
     /// Revision of each key's newest change, and whether the key exists.
     revisions: HashMap<String, (u64, bool)>,
     config_revision: u64,
@@ -125,6 +129,14 @@
                 .get(&change.key)
                 .map_or(0, |(revision, _)| *revision);
             if change.revision <= known {
+                if change.revision < known {
+                    log::info!(
+                        key = change.key.as_str(),
+                        revision = change.revision,
+                        known_revision = known;
+                        "store item ignored: older than the known one"
+                    );
+                }
                 continue;
             }
             let exists = change.value.is_some();
@@ -164,6 +176,28 @@
         new_changes
     }
 
+    /// Records the era that a response of the store names.
+    fn observe_era(&self, headers: &HeaderMap) {
+        let era = match store::decode_era(headers) {
+            Ok(Some(era)) => era,
+            Ok(None) => return,
+            Err(error) => {
+                log::warn!(error:% = error; "era of the store ignored: cannot be decoded");
+                return;
+            }
+        };
+        let mut state = self.state.borrow_mut();
+        let before = state.era.replace(era);
+        if let Some(before) = before.filter(|before| *before < era) {
+            log::warn!(
+                era = era.0,
+                before = before.0,
+                config_revision = state.config_revision;
+                "store returned from an older copy"
+            );
+        }
+    }
+
     /// Applies a change broadcast by another instance.
     pub fn apply_item(&self, item: Item) {
         let change = Change {
@@ -436,6 +470,7 @@
     async fn call(&self, call: &Call, limit: Duration) -> Result<Bytes, StoreError> {
         let response = call_store(&self.upstream, &self.addr, call, limit).await;
         let response = response.map_err(|error| StoreError::Call(error.to_string()))?;
+        self.revisions.observe_era(response.headers());
         match response.status() {
             StatusCode::OK => Ok(response.into_body()),
             StatusCode::GONE => Err(StoreError::Compacted),
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -289,6 +289,13 @@
     pub leak_limit: Millis,
 }
 
+/// Number of times that the store has returned from an older copy. What was
+/// written after that copy is lost, and revisions are given out again: those of
+/// different eras say nothing about which change is newer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+pub struct StoreEra(pub u64);
+
 /// A decoded change of the platform's store.
 #[derive(Debug, Clone, PartialEq)]
 pub enum StoreUpdate {
