--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,4 +7,5 @@
 mod path;
 mod platform;
 mod process;
+mod restored;
 mod soak;
--- a/tests/gateway/process.rs
+++ b/tests/gateway/process.rs
@@ -111,6 +111,11 @@
         })
     }
 
+    /// Returns the log lines so far.
+    pub fn log(&self) -> Vec<String> {
+        self.lines.lock().unwrap().clone()
+    }
+
     pub fn wait_ready(&self) {
         let until = Instant::now() + START_LIMIT;
         while Instant::now() < until {
