Order changes of the store by era and revision

What callers saw: after the store had returned from an older copy, an added route got 404 for good, and a dropped route and a revoked key stayed in use. Cause: revisions were compared across the return; those given out again are lower than the known ones, so that each change was dropped, and a watch from the old position missed what was written below it.

A position is now an era and a revision: a new era is later than all before it. A rise, heard from any answer of the store or from another instance, outdates all watch positions; loops that wait read again at once. Answers, items and digests of an era that is over are dropped and prove nothing.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -39,6 +39,7 @@
 use crate::gateway::instances::heartbeat_period;
 use crate::gateway::message::Input;
 use crate::gateway::message::Output;
+use crate::gateway::message::StorePosition;
 use crate::gateway::message::Ticket;
 use crate::gateway::message::Watching;
 use crate::gateway::rate_limits::RateLimits;
@@ -196,18 +197,24 @@
             } => self.on_probe_ended(now, &server_id, connected, &mut out),
             Input::StoreUpdates {
                 proved_at,
-                config_revision,
+                config_position,
                 entries_digest,
                 updates,
             } => {
                 self.entries_digest = entries_digest;
                 self.freshness
-                    .record_store_answer(now, proved_at, config_revision);
+                    .record_store_answer(now, proved_at, config_position);
                 self.apply_store_updates(now, updates, &mut out);
                 self.retry_waiting(now, &mut out);
             }
             Input::BroadcastItem(item) => self.broadcast(&mut out, PeerMessage::Item(item)),
             Input::StoreCallFailed => self.freshness.record_store_loss(now),
+            Input::StoreRestored(era) => {
+                self.freshness.record_restore(now, era);
+                self.count(Count::StoreRestored);
+                // Tells the other instances.
+                self.next_heartbeat = now;
+            }
             Input::Peer(message) => self.on_peer_message(now, message),
             Input::Tick => self.tick(now, &mut out),
             Input::Drain => {
@@ -260,6 +267,7 @@
             store_answers: self.freshness.is_store_answering(),
             entries_digest: watch_closely.then_some(self.entries_digest),
             period_ms: period.0,
+            store_era: self.freshness.era(),
         };
         self.broadcast(out, message);
         if self.draining || !self.links.lost_services().is_empty() {
@@ -357,6 +365,7 @@
                 proof_age_ms,
                 store_answers,
                 period_ms,
+                store_era,
                 // Compared by `RevisionTracker`.
                 entries_digest: _,
             } => {
@@ -371,8 +380,12 @@
                 {
                     log::info!(instance = member.name.as_str(), addr = member.addr.as_str(); "instance heard");
                 }
+                let config_position = StorePosition {
+                    era: store_era,
+                    revision: config_revision,
+                };
                 self.freshness
-                    .record_peer_proof(now, config_revision, Millis(proof_age_ms));
+                    .record_peer_proof(now, config_position, Millis(proof_age_ms));
             }
             PeerMessage::Crashed {
                 fingerprint,
--- a/src/gateway/core/freshness.rs
+++ b/src/gateway/core/freshness.rs
@@ -8,6 +8,8 @@
 //! suspended.
 
 use crate::clock::Millis;
+use crate::gateway::message::StoreEra;
+use crate::gateway::message::StorePosition;
 use crate::gateway::settings::Bounds;
 
 /// Reserve kept within the time limit for revoking keys, for queueing,
@@ -27,9 +29,11 @@
     max_age_for_absence: Millis,
     /// When the query that gave the newest proof was sent.
     proved_at: Option<Millis>,
-    config_revision: u64,
+    /// Newest known era of the store.
+    era: StoreEra,
+    config_position: StorePosition,
     /// Newest operator change that another instance reported.
-    peer_revision: u64,
+    peer_position: StorePosition,
     /// When the store became unreachable; `None` while it answers.
     lost_at: Option<Millis>,
     /// When the store last became reachable again.
@@ -44,22 +48,30 @@
             max_age_for_keys: bounds.key_revoke_limit - REVOKE_MARGIN,
             max_age_for_absence: bounds.config_apply_limit,
             proved_at: None,
-            config_revision: 0,
-            peer_revision: 0,
+            era: StoreEra::default(),
+            config_position: StorePosition::default(),
+            peer_position: StorePosition::default(),
             lost_at: None,
             regained_at: None,
         }
     }
 
-    /// Records the revision of the applied updates, and the proof if there is
+    /// Records that the store has returned from an older copy. Entries that were
+    /// written after the copy are missing until they are written again.
+    pub fn record_restore(&mut self, now: Millis, era: StoreEra) {
+        self.era = era;
+        self.regained_at = Some(now);
+    }
+
+    /// Records the position of the applied updates, and the proof if there is
     /// one: only reads of the operators' keys give one.
     pub fn record_store_answer(
         &mut self,
         now: Millis,
         proved_at: Option<Millis>,
-        config_revision: u64,
+        config_position: StorePosition,
     ) {
-        self.config_revision = self.config_revision.max(config_revision);
+        self.config_position = self.config_position.max(config_position);
         if proved_at.is_none() {
             return;
         }
@@ -79,9 +91,9 @@
     }
 
     /// Applies the proof of another instance.
-    pub fn record_peer_proof(&mut self, now: Millis, config_revision: u64, age: Millis) {
-        self.peer_revision = self.peer_revision.max(config_revision);
-        if config_revision > self.config_revision || self.proved_at.is_none() {
+    pub fn record_peer_proof(&mut self, now: Millis, config_position: StorePosition, age: Millis) {
+        self.peer_position = self.peer_position.max(config_position);
+        if config_position > self.config_position || self.proved_at.is_none() {
             return;
         }
         let total = age + MAX_HEARTBEAT_DELAY;
@@ -90,10 +102,20 @@
         }
     }
 
-    /// Returns the revision of the newest operator change known here.
+    /// Returns the newest known era of the store.
+    #[must_use]
+    pub fn era(&self) -> StoreEra {
+        self.era
+    }
+
+    /// Returns the revision of the newest operator change known here; 0 if none of
+    /// the store's era is known.
     #[must_use]
     pub fn config_revision(&self) -> u64 {
-        self.config_revision
+        match self.config_position.era == self.era {
+            true => self.config_position.revision,
+            false => 0,
+        }
     }
 
     /// Returns whether the latest query of the store was answered.
@@ -105,7 +127,7 @@
     /// Returns whether another instance knows a newer operator change.
     #[must_use]
     pub fn is_behind(&self) -> bool {
-        self.peer_revision > self.config_revision
+        self.peer_position > self.config_position
     }
 
     /// Returns the age of the newest proof.
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -8,8 +8,10 @@
 //! occasionally. So the load on the store grows little with the number of
 //! instances.
 //!
-//! [`RevisionTracker`] keeps the newest revision of each key, whether it came
-//! from the store or from another instance, and drops older changes.
+//! [`RevisionTracker`] keeps the newest position of each key, whether it came
+//! from the store or from another instance, and drops older changes. A position
+//! names the store's era: when the store returns from an older copy it gives
+//! revisions out again. All that was read before is then read again.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -39,6 +41,7 @@
 use crate::gateway::instances::Member;
 use crate::gateway::message::Input;
 use crate::gateway::message::StoreEra;
+use crate::gateway::message::StorePosition;
 use crate::gateway::message::Watching;
 use crate::gateway::upstream::CallError;
 use crate::gateway::upstream::Upstream;
@@ -81,17 +84,17 @@
 #[derive(Debug, Clone)]
 pub struct RevisionTracker {
     state: Rc<RefCell<TrackerState>>,
+    /// Newest known era of the store.
+    era: Rc<watch::Sender<StoreEra>>,
     inputs: Sender<Input>,
     digest_mismatch: Rc<Notify>,
 }
 
 #[derive(Debug, Default)]
 struct TrackerState {
-    /// Era that the store named last; `None` if it has named none.
-    era: Option<StoreEra>,
-    /// Revision of each key's newest change, and whether the key exists.
-    revisions: HashMap<String, (u64, bool)>,
-    config_revision: u64,
+    /// Position of each key's newest change, and whether the key exists.
+    keys: HashMap<String, (StorePosition, bool)>,
+    config_position: StorePosition,
     /// Digest of the existing backend server entries and their revisions.
     entries_digest: u64,
     /// Consecutive heartbeats with a different digest.
@@ -111,29 +114,48 @@
     pub fn new(inputs: Sender<Input>) -> RevisionTracker {
         RevisionTracker {
             state: Rc::default(),
+            era: Rc::new(watch::Sender::default()),
             inputs,
             digest_mismatch: Rc::default(),
         }
     }
 
-    /// Applies changes and forwards those that are new to the core. `proved_at`
-    /// is the time of the store query if the changes prove that the operators'
-    /// configuration is known as of then. Returns the new changes.
-    pub fn apply(&self, changes: Vec<Change>, proved_at: Option<Millis>) -> Vec<Change> {
+    /// Applies changes that the store or another instance showed in `era`, and
+    /// forwards those that are new to the core. `proved_at` is the time of the
+    /// store query if the changes prove that the operators' configuration is known
+    /// as of then. Returns the new changes; none if the era is over.
+    pub fn apply(
+        &self,
+        era: StoreEra,
+        changes: Vec<Change>,
+        proved_at: Option<Millis>,
+    ) -> Vec<Change> {
         let mut updates = Vec::new();
         let mut new_changes = Vec::new();
+        if era < self.era() {
+            log::info!(
+                era:% = era,
+                known_era:% = self.era(),
+                items = changes.len();
+                "store items ignored: of an era before the store returned from an older copy"
+            );
+            return new_changes;
+        }
         let mut state = self.state.borrow_mut();
         for change in changes {
-            let known = state
-                .revisions
-                .get(&change.key)
-                .map_or(0, |(revision, _)| *revision);
-            if change.revision <= known {
-                if change.revision < known {
+            let position = StorePosition {
+                era,
+                revision: change.revision,
+            };
+            let known = state.keys.get(&change.key).copied();
+            let known_position = known.map_or(StorePosition::default(), |(position, _)| position);
+            if position <= known_position {
+                if position < known_position {
                     log::info!(
                         key = change.key.as_str(),
-                        revision = change.revision,
-                        known_revision = known;
+                        revision = position.revision,
+                        known_revision = known_position.revision,
+                        era:% = era;
                         "store item ignored: older than the known one"
                     );
                 }
@@ -141,18 +163,16 @@
             }
             let exists = change.value.is_some();
             if Part::Servers.contains(&change.key) {
-                if let Some(&(previous, true)) = state.revisions.get(&change.key) {
-                    state.entries_digest ^= digest(&change.key, previous);
+                if let Some((previous, true)) = known {
+                    state.entries_digest ^= digest(&change.key, previous.revision);
                 }
                 if exists {
                     state.entries_digest ^= digest(&change.key, change.revision);
                 }
             }
-            state
-                .revisions
-                .insert(change.key.clone(), (change.revision, exists));
+            state.keys.insert(change.key.clone(), (position, exists));
             if Part::Operators.contains(&change.key) {
-                state.config_revision = state.config_revision.max(change.revision);
+                state.config_position = state.config_position.max(position);
             }
             match store::decode_change(&change) {
                 Ok(Some(update)) => updates.push(update),
@@ -166,7 +186,7 @@
         if !updates.is_empty() || proved_at.is_some() {
             let input = Input::StoreUpdates {
                 proved_at,
-                config_revision: state.config_revision,
+                config_position: state.config_position,
                 entries_digest: state.entries_digest,
                 updates,
             };
@@ -176,36 +196,61 @@
         new_changes
     }
 
-    /// Records the era that a response of the store names.
-    fn observe_era(&self, headers: &HeaderMap) {
-        let era = match store::decode_era(headers) {
-            Ok(Some(era)) => era,
-            Ok(None) => return,
-            Err(error) => {
-                log::warn!(error:% = error; "era of the store ignored: cannot be decoded");
-                return;
+    /// Returns the newest known era of the store.
+    fn era(&self) -> StoreEra {
+        *self.era.borrow()
+    }
+
+    /// Returns the era that a response of the store names. If it is a new one, all
+    /// positions are outdated: whoever waits for the store reads again.
+    fn observe_era(&self, headers: &HeaderMap) -> Result<StoreEra, StoreError> {
+        let known = self.era();
+        let named = store::decode_era(headers).map_err(|error| call_error(&error))?;
+        match named {
+            // A store without eras never returns from a copy.
+            None if known == StoreEra::default() => Ok(known),
+            None => Err(call_error(&"the response names no era")),
+            Some(era) if era < known => Err(call_error(&format!(
+                "the response is of era {era}, and the store is in era {known}"
+            ))),
+            Some(era) => {
+                self.record_era(era, "the store");
+                Ok(era)
             }
-        };
-        let mut state = self.state.borrow_mut();
-        let before = state.era.replace(era);
-        if let Some(before) = before.filter(|before| *before < era) {
-            log::warn!(
-                era = era.0,
-                before = before.0,
-                config_revision = state.config_revision;
-                "store returned from an older copy"
-            );
         }
     }
 
+    /// Records the era that another instance knows.
+    pub fn observe_peer_era(&self, era: StoreEra) {
+        self.record_era(era, "another instance");
+    }
+
+    fn record_era(&self, era: StoreEra, reported_by: &str) {
+        let before = self.era();
+        if era <= before {
+            return;
+        }
+        self.era.send_replace(era);
+        log::warn!(
+            era:% = era,
+            before:% = before,
+            config_revision = self.state.borrow().config_position.revision,
+            reported_by = reported_by;
+            "store returned from an older copy"
+        );
+        // Sending fails only during process exit.
+        let _ = self.inputs.send(Input::StoreRestored(era));
+    }
+
     /// Applies a change broadcast by another instance.
     pub fn apply_item(&self, item: Item) {
+        self.observe_peer_era(item.era);
         let change = Change {
             key: item.key,
             revision: item.revision,
             value: item.value.map(Bytes::from),
         };
-        self.apply(vec![change], None);
+        self.apply(item.era, vec![change], None);
     }
 
     /// Returns the digest of the backend servers' entries.
@@ -217,8 +262,12 @@
     /// Compares the digest of the backend servers' entries with that of an
     /// instance that watches them. If they differ for longer than a broadcast
     /// may be in transit, a message was lost and a new read is triggered;
-    /// returns whether this call triggered it.
-    pub fn compare_digest(&self, other_digest: u64) -> bool {
+    /// returns whether this call triggered it. Digests of another era are not
+    /// compared.
+    pub fn compare_digest(&self, era: StoreEra, other_digest: u64) -> bool {
+        if era != self.era() {
+            return false;
+        }
         let mut state = self.state.borrow_mut();
         if state.entries_digest == other_digest {
             state.mismatches = 0;
@@ -241,19 +290,28 @@
     }
 
     /// Returns removals for the known keys of a part that are missing from a
-    /// read as of `revision`.
-    fn missing_removals(&self, part: Part, listed: &[Change], revision: u64) -> Vec<Change> {
+    /// read as of `read_at`. A key of an earlier era gets revision 0, as it is not
+    /// known when it was removed: any later change of it counts as newer.
+    fn missing_removals(
+        &self,
+        part: Part,
+        listed: &[Change],
+        read_at: StorePosition,
+    ) -> Vec<Change> {
         let listed: HashSet<&str> = listed.iter().map(|change| change.key.as_str()).collect();
         let state = self.state.borrow();
         state
-            .revisions
+            .keys
             .iter()
             .filter(|(key, (known, exists))| {
-                *exists && *known < revision && part.contains(key) && !listed.contains(key.as_str())
+                *exists && *known < read_at && part.contains(key) && !listed.contains(key.as_str())
             })
-            .map(|(key, _)| Change {
+            .map(|(key, (known, _))| Change {
                 key: key.clone(),
-                revision,
+                revision: match known.era == read_at.era {
+                    true => read_at.revision,
+                    false => 0,
+                },
                 value: None,
             })
             .collect()
@@ -275,9 +333,16 @@
 enum StoreError {
     /// The store no longer has the history that a watch needs.
     Compacted,
+    /// The store has returned from an older copy since the position to continue
+    /// from was read.
+    Restored,
     Call(String),
 }
 
+fn call_error(cause: &impl ToString) -> StoreError {
+    StoreError::Call(cause.to_string())
+}
+
 impl StoreWatcher {
     /// Returns a watcher that has not read anything yet.
     #[must_use]
@@ -301,77 +366,93 @@
 
     /// Watches the operators' keys until the process ends.
     pub async fn watch_operator_keys(mut self) {
-        let mut revision = None;
+        let mut position = None;
         let mut backoff = MIN_BACKOFF;
+        let mut era = self.revisions.era.subscribe();
         loop {
             let watching = *self.watching.borrow_and_update();
+            let position_before = position_in(position, *era.borrow_and_update());
             let watcher = self.clone();
-            let result = match (revision, watching) {
-                (None, _) => watcher.read(Part::Operators, false).await,
-                // After a failure, a short wait detects soon that the store has
-                // recovered.
-                (Some(after), _) if watching == Watching::Closely || backoff > MIN_BACKOFF => {
-                    watcher
-                        .watch(Part::Operators, after, CLOSE_WATCH_WAIT)
-                        .await
+            let call = async {
+                match (position_before, watching) {
+                    (None, _) => watcher.read(Part::Operators, false).await,
+                    // After a failure, a short wait detects soon that the store has
+                    // recovered.
+                    (Some(after), _) if watching == Watching::Closely || backoff > MIN_BACKOFF => {
+                        watcher
+                            .watch(Part::Operators, after, CLOSE_WATCH_WAIT)
+                            .await
+                    }
+                    (Some(after), _) => tokio::select! {
+                        result = watcher.watch(Part::Operators, after, LOOSE_WATCH_WAIT) => result,
+                        _ = self.watching.changed() => Ok(after),
+                    },
                 }
-                (Some(after), _) => tokio::select! {
-                    result = watcher.watch(Part::Operators, after, LOOSE_WATCH_WAIT) => result,
-                    _ = self.watching.changed() => Ok(after),
-                },
             };
-            revision = self.next_revision(result, revision, &mut backoff).await;
+            let result = until_restored(call, position_before, &mut era).await;
+            position = self
+                .next_position(result, position_before, &mut backoff)
+                .await;
         }
     }
 
     /// Watches the servers' entries, or regularly reads those of servers and
     /// instances, until the process ends.
     pub async fn watch_entries(mut self) {
-        let mut revision = None;
+        let mut position = None;
         let mut backoff = MIN_BACKOFF;
         let mut repaired_at = Millis::ZERO;
+        let mut era = self.revisions.era.subscribe();
         loop {
             let watching = *self.watching.borrow_and_update();
+            let position_before = position_in(position, *era.borrow_and_update());
             let watcher = self.clone();
-            let result = match (revision, watching) {
-                (None, _) => watcher.read_entries(false).await,
-                (Some(after), Watching::Closely) => {
-                    watcher.watch(Part::Servers, after, CLOSE_WATCH_WAIT).await
-                }
-                (Some(_), Watching::Loosely) => tokio::select! {
-                    () = sleep(REREAD_INTERVAL) => watcher.read_entries(true).await,
-                    // The instance now watches closely: start from the current
-                    // state.
-                    _ = self.watching.changed() => watcher.read(Part::Servers, false).await,
-                    () = watcher.revisions.digest_mismatch.notified() => {
-                        let since = self.clock.now().since(repaired_at);
-                        sleep((MIN_REPAIR_INTERVAL - since.min(MIN_REPAIR_INTERVAL)).as_duration()).await;
-                        repaired_at = self.clock.now();
-                        watcher.revisions.reset_mismatches();
-                        watcher.read(Part::Servers, false).await
+            let call = async {
+                match (position_before, watching) {
+                    (None, _) => watcher.read_entries(false).await,
+                    (Some(after), Watching::Closely) => {
+                        watcher.watch(Part::Servers, after, CLOSE_WATCH_WAIT).await
                     }
-                },
+                    (Some(_), Watching::Loosely) => tokio::select! {
+                        () = sleep(REREAD_INTERVAL) => watcher.read_entries(true).await,
+                        // The instance now watches closely: start from the current
+                        // state.
+                        _ = self.watching.changed() => watcher.read(Part::Servers, false).await,
+                        () = watcher.revisions.digest_mismatch.notified() => {
+                            let since = self.clock.now().since(repaired_at);
+                            sleep((MIN_REPAIR_INTERVAL - since.min(MIN_REPAIR_INTERVAL)).as_duration()).await;
+                            repaired_at = self.clock.now();
+                            watcher.revisions.reset_mismatches();
+                            watcher.read(Part::Servers, false).await
+                        }
+                    },
+                }
             };
-            revision = self.next_revision(result, revision, &mut backoff).await;
+            let result = until_restored(call, position_before, &mut era).await;
+            position = self
+                .next_position(result, position_before, &mut backoff)
+                .await;
         }
     }
 
-    /// Returns the revision to continue from, after a delay if the call failed.
-    async fn next_revision(
+    /// Returns the position to continue from, after a delay if the call failed.
+    async fn next_position(
         &self,
-        result: Result<u64, StoreError>,
-        previous: Option<u64>,
+        result: Result<StorePosition, StoreError>,
+        previous: Option<StorePosition>,
         backoff: &mut Duration,
-    ) -> Option<u64> {
+    ) -> Option<StorePosition> {
         match result {
             Ok(next) => {
                 *backoff = MIN_BACKOFF;
                 Some(next)
             }
             Err(StoreError::Compacted) => {
-                log::warn!(revision = previous.unwrap_or_default(); "store dropped its history; its items are read again");
+                log::warn!(revision = previous.unwrap_or_default().revision; "store dropped its history; its items are read again");
                 None
             }
+            // Its rise was logged.
+            Err(StoreError::Restored) => None,
             Err(StoreError::Call(cause)) => {
                 log::warn!(cause = cause.as_str(), pause_ms = backoff.as_millis() as u64; "store call failed");
                 // Sending fails only during process exit.
@@ -398,57 +479,77 @@
         }
     }
 
-    async fn read_entries(&self, allow_stale: bool) -> Result<u64, StoreError> {
-        let revision = self.read(Part::Servers, allow_stale).await?;
+    async fn read_entries(&self, allow_stale: bool) -> Result<StorePosition, StoreError> {
+        let position = self.read(Part::Servers, allow_stale).await?;
         self.read(Part::Instances, true).await?;
-        Ok(revision)
+        Ok(position)
     }
 
-    /// Reads a part completely; returns the revision from which it can be
+    /// Reads a part completely; returns the position from which it can be
     /// watched. A stale read may return a state that is seconds old.
-    async fn read(&self, part: Part, allow_stale: bool) -> Result<u64, StoreError> {
+    async fn read(&self, part: Part, allow_stale: bool) -> Result<StorePosition, StoreError> {
         let queried_at = self.clock.now();
         let mut changes = Vec::new();
-        let mut first_revision = None;
+        let mut first_position = None;
         let mut after: Option<String> = None;
         loop {
             let call = store::range(part, after.as_deref(), allow_stale);
-            let page = decode(&self.call(&call, CALL_TIMEOUT).await?)?;
+            let (era, body) = self.call(&call, CALL_TIMEOUT).await?;
+            let page = decode(&body)?;
             // Pages are not a consistent snapshot: changes made between them
             // are delivered by the watch.
-            let revision = *first_revision.get_or_insert(page.revision);
+            let position = *first_position.get_or_insert(StorePosition {
+                era,
+                revision: page.revision,
+            });
+            if era != position.era {
+                return Err(StoreError::Restored);
+            }
             after = page.changes.last().map(|change| change.key.clone());
             changes.extend(page.changes);
             if page.more && after.is_some() {
                 continue;
             }
-            changes.extend(self.revisions.missing_removals(part, &changes, revision));
+            changes.extend(self.revisions.missing_removals(part, &changes, position));
             let new_changes = self
                 .revisions
-                .apply(changes, freshness_proof(part, queried_at));
+                .apply(era, changes, freshness_proof(part, queried_at));
             if part == Part::Servers && *self.watching.borrow() == Watching::Closely {
-                self.broadcast(new_changes);
+                self.broadcast(era, new_changes);
             }
-            return Ok(revision);
+            return Ok(position);
         }
     }
 
-    async fn watch(&self, part: Part, after: u64, wait: Millis) -> Result<u64, StoreError> {
+    async fn watch(
+        &self,
+        part: Part,
+        after: StorePosition,
+        wait: Millis,
+    ) -> Result<StorePosition, StoreError> {
         let queried_at = self.clock.now();
         let limit = CALL_TIMEOUT + wait.as_duration();
-        let page = decode(&self.call(&store::watch(part, after, wait), limit).await?)?;
-        let new_changes = self
-            .revisions
-            .apply(page.changes, freshness_proof(part, queried_at));
+        let call = store::watch(part, after.revision, wait);
+        let (era, body) = self.call(&call, limit).await?;
+        if era != after.era {
+            return Err(StoreError::Restored);
+        }
+        let page = decode(&body)?;
+        let new_changes =
+            self.revisions
+                .apply(era, page.changes, freshness_proof(part, queried_at));
         if part == Part::Servers {
-            self.broadcast(new_changes);
+            self.broadcast(era, new_changes);
         }
-        Ok(page.revision.max(after))
+        Ok(StorePosition {
+            era,
+            revision: page.revision.max(after.revision),
+        })
     }
 
     /// Broadcasts changes to all other instances, except those too large for a
     /// datagram.
-    fn broadcast(&self, changes: Vec<Change>) {
+    fn broadcast(&self, era: StoreEra, changes: Vec<Change>) {
         for change in changes {
             if change
                 .value
@@ -461,18 +562,20 @@
                 key: change.key,
                 revision: change.revision,
                 value: change.value.map(|value| value.to_vec()),
+                era,
             };
             // Sending fails only during process exit.
             let _ = self.inputs.send(Input::BroadcastItem(item));
         }
     }
 
-    async fn call(&self, call: &Call, limit: Duration) -> Result<Bytes, StoreError> {
+    /// Makes a call; returns the era and the body of the response.
+    async fn call(&self, call: &Call, limit: Duration) -> Result<(StoreEra, Bytes), StoreError> {
         let response = call_store(&self.upstream, &self.addr, call, limit).await;
-        let response = response.map_err(|error| StoreError::Call(error.to_string()))?;
-        self.revisions.observe_era(response.headers());
+        let response = response.map_err(|error| call_error(&error))?;
+        let era = self.revisions.observe_era(response.headers())?;
         match response.status() {
-            StatusCode::OK => Ok(response.into_body()),
+            StatusCode::OK => Ok((era, response.into_body())),
             StatusCode::GONE => Err(StoreError::Compacted),
             status => Err(StoreError::Call(format!("status {status}"))),
         }
@@ -558,5 +661,27 @@
 }
 
 fn decode(bytes: &[u8]) -> Result<store::Page, StoreError> {
-    store::decode_page(bytes).map_err(|error| StoreError::Call(error.to_string()))
+    store::decode_page(bytes).map_err(|error| call_error(&error))
+}
+
+/// Returns a position if it is of this era: one of another era says nothing about
+/// where to continue.
+fn position_in(position: Option<StorePosition>, era: StoreEra) -> Option<StorePosition> {
+    position.filter(|position| position.era == era)
+}
+
+/// Awaits a call that continues from `position`, until the store is known to have
+/// returned from an older copy. A read needs no position and is not ended.
+async fn until_restored(
+    call: impl Future<Output = Result<StorePosition, StoreError>>,
+    position: Option<StorePosition>,
+    era: &mut watch::Receiver<StoreEra>,
+) -> Result<StorePosition, StoreError> {
+    if position.is_none() {
+        return call.await;
+    }
+    tokio::select! {
+        result = call => result,
+        _ = era.changed() => Err(StoreError::Restored),
+    }
 }
--- a/src/gateway/instances.rs
+++ b/src/gateway/instances.rs
@@ -18,6 +18,7 @@
 use crate::clock::Millis;
 use crate::gateway::message::PromptPart;
 use crate::gateway::message::ServerNotice;
+use crate::gateway::message::StoreEra;
 
 /// Heartbeat period of an instance that watches the store closely, and the
 /// minimum for all instances. A heartbeat reports liveness and the age of the
@@ -89,6 +90,9 @@
         entries_digest: Option<u64>,
         /// Time until the sender's next heartbeat, in ms.
         period_ms: u64,
+        /// Newest era of the store that the sender knows; that of
+        /// `config_revision` and `entries_digest`.
+        store_era: StoreEra,
     },
     /// A request crashed a backend server. Sent by earlier versions; replaced by
     /// [`PeerMessage::CrashRecords`].
@@ -179,6 +183,8 @@
     pub revision: u64,
     /// Value; `None` if the item was removed.
     pub value: Option<Vec<u8>>,
+    /// Era of the revision.
+    pub era: StoreEra,
 }
 
 /// A placement, as broadcast to all instances.
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -296,6 +296,22 @@
 #[derive(Serialize, Deserialize)]
 pub struct StoreEra(pub u64);
 
+impl fmt::Display for StoreEra {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// A point in the store's history. Every point of an era is later than all of the
+/// eras before.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StorePosition {
+    /// Era.
+    pub era: StoreEra,
+    /// Revision within the era.
+    pub revision: u64,
+}
+
 /// A decoded change of the platform's store.
 #[derive(Debug, Clone, PartialEq)]
 pub enum StoreUpdate {
@@ -365,8 +381,8 @@
         /// When the store was queried, if its response proves that the
         /// operators' configuration is known as of then.
         proved_at: Option<Millis>,
-        /// Revision of the newest known change by operators.
-        config_revision: u64,
+        /// Position of the newest known change by operators.
+        config_position: StorePosition,
         /// Digest of the backend servers' entries.
         entries_digest: u64,
         /// The changes.
@@ -376,6 +392,8 @@
     BroadcastItem(Item),
     /// A call to the store failed.
     StoreCallFailed,
+    /// The store has returned from an older copy and is now in this era.
+    StoreRestored(StoreEra),
     /// A message from another instance.
     Peer(PeerMessage),
     /// Periodic timer.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -86,11 +86,15 @@
                 Ok((PeerMessage::Item(item), _)) => revisions.apply_item(item),
                 Ok((message, _)) => {
                     if let PeerMessage::Alive {
-                        entries_digest: Some(digest),
+                        store_era,
+                        entries_digest,
                         ..
                     } = message
                     {
-                        revisions.compare_digest(digest);
+                        revisions.observe_peer_era(store_era);
+                        if let Some(digest) = entries_digest {
+                            revisions.compare_digest(store_era, digest);
+                        }
                     }
                     // Sending fails only during process exit.
                     let _ = deferred_inputs.send(Input::Peer(message));
--- a/src/gateway/tests/core.rs
+++ b/src/gateway/tests/core.rs
@@ -19,6 +19,8 @@
 use crate::gateway::message::PromptShape;
 use crate::gateway::message::RequestHead;
 use crate::gateway::message::ServerNotice;
+use crate::gateway::message::StoreEra;
+use crate::gateway::message::StorePosition;
 use crate::gateway::message::StoreUpdate;
 use crate::gateway::message::Submission;
 use crate::gateway::message::Ticket;
@@ -127,6 +129,14 @@
 }
 
 /// Returns a core that may make one retry and earns none.
+/// Returns a position in the first era.
+pub(super) fn position(revision: u64) -> StorePosition {
+    StorePosition {
+        era: StoreEra::default(),
+        revision,
+    }
+}
+
 fn core_with_one_retry() -> Core {
     core_with_bounds(Bounds {
         retry_ratio: 0.0,
@@ -192,6 +202,7 @@
             store_answers: true,
             entries_digest: None,
             period_ms: 2_000,
+            store_era: StoreEra::default(),
         }));
     }
 
@@ -214,7 +225,7 @@
     pub(super) fn apply_store_updates(&mut self, updates: Vec<StoreUpdate>) {
         let input = Input::StoreUpdates {
             proved_at: Some(Millis(self.now)),
-            config_revision: 5,
+            config_position: position(5),
             entries_digest: 0,
             updates,
         };
@@ -349,6 +360,7 @@
             store_answers: true,
             entries_digest: None,
             period_ms: 500,
+            store_era: StoreEra::default(),
         })
     };
     // The peer knows a newer operator change than this instance.
@@ -371,10 +383,11 @@
         store_answers: true,
         entries_digest: None,
         period_ms: 500,
+        store_era: StoreEra::default(),
     }));
     let _ = harness.handle(Input::StoreUpdates {
         proved_at: None,
-        config_revision: 5,
+        config_position: position(5),
         entries_digest: 77,
         updates: Vec::new(),
     });
@@ -404,6 +417,7 @@
             store_answers,
             entries_digest: None,
             period_ms: 500,
+            store_era: StoreEra::default(),
         })
     };
     let watching_after_store_loss = |store_answers: bool| {
@@ -789,6 +803,7 @@
         store_answers: true,
         entries_digest: None,
         period_ms: 500,
+        store_era: StoreEra::default(),
     }));
     let mut announce = |rate_limit, advance: u64| {
         harness.now += advance;
--- a/src/gateway/tests/feed.rs
+++ b/src/gateway/tests/feed.rs
@@ -1,9 +1,13 @@
-//! Detection of lost messages about backend server entries by their digest.
+//! Order of the store's changes, also after it returned from an older copy, and
+//! detection of lost messages by the digest of backend server entries.
 
 use bytes::Bytes;
 
 use crate::adapter::store::Change;
+use crate::clock::Millis;
 use crate::gateway::feed::RevisionTracker;
+use crate::gateway::message::Input;
+use crate::gateway::message::StoreEra;
 
 fn change(key: &str, revision: u64, exists: bool) -> Change {
     Change {
@@ -19,29 +23,118 @@
     let watcher = RevisionTracker::new(tx.clone());
     let other = RevisionTracker::new(tx);
     let listed = || vec![change("servers/a", 3, true), change("servers/b", 4, true)];
-    watcher.apply(listed(), None);
-    other.apply(listed(), None);
-    assert!((0..9).all(|_| !other.compare_digest(watcher.entries_digest())));
+    watcher.apply(StoreEra::default(), listed(), None);
+    other.apply(StoreEra::default(), listed(), None);
+    assert!((0..9).all(|_| !other.compare_digest(StoreEra::default(), watcher.entries_digest())));
     // The broadcast of the removal is lost.
-    watcher.apply(vec![change("servers/a", 9, false)], None);
-    let detected = (1..).find(|_| other.compare_digest(watcher.entries_digest()));
+    watcher.apply(
+        StoreEra::default(),
+        vec![change("servers/a", 9, false)],
+        None,
+    );
+    let detected =
+        (1..).find(|_| other.compare_digest(StoreEra::default(), watcher.entries_digest()));
     // A single watcher sends a heartbeat twice a second, and a draining server
     // must receive no more requests two seconds after it starts to drain;
     // reading the entries again takes part of that time.
     assert!(detected.is_some_and(|heartbeats| heartbeats <= 2));
-    other.apply(vec![change("servers/a", 9, false)], None);
-    assert!(!other.compare_digest(watcher.entries_digest()));
+    other.apply(
+        StoreEra::default(),
+        vec![change("servers/a", 9, false)],
+        None,
+    );
+    assert!(!other.compare_digest(StoreEra::default(), watcher.entries_digest()));
 }
 
 #[test]
 fn the_digest_does_not_depend_on_the_order_of_changes() {
     let (tx, _rx) = flume::unbounded();
     let (one, two) = (RevisionTracker::new(tx.clone()), RevisionTracker::new(tx));
-    one.apply(vec![change("servers/a", 3, true)], None);
-    one.apply(vec![change("servers/a", 8, true)], None);
-    one.apply(vec![change("servers/b", 5, true)], None);
-    two.apply(vec![change("servers/b", 5, true)], None);
-    two.apply(vec![change("servers/a", 8, true)], None);
-    two.apply(vec![change("servers/a", 3, true)], None);
+    one.apply(
+        StoreEra::default(),
+        vec![change("servers/a", 3, true)],
+        None,
+    );
+    one.apply(
+        StoreEra::default(),
+        vec![change("servers/a", 8, true)],
+        None,
+    );
+    one.apply(
+        StoreEra::default(),
+        vec![change("servers/b", 5, true)],
+        None,
+    );
+    two.apply(
+        StoreEra::default(),
+        vec![change("servers/b", 5, true)],
+        None,
+    );
+    two.apply(
+        StoreEra::default(),
+        vec![change("servers/a", 8, true)],
+        None,
+    );
+    two.apply(
+        StoreEra::default(),
+        vec![change("servers/a", 3, true)],
+        None,
+    );
     assert_eq!(one.entries_digest(), two.entries_digest());
 }
+
+/// Returns the keys of the changes that are new.
+fn new_keys(tracker: &RevisionTracker, era: u64, changes: Vec<Change>) -> Vec<String> {
+    let new_changes = tracker.apply(StoreEra(era), changes, None);
+    new_changes.into_iter().map(|change| change.key).collect()
+}
+
+#[test]
+fn changes_after_the_store_returned_from_an_older_copy_are_new_at_lower_revisions() {
+    let (tx, rx) = flume::unbounded();
+    let tracker = RevisionTracker::new(tx);
+    tracker.apply(StoreEra(1), vec![change("servers/a", 30, true)], None);
+    tracker.observe_peer_era(StoreEra(2));
+    assert!(matches!(
+        rx.try_iter().last(),
+        Some(Input::StoreRestored(StoreEra(2)))
+    ));
+    let changes = || {
+        vec![
+            change("servers/a", 12, false),
+            change("servers/b", 12, true),
+        ]
+    };
+    assert_eq!(new_keys(&tracker, 2, changes()), ["servers/a", "servers/b"]);
+    assert!(new_keys(&tracker, 2, changes()).is_empty());
+    // Twice in a row.
+    tracker.observe_peer_era(StoreEra(3));
+    assert_eq!(
+        new_keys(&tracker, 3, vec![change("servers/a", 7, true)]),
+        ["servers/a"]
+    );
+}
+
+#[test]
+fn answers_from_before_the_store_returned_from_an_older_copy_prove_nothing() {
+    let (tx, rx) = flume::unbounded();
+    let tracker = RevisionTracker::new(tx);
+    tracker.observe_peer_era(StoreEra(2));
+    assert_eq!(rx.drain().count(), 1);
+    let changes = vec![change("servers/a", 90, true)];
+    assert!(
+        tracker
+            .apply(StoreEra(1), changes, Some(Millis(5)))
+            .is_empty()
+    );
+    assert!(rx.try_recv().is_err());
+}
+
+#[test]
+fn digests_of_different_eras_are_not_compared() {
+    let (tx, _rx) = flume::unbounded();
+    let tracker = RevisionTracker::new(tx);
+    tracker.observe_peer_era(StoreEra(2));
+    assert!((0..9).all(|_| !tracker.compare_digest(StoreEra(1), 77)));
+    assert!((0..9).any(|_| tracker.compare_digest(StoreEra(2), 77)));
+}
--- a/src/gateway/tests/simulation.rs
+++ b/src/gateway/tests/simulation.rs
@@ -371,7 +371,7 @@
         for index in 0..cores {
             let input = Input::StoreUpdates {
                 proved_at: Some(Millis::ZERO),
-                config_revision: 1,
+                config_position: super::core::position(1),
                 entries_digest: 0,
                 updates: updates.clone(),
             };
@@ -514,7 +514,7 @@
                     self.handle_input(core, Input::Tick);
                     let input = Input::StoreUpdates {
                         proved_at: Some(Millis(self.now as u64)),
-                        config_revision: 1,
+                        config_position: super::core::position(1),
                         entries_digest: 0,
                         updates: Vec::new(),
                     };
@@ -1114,7 +1114,7 @@
         for core in 0..self.cores.len() {
             let input = Input::StoreUpdates {
                 proved_at: Some(Millis(self.now as u64)),
-                config_revision: 1,
+                config_position: super::core::position(1),
                 entries_digest: 0,
                 updates: updates.clone(),
             };
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -46,6 +46,7 @@
     RateLimits = "rate_limits_named", "Times that a backend server named a rate limit, or another one than before";
     ServersLeaving = "servers_leaving", "Backend servers that said in an answer that they are leaving";
     Pauses = "pauses_named", "Times that a backend server asked for a pause";
+    StoreRestored = "store_restores", "Times that the platform's store returned from an older copy";
     LinksLost = "links_lost", "Times that this instance reached no backend server of a service";
     Relayed = "requests_relayed", "Requests relayed to another instance, as this one reached no backend server of the service";
     RelayedReceived = "requests_relayed_received", "Requests that other instances relayed to this one";
--- a/tests/gateway/restored.rs
+++ b/tests/gateway/restored.rs
@@ -83,7 +83,10 @@
     }
 
     fn received(&self, backend: usize) -> u64 {
-        self.backends[backend].faults.received.load(Ordering::SeqCst)
+        self.backends[backend]
+            .faults
+            .received
+            .load(Ordering::SeqCst)
     }
 }
 
