Keep servers and cordons as they are when the store shows an older copy

What callers saw: a server that drained or had been removed got requests again, and a cordoned failure domain too, from the store's return until servers and operators wrote again. Cause: what is read in a new era counts as newer, though the copy is older.

Keys that were known before the return are now told apart. Servers number their writes within a start: an entry that is not later than the known one changes nothing, but that a server starts to drain. A removed server whose entry is back is used after five write intervals, as the store removes the entries of silent servers after three; the interval comes from the platform's settings. A cordon that is missing holds for 5 s more, in which operators write it again.

--- a/src/config/table.rs
+++ b/src/config/table.rs
@@ -130,6 +130,8 @@
         "Retries beyond that ratio in its window, over all gateways";
     "gateway" "memory_free_limit" gateway_memory_free_limit: Millis = Some("4 s"), span(span(SECOND, HOUR)),
         "Time after which memory reserved on an engine has to be free when nobody uses it";
+    "gateway" "server_write_interval" gateway_server_write_interval: Millis = Some("1200 ms"), span(span(100, HOUR)),
+        "Interval at which backend servers write their entries to the platform's store";
     "shutdown" "time_limit" shutdown_time_limit: Millis = Some("10 min"), span(span(SECOND, 24 * HOUR)),
         "Time after which a graceful shutdown gives up waiting for admitted requests";
     "control" "tick" tick: Millis = Some("20 ms"), span(span(1, SECOND)),
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -45,6 +45,7 @@
 use crate::gateway::rate_limits::RateLimits;
 use crate::gateway::route::RouteTable;
 use crate::gateway::server_links::ServerLinks;
+use crate::gateway::server_table::ServerEntry;
 use crate::gateway::server_table::ServerKey;
 use crate::gateway::server_table::ServerTable;
 use crate::gateway::settings::Bounds;
@@ -98,7 +99,13 @@
     /// Servers whose store entries lapsed, with the time at which they are
     /// dropped.
     lapsed_servers: HashMap<String, Millis>,
+    /// Entries of removed servers that the store shows again since it returned
+    /// from an older copy, with the time at which they are taken to be true.
+    reappeared_servers: HashMap<String, (ServerEntry, Millis)>,
     cordoned_domains: HashSet<String>,
+    /// Cordons that are missing since the store returned from an older copy, with
+    /// the time at which they end.
+    missing_cordons: HashMap<String, Millis>,
     freshness: Freshness,
     fleet_load: FleetLoad,
     health: Health,
@@ -146,7 +153,9 @@
             routes: None,
             server_table: ServerTable::default(),
             lapsed_servers: HashMap::new(),
+            reappeared_servers: HashMap::new(),
             cordoned_domains: HashSet::new(),
+            missing_cordons: HashMap::new(),
             fleet_load: FleetLoad::default(),
             health: Health::default(),
             crashes: Crashes::default(),
@@ -237,6 +246,7 @@
             log::warn!(instance = name.as_str(); "instance lost: no heartbeat");
         }
         self.drop_lapsed_servers(now);
+        self.settle_after_restore(now);
         self.retry_waiting(now, out);
         self.check_stalled_attempts(now, out);
         self.check_links(now, out);
--- a/src/gateway/core/facts.rs
+++ b/src/gateway/core/facts.rs
@@ -1,4 +1,10 @@
 //! Applies updates from the platform's store.
+//!
+//! A store that returns from an older copy shows servers and cordons as they were
+//! some seconds before, until servers and operators write them again. What is
+//! known to be newer stays in force meanwhile: servers number their writes, and a
+//! drained or removed server, or a cordoned failure domain, is not used again for
+//! what only the copy says.
 
 use std::sync::Arc;
 
@@ -13,6 +19,12 @@
 /// Reserve kept within the time limit for requests to a server that has left,
 /// for the delivery of the news and of requests that are on their way.
 const LEAVING_MARGIN: Millis = Millis(500);
+/// Time after which operators are taken to have written their cordons again.
+const CORDON_RETURN_TIME: Millis = Millis(5_000);
+/// Write intervals of servers after which a removed server whose entry is back with
+/// the copy is used again. The store removes the entries of servers that have been
+/// silent for three.
+const REAPPEARED_ENTRY_WRITES: u64 = 5;
 
 impl Core {
     pub(super) fn apply_store_updates(
@@ -33,16 +45,28 @@
         match update {
             StoreUpdate::Routes(routes) => self.apply_routes(routes, out),
             StoreUpdate::DomainCordoned(domain) => {
+                self.missing_cordons.remove(&domain);
                 if self.cordoned_domains.insert(domain.clone()) {
                     log::info!(domain = domain.as_str(); "failure domain taken out");
                 }
             }
             StoreUpdate::DomainUncordoned(domain) => {
-                if self.cordoned_domains.remove(&domain) {
-                    log::info!(domain = domain.as_str(); "failure domain back in service");
+                self.missing_cordons.remove(&domain);
+                self.uncordon(&domain);
+            }
+            StoreUpdate::CordonMissing(domain) => {
+                if self.cordoned_domains.contains(&domain) {
+                    log::info!(
+                        domain = domain.as_str(),
+                        keep_ms = CORDON_RETURN_TIME.0;
+                        "cordon missing after the store's return: kept until operators can have written it again"
+                    );
+                    self.missing_cordons
+                        .insert(domain, now + CORDON_RETURN_TIME);
                 }
             }
             StoreUpdate::Server(entry) => self.apply_server(now, entry),
+            StoreUpdate::RestoredServer(entry) => self.apply_restored_server(now, entry),
             StoreUpdate::ServerRemoved(id) => self.on_server_removed(now, &id),
             StoreUpdate::Instance(member) => {
                 if member.name != self.local.name {
@@ -71,7 +95,67 @@
         self.routes = Some(routes);
     }
 
+    fn uncordon(&mut self, domain: &str) {
+        if self.cordoned_domains.remove(domain) {
+            log::info!(domain = domain; "failure domain back in service");
+        }
+    }
+
+    /// Applies the entry of a known server that was read after the store returned
+    /// from an older copy, as far as it is not older than what is known.
+    fn apply_restored_server(&mut self, now: Millis, entry: ServerEntry) {
+        let known = self.server_table.find_by_id(&entry.id);
+        let Some(known) = known.map(|key| self.server_table.get(key)) else {
+            return self.apply_server(now, entry);
+        };
+        let starts_to_drain =
+            entry.draining && entry.started_unix_ms == known.entry.started_unix_ms;
+        if entry.is_later_than(&known.entry) || (known.listed && starts_to_drain) {
+            return self.apply_server(now, entry);
+        }
+        log::info!(
+            server = entry.id.as_str(),
+            writes = entry.writes,
+            known_writes = known.entry.writes,
+            listed = known.listed;
+            "backend server's entry ignored: the store returned from an older copy"
+        );
+        match known.listed {
+            true => {
+                self.lapsed_servers.remove(&entry.id);
+            }
+            false => {
+                let until = now + self.bounds.server_write_interval * REAPPEARED_ENTRY_WRITES;
+                self.reappeared_servers
+                    .insert(entry.id.clone(), (entry, until));
+            }
+        }
+    }
+
+    /// Takes what the store shows since its return to be true once operators and
+    /// servers have had the time to write it anew.
+    pub(super) fn settle_after_restore(&mut self, now: Millis) {
+        if !self.freshness.is_store_answering() {
+            return;
+        }
+        let ended = self.missing_cordons.extract_if(|_, until| now >= *until);
+        let ended: Vec<String> = ended.map(|(domain, _)| domain).collect();
+        for domain in ended {
+            self.uncordon(&domain);
+        }
+        let is_due = |_: &String, (_, until): &mut (ServerEntry, Millis)| now >= *until;
+        let due: Vec<ServerEntry> = self
+            .reappeared_servers
+            .extract_if(is_due)
+            .map(|(_, (entry, _))| entry)
+            .collect();
+        for entry in due {
+            self.apply_server(now, entry);
+        }
+    }
+
     fn apply_server(&mut self, now: Millis, entry: ServerEntry) {
+        self.reappeared_servers.remove(&entry.id);
         self.lapsed_servers.remove(&entry.id);
         let id = entry.id.clone();
         let (service, draining) = (entry.service.clone(), entry.draining);
@@ -94,6 +178,7 @@
     /// outage and return soon after it, so a server whose entry disappears
     /// during an outage or shortly after it is kept for a while.
     fn on_server_removed(&mut self, now: Millis, id: &str) {
+        self.reappeared_servers.remove(id);
         if self
             .freshness
             .recently_unavailable(now, self.bounds.entry_recovery_time)
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -126,6 +126,7 @@
         retry_ratio: cfg.gateway_retry_ratio as f64 / 1000.0,
         retry_extra: cfg.gateway_retry_extra as f64,
         reservation_leak_limit: cfg.gateway_memory_free_limit,
+        server_write_interval: cfg.gateway_server_write_interval,
         ..Bounds::default()
     }
 }
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -174,7 +174,11 @@
             if Part::Operators.contains(&change.key) {
                 state.config_position = state.config_position.max(position);
             }
+            let is_known_before_restore = known.is_some_and(|(known, _)| known.era < era);
             match store::decode_change(&change) {
+                Ok(Some(update)) if is_known_before_restore => {
+                    updates.extend(update.after_restore());
+                }
                 Ok(Some(update)) => updates.push(update),
                 Ok(None) => {}
                 Err(error) => {
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -321,8 +321,14 @@
     DomainCordoned(String),
     /// A failure domain is no longer cordoned.
     DomainUncordoned(String),
+    /// A known cordon is missing since the store returned from an older copy. The
+    /// operators have either ended it or not written it again yet.
+    CordonMissing(String),
     /// A backend server's entry was written.
     Server(ServerEntry),
+    /// A known backend server's entry was read after the store returned from an
+    /// older copy. It may be older than the known one.
+    RestoredServer(ServerEntry),
     /// A backend server's entry was removed.
     ServerRemoved(String),
     /// An instance's entry was written.
@@ -331,6 +337,21 @@
     InstanceRemoved(String),
 }
 
+impl StoreUpdate {
+    /// Returns the update to a key that was known before the store returned from
+    /// an older copy; `None` if it says nothing.
+    #[must_use]
+    pub fn after_restore(self) -> Option<StoreUpdate> {
+        match self {
+            StoreUpdate::Server(entry) => Some(StoreUpdate::RestoredServer(entry)),
+            StoreUpdate::DomainUncordoned(domain) => Some(StoreUpdate::CordonMissing(domain)),
+            // Heartbeats tell which of the known instances live.
+            StoreUpdate::Instance(_) => None,
+            update => Some(update),
+        }
+    }
+}
+
 /// How an instance watches the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Watching {
--- a/src/gateway/server_table.rs
+++ b/src/gateway/server_table.rs
@@ -34,6 +34,17 @@
     pub cold_remaining: Millis,
     /// Start time, in ms of Unix time; 0 if unknown.
     pub started_unix_ms: u64,
+    /// Number of the server's writes to the registry since its start; 0 if
+    /// unknown.
+    pub writes: u64,
+}
+
+impl ServerEntry {
+    /// Returns whether the server wrote this entry after the other one.
+    #[must_use]
+    pub fn is_later_than(&self, other: &ServerEntry) -> bool {
+        (self.started_unix_ms, self.writes) > (other.started_unix_ms, other.writes)
+    }
 }
 
 /// A backend server as known to this instance.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -22,6 +22,8 @@
     /// Time after an outage of the store in which expired entries are expected
     /// to be written again.
     pub entry_recovery_time: Millis,
+    /// Interval at which backend servers write their entries.
+    pub server_write_interval: Millis,
 }
 
 impl Default for Bounds {
@@ -34,6 +36,7 @@
             reservation_leak_limit: Millis(4_000),
             reservation_idle_limit: Millis(9_000),
             entry_recovery_time: Millis(2_000),
+            server_write_interval: Millis(1_200),
         }
     }
 }
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -13,5 +13,6 @@
 mod notices;
 mod rate_limits;
 mod relays;
+mod restored;
 mod simulation;
 mod upstream;
--- a/src/gateway/tests/core.rs
+++ b/src/gateway/tests/core.rs
@@ -50,13 +50,15 @@
     pub(super) deadline: Millis,
     /// Number of the latest attempt of each request.
     attempts: BTreeMap<Ticket, AttemptNumber>,
+    /// Position of the operators' keys in the store.
+    pub(super) position: StorePosition,
     /// Whether probes of backend servers fail.
     pub(super) is_cut_off: bool,
     /// Whether probes end at once, and not at all otherwise.
     pub(super) answers_probes: bool,
 }
 
-fn keyed_table(version: u64, keys: &[&str]) -> RouteTable {
+pub(super) fn keyed_table(version: u64, keys: &[&str]) -> RouteTable {
     let mut table = route_table();
     table.version = version;
     table.services.insert(
@@ -116,6 +118,7 @@
         draining: false,
         cold_remaining: Millis::ZERO,
         started_unix_ms: 1,
+        writes: 0,
     }
 }
 
@@ -154,6 +157,7 @@
             next_ticket: 0,
             deadline: Millis(1_500),
             attempts: BTreeMap::new(),
+            position: position(5),
             is_cut_off: false,
             answers_probes: true,
         };
@@ -222,10 +226,16 @@
         out
     }
 
+    /// Lets the store return from an older copy.
+    pub(super) fn restore(&mut self, era: u64) {
+        self.position.era = StoreEra(era);
+        let _ = self.handle(Input::StoreRestored(StoreEra(era)));
+    }
+
     pub(super) fn apply_store_updates(&mut self, updates: Vec<StoreUpdate>) {
         let input = Input::StoreUpdates {
             proved_at: Some(Millis(self.now)),
-            config_position: position(5),
+            config_position: self.position,
             entries_digest: 0,
             updates,
         };
--- /dev/null
+++ b/src/gateway/tests/restored.rs
@@ -0,0 +1,120 @@
+//! A store that returns from an older copy, as the core sees it.
+
+use super::core::Harness;
+use super::core::entry;
+use super::core::plan;
+use crate::gateway::message::StoreUpdate;
+use crate::gateway::server_table::ServerEntry;
+
+/// Time by which servers and operators have written again, in ms.
+const REWRITTEN_MS: u64 = 7_000;
+
+fn restored() -> Harness {
+    let mut harness = Harness::new();
+    harness.restore(1);
+    harness
+}
+
+fn plain(index: usize, writes: u64) -> ServerEntry {
+    ServerEntry {
+        writes,
+        ..entry(&format!("p{index}"), "plain")
+    }
+}
+
+fn drain(index: usize, writes: u64) -> ServerEntry {
+    ServerEntry {
+        draining: true,
+        ..plain(index, writes)
+    }
+}
+
+/// Returns the servers that get calls.
+fn used_servers(harness: &mut Harness) -> Vec<String> {
+    let mut used: Vec<String> = (0..20)
+        .filter_map(|_| {
+            let (_, out) = harness.submit("/once/1", "k");
+            plan(&out).map(|plan| plan.server_id.clone())
+        })
+        .collect();
+    used.sort();
+    used.dedup();
+    used
+}
+
+#[test]
+fn a_draining_server_is_not_used_for_what_an_older_copy_says() {
+    let mut harness = Harness::new();
+    harness.apply_store_updates(vec![StoreUpdate::Server(drain(0, 5))]);
+    harness.restore(1);
+    harness.apply_store_updates(vec![StoreUpdate::RestoredServer(plain(0, 4))]);
+    assert_eq!(used_servers(&mut harness), ["p1", "p2", "p3"]);
+    // It writes again.
+    harness.apply_store_updates(vec![StoreUpdate::RestoredServer(drain(0, 6))]);
+    let _ = harness.tick_until(harness.now + REWRITTEN_MS);
+    assert_eq!(used_servers(&mut harness), ["p1", "p2", "p3"]);
+}
+
+#[test]
+fn a_server_that_starts_to_drain_after_the_stores_return_gets_no_more_calls() {
+    let mut harness = restored();
+    // Its writes are not numbered.
+    harness.apply_store_updates(vec![StoreUpdate::RestoredServer(drain(0, 0))]);
+    assert_eq!(used_servers(&mut harness), ["p1", "p2", "p3"]);
+}
+
+#[test]
+fn a_removed_server_that_an_older_copy_lists_is_used_only_if_its_entry_stays() {
+    for is_alive in [false, true] {
+        let mut harness = Harness::new();
+        harness.apply_store_updates(vec![StoreUpdate::ServerRemoved("p0".to_owned())]);
+        harness.restore(1);
+        harness.apply_store_updates(vec![StoreUpdate::RestoredServer(plain(0, 0))]);
+        let _ = harness.tick_until(harness.now + 3_000);
+        assert_eq!(used_servers(&mut harness), ["p1", "p2", "p3"]);
+        if !is_alive {
+            harness.apply_store_updates(vec![StoreUpdate::ServerRemoved("p0".to_owned())]);
+        }
+        let _ = harness.tick_until(harness.now + REWRITTEN_MS);
+        assert_eq!(
+            used_servers(&mut harness).contains(&"p0".to_owned()),
+            is_alive
+        );
+    }
+}
+
+#[test]
+fn an_older_start_of_a_server_does_not_replace_its_newer_one() {
+    let mut harness = Harness::new();
+    let restarted = ServerEntry {
+        started_unix_ms: 9,
+        ..plain(0, 1)
+    };
+    harness.apply_store_updates(vec![StoreUpdate::Server(restarted)]);
+    harness.restore(1);
+    harness.apply_store_updates(vec![StoreUpdate::RestoredServer(drain(0, 8))]);
+    assert_eq!(used_servers(&mut harness), ["p0", "p1", "p2", "p3"]);
+}
+
+#[test]
+fn a_cordon_that_an_older_copy_lacks_holds_until_operators_have_written_again() {
+    let cordoned = || StoreUpdate::DomainCordoned("a".to_owned());
+    let missing = || StoreUpdate::CordonMissing("a".to_owned());
+    for is_written_again in [false, true] {
+        let mut harness = Harness::new();
+        harness.apply_store_updates(vec![cordoned()]);
+        assert_eq!(used_servers(&mut harness), ["p1", "p2", "p3"]);
+        harness.restore(1);
+        harness.apply_store_updates(vec![missing()]);
+        let _ = harness.tick_until(harness.now + 2_000);
+        assert_eq!(used_servers(&mut harness), ["p1", "p2", "p3"]);
+        if is_written_again {
+            harness.apply_store_updates(vec![cordoned()]);
+        }
+        let _ = harness.tick_until(harness.now + REWRITTEN_MS);
+        let is_used = used_servers(&mut harness).contains(&"p0".to_owned());
+        assert_eq!(is_used, !is_written_again);
+        harness.apply_store_updates(vec![StoreUpdate::DomainUncordoned("a".to_owned())]);
+        assert!(used_servers(&mut harness).contains(&"p0".to_owned()));
+    }
+}
--- a/src/gateway/tests/simulation.rs
+++ b/src/gateway/tests/simulation.rs
@@ -1027,6 +1027,7 @@
         draining: false,
         cold_remaining: Millis::ZERO,
         started_unix_ms: 0,
+        writes: 0,
     }
 }
 
