Register again once the store has returned from an older copy

What happened: the store lost the instance's entry and gave the number of its lease to another instance; the renewals of that lease went on being answered, so that the entry was never written again, and other instances that started did not find it. A lease that was granted before the store's return is now over: the entry is written under a new one at once, and a lease and an entry that are answered in different eras do not count.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -38,7 +38,6 @@
 use crate::config::Settings;
 use crate::gateway::core::Core;
 use crate::gateway::core::LocalInstance;
-use crate::gateway::feed;
 use crate::gateway::feed::RevisionTracker;
 use crate::gateway::feed::StoreWatcher;
 use crate::gateway::forward::RequestSender;
@@ -235,9 +234,8 @@
     let revisions = RevisionTracker::new(inputs.clone());
     spawn_local(peers.clone().receive(deferred_inputs, revisions.clone()));
     let (watching_tx, watching) = watch::channel(Watching::Loosely);
-    let store = cfg.gateway_store.clone();
     let watcher = StoreWatcher::new(
-        store.clone(),
+        cfg.gateway_store.clone(),
         upstream.clone(),
         clock,
         inputs.clone(),
@@ -246,16 +244,12 @@
     );
     spawn_local(watcher.clone().watch_operator_keys());
     spawn_local(watcher.clone().reread_after_startup());
-    spawn_local(watcher.watch_entries());
     let member = Member {
         name: cfg.name.clone(),
         addr: peer_addr,
     };
-    spawn_local(feed::maintain_entry(
-        Rc::new(store),
-        upstream.clone(),
-        member,
-    ));
+    spawn_local(watcher.clone().maintain_entry(member));
+    spawn_local(watcher.watch_entries());
     spawn_local(close_expired_connections(upstream));
     let publishers = StatePublishers {
         ready: ready_tx,
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -16,6 +16,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -340,9 +341,22 @@
     /// The store has returned from an older copy since the position to continue
     /// from was read.
     Restored,
+    /// The store does not have what the call names.
+    NotFound,
     Call(String),
 }
 
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StoreError::Compacted => f.write_str("the store dropped its history"),
+            StoreError::Restored => f.write_str("the store returned from an older copy"),
+            StoreError::NotFound => f.write_str("the store does not have it"),
+            StoreError::Call(cause) => f.write_str(cause),
+        }
+    }
+}
+
 fn call_error(cause: &impl ToString) -> StoreError {
     StoreError::Call(cause.to_string())
 }
@@ -457,8 +471,8 @@
             }
             // Its rise was logged.
             Err(StoreError::Restored) => None,
-            Err(StoreError::Call(cause)) => {
-                log::warn!(cause = cause.as_str(), pause_ms = backoff.as_millis() as u64; "store call failed");
+            Err(error @ (StoreError::NotFound | StoreError::Call(_))) => {
+                log::warn!(cause:% = error, pause_ms = backoff.as_millis() as u64; "store call failed");
                 // Sending fails only during process exit.
                 let _ = self.inputs.send(Input::StoreCallFailed);
                 let watching = *self.watching.borrow();
@@ -477,8 +491,8 @@
     pub async fn reread_after_startup(self) {
         sleep(STARTUP_REREAD_DELAY).await;
         for part in [Part::Instances, Part::Servers] {
-            if let Err(StoreError::Call(cause)) = self.read(part, false).await {
-                log::warn!(part:? = part, cause = cause.as_str(); "entries not read; they are read again with the next heartbeats");
+            if let Err(error) = self.read(part, false).await {
+                log::warn!(part:? = part, cause:% = error; "entries not read; they are read again with the next heartbeats");
             }
         }
     }
@@ -573,6 +587,60 @@
         }
     }
 
+    /// Registers this instance in the store and renews its entry until the process
+    /// ends.
+    pub async fn maintain_entry(self, member: Member) {
+        let mut backoff = MIN_BACKOFF;
+        let mut era = self.revisions.era.subscribe();
+        loop {
+            era.borrow_and_update();
+            match self.write_entry(&member).await {
+                Ok(lease) => {
+                    backoff = MIN_BACKOFF;
+                    tokio::select! {
+                        () = self.renew_until_expired(lease) => {}
+                        // The entry may be lost, and the lease may now be another
+                        // instance's.
+                        _ = era.changed() => {}
+                    }
+                    log::info!(lease = lease; "entry of this instance is written again: its lease is over");
+                }
+                Err(error) => {
+                    log::warn!(cause:% = error; "entry of this instance not written");
+                    sleep(backoff).await;
+                    backoff = (backoff * 2).min(MAX_BACKOFF);
+                }
+            }
+        }
+    }
+
+    /// Writes this instance's entry under a new lease; returns the lease.
+    async fn write_entry(&self, member: &Member) -> Result<u64, StoreError> {
+        let (lease_era, body) = self
+            .call(&store::grant_lease(ENTRY_TTL), CALL_TIMEOUT)
+            .await?;
+        let lease = store::decode_lease(&body).map_err(|error| call_error(&error))?;
+        let (era, _) = self
+            .call(&store::register(member, lease), CALL_TIMEOUT)
+            .await?;
+        match era == lease_era {
+            true => Ok(lease),
+            false => Err(StoreError::Restored),
+        }
+    }
+
+    /// Renews a store lease until it expires.
+    async fn renew_until_expired(&self, lease: u64) {
+        loop {
+            sleep(ENTRY_RENEWAL_INTERVAL).await;
+            match self.call(&store::renew_lease(lease), CALL_TIMEOUT).await {
+                Err(StoreError::NotFound) => return,
+                Ok(_) => {}
+                Err(error) => log::info!(error:% = error; "entry of this instance not renewed"),
+            }
+        }
+    }
+
     /// Makes a call; returns the era and the body of the response.
     async fn call(&self, call: &Call, limit: Duration) -> Result<(StoreEra, Bytes), StoreError> {
         let response = call_store(&self.upstream, &self.addr, call, limit).await;
@@ -581,6 +649,7 @@
         match response.status() {
             StatusCode::OK => Ok((era, response.into_body())),
             StatusCode::GONE => Err(StoreError::Compacted),
+            StatusCode::NOT_FOUND => Err(StoreError::NotFound),
             status => Err(StoreError::Call(format!("status {status}"))),
         }
     }
@@ -597,57 +666,6 @@
     (part == Part::Operators).then_some(queried_at)
 }
 
-/// Registers this instance in the store and renews its entry until the process
-/// ends.
-pub async fn maintain_entry(addr: Rc<String>, upstream: Upstream, member: Member) {
-    let mut backoff = MIN_BACKOFF;
-    loop {
-        match write_entry(&addr, &upstream, &member).await {
-            Ok(lease) => {
-                backoff = MIN_BACKOFF;
-                renew_until_expired(&addr, &upstream, lease).await;
-            }
-            Err(cause) => {
-                log::warn!(cause = cause.as_str(); "entry of this instance not written");
-                sleep(backoff).await;
-                backoff = (backoff * 2).min(MAX_BACKOFF);
-            }
-        }
-    }
-}
-
-async fn write_entry(addr: &str, upstream: &Upstream, member: &Member) -> Result<u64, String> {
-    let response = call_store(upstream, addr, &store::grant_lease(ENTRY_TTL), CALL_TIMEOUT)
-        .await
-        .map_err(|error| error.to_string())?;
-    let lease = store::decode_lease(response.body()).map_err(|error| error.to_string())?;
-    let response = call_store(
-        upstream,
-        addr,
-        &store::register(member, lease),
-        CALL_TIMEOUT,
-    )
-    .await
-    .map_err(|error| error.to_string())?;
-    if response.status() != StatusCode::OK {
-        return Err(format!("status {}", response.status()));
-    }
-    Ok(lease)
-}
-
-/// Renews a store lease until it expires.
-async fn renew_until_expired(addr: &str, upstream: &Upstream, lease: u64) {
-    loop {
-        sleep(ENTRY_RENEWAL_INTERVAL).await;
-        let response = call_store(upstream, addr, &store::renew_lease(lease), CALL_TIMEOUT).await;
-        match response {
-            Ok(response) if response.status() == StatusCode::NOT_FOUND => return,
-            Ok(_) => {}
-            Err(error) => log::info!(error:% = error; "entry of this instance not renewed"),
-        }
-    }
-}
-
 async fn call_store(
     upstream: &Upstream,
     addr: &str,
