Count only answers that show the version in force as proof of it

What callers saw: 404 or 401 as an older version says, or a revoked key let in, as an answer whose item had been dropped still counted as proof that the configuration was current: the item was older than the one in force, as after the store's return from an older copy, or could not be decoded.

An answer proves the configuration current if it shows the version in force and no other instance reports a newer one. Heartbeats carry the version, so that an instance that the store does not answer relies on others across its return, where revisions cannot be compared. Without proof unknown routes and keys get 503 after 2 s and all keys before the revocation limit, as before.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -26,6 +26,7 @@
 use self::crashes::Crashes;
 use self::fleet_load::FleetLoad;
 use self::freshness::Freshness;
+use self::freshness::PeerProof;
 use self::health::Health;
 use self::links::HeldReport;
 use self::requests::Request;
@@ -206,14 +207,20 @@
             } => self.on_probe_ended(now, &server_id, connected, &mut out),
             Input::StoreUpdates {
                 proved_at,
+                shown_version,
                 config_position,
                 entries_digest,
                 updates,
             } => {
                 self.entries_digest = entries_digest;
                 self.freshness
-                    .record_store_answer(now, proved_at, config_position);
+                    .record_store_answer(now, proved_at.is_some(), config_position);
                 self.apply_store_updates(now, updates, &mut out);
+                if let Some(proved_at) = proved_at {
+                    let in_force = self.config_version();
+                    self.freshness
+                        .record_proof(proved_at, shown_version, in_force);
+                }
                 self.retry_waiting(now, &mut out);
             }
             Input::BroadcastItem(item) => self.broadcast(&mut out, PeerMessage::Item(item)),
@@ -278,6 +285,7 @@
             entries_digest: watch_closely.then_some(self.entries_digest),
             period_ms: period.0,
             store_era: self.freshness.era(),
+            config_version: self.config_version(),
         };
         self.broadcast(out, message);
         if self.draining || !self.links.lost_services().is_empty() {
@@ -305,7 +313,7 @@
         };
         let is_proof_overdue = self.freshness.proof_age(now) > PROOF_OVERDUE_AGE;
         let watch_closely = is_watcher
-            || self.freshness.is_behind()
+            || self.freshness.is_behind(self.config_version())
             || (is_proof_overdue && (store_answers || is_outage_poller));
         let watching = match watch_closely {
             true => Watching::Closely,
@@ -376,6 +384,7 @@
                 store_answers,
                 period_ms,
                 store_era,
+                config_version,
                 // Compared by `RevisionTracker`.
                 entries_digest: _,
             } => {
@@ -390,12 +399,16 @@
                 {
                     log::info!(instance = member.name.as_str(), addr = member.addr.as_str(); "instance heard");
                 }
-                let config_position = StorePosition {
-                    era: store_era,
-                    revision: config_revision,
+                let proof = PeerProof {
+                    position: StorePosition {
+                        era: store_era,
+                        revision: config_revision,
+                    },
+                    version: config_version,
+                    age: Millis(proof_age_ms),
                 };
-                self.freshness
-                    .record_peer_proof(now, config_position, Millis(proof_age_ms));
+                let in_force = self.config_version();
+                self.freshness.record_peer_proof(now, proof, in_force);
             }
             PeerMessage::Crashed {
                 fingerprint,
@@ -431,6 +444,11 @@
         }
     }
 
+    /// Returns the version of the configuration in force; 0 if none is.
+    fn config_version(&self) -> u64 {
+        self.routes.as_ref().map_or(0, |routes| routes.version)
+    }
+
     fn update_ready(&mut self, now: Millis, out: &mut Vec<Output>) {
         let ready = !self.draining
             && self.routes.is_some()
--- a/src/gateway/core/freshness.rs
+++ b/src/gateway/core/freshness.rs
@@ -1,11 +1,12 @@
 //! Age of this instance's view of the operators' configuration.
 //!
-//! A proof is an answer of the store: it confirms that the configuration that
-//! this instance holds after applying the answer was current when the store was
-//! *queried*. An instance that the store does not answer relies on the proofs
-//! of other instances, as long as they know no newer change than it does. All
-//! times are read from a clock that keeps running while the machine is
-//! suspended.
+//! A proof is an answer of the store that shows the version in force here: it
+//! confirms that this was current when the store was *queried*. An answer that
+//! shows another version, or one that cannot be decoded, proves nothing, and
+//! neither does one while another instance knows a newer version. An instance
+//! that the store does not answer relies on the proofs of other instances that
+//! hold the same version. All times are read from a clock that keeps running
+//! while the machine is suspended.
 
 use crate::clock::Millis;
 use crate::gateway::message::StoreEra;
@@ -19,6 +20,17 @@
 /// domains, including queueing. Added to the age of its proof.
 const MAX_HEARTBEAT_DELAY: Millis = Millis(100);
 
+/// What another instance says of its configuration.
+#[derive(Debug, Clone, Copy)]
+pub struct PeerProof {
+    /// Position of the newest change by operators.
+    pub position: StorePosition,
+    /// Version in force; 0 if none is.
+    pub version: u64,
+    /// Age of the newest proof.
+    pub age: Millis,
+}
+
 /// Freshness of the configuration.
 #[derive(Debug)]
 pub struct Freshness {
@@ -34,6 +46,10 @@
     config_position: StorePosition,
     /// Newest operator change that another instance reported.
     peer_position: StorePosition,
+    /// Newest version of the configuration that another instance reported.
+    peer_version: u64,
+    /// Whether the latest answer about the operators' keys proved nothing.
+    is_unproven: bool,
     /// When the store became unreachable; `None` while it answers.
     lost_at: Option<Millis>,
     /// When the store last became reachable again.
@@ -51,6 +67,8 @@
             era: StoreEra::default(),
             config_position: StorePosition::default(),
             peer_position: StorePosition::default(),
+            peer_version: 0,
+            is_unproven: false,
             lost_at: None,
             regained_at: None,
         }
@@ -63,23 +81,40 @@
         self.regained_at = Some(now);
     }
 
-    /// Records the position of the applied updates, and the proof if there is
-    /// one: only reads of the operators' keys give one.
+    /// Records an answer of the store and the position that it shows.
     pub fn record_store_answer(
         &mut self,
         now: Millis,
-        proved_at: Option<Millis>,
+        is_for_operator_keys: bool,
         config_position: StorePosition,
     ) {
         self.config_position = self.config_position.max(config_position);
-        if proved_at.is_none() {
+        if !is_for_operator_keys {
             return;
         }
         if let Some(lost_at) = self.lost_at.take() {
             log::info!(away_ms = now.since(lost_at).0; "store regained");
             self.regained_at = Some(now);
         }
-        self.proved_at = self.proved_at.max(proved_at);
+    }
+
+    /// Records an answer to a query at `proved_at` as a proof if it shows the
+    /// version `in_force`.
+    pub fn record_proof(&mut self, proved_at: Millis, shown: Option<u64>, in_force: u64) {
+        let is_proof = shown == Some(in_force) && self.peer_version <= in_force;
+        if is_proof {
+            self.proved_at = self.proved_at.max(Some(proved_at));
+        }
+        if !is_proof != self.is_unproven {
+            self.is_unproven = !is_proof;
+            log::warn!(
+                proved = is_proof,
+                shown_version = shown.unwrap_or_default(),
+                in_force = in_force,
+                newest_reported = self.peer_version;
+                "what the store's answers prove of the configuration changed"
+            );
+        }
     }
 
     /// Records that the store did not answer.
@@ -90,13 +125,18 @@
         }
     }
 
-    /// Applies the proof of another instance.
-    pub fn record_peer_proof(&mut self, now: Millis, config_position: StorePosition, age: Millis) {
-        self.peer_position = self.peer_position.max(config_position);
-        if config_position > self.config_position || self.proved_at.is_none() {
+    /// Applies the proof of another instance if it holds the version `in_force`
+    /// and knows no newer change. Positions of different eras say nothing about
+    /// that.
+    pub fn record_peer_proof(&mut self, now: Millis, proof: PeerProof, in_force: u64) {
+        self.peer_position = self.peer_position.max(proof.position);
+        self.peer_version = self.peer_version.max(proof.version);
+        let knows_newer_change =
+            proof.position.era == self.config_position.era && proof.position > self.config_position;
+        if in_force == 0 || proof.version != in_force || knows_newer_change {
             return;
         }
-        let total = age + MAX_HEARTBEAT_DELAY;
+        let total = proof.age + MAX_HEARTBEAT_DELAY;
         if total <= now {
             self.proved_at = self.proved_at.max(Some(now - total));
         }
@@ -124,10 +164,11 @@
         self.lost_at.is_none()
     }
 
-    /// Returns whether another instance knows a newer operator change.
+    /// Returns whether another instance knows a newer operator change, or a newer
+    /// version than the one in force here.
     #[must_use]
-    pub fn is_behind(&self) -> bool {
-        self.peer_position > self.config_position
+    pub fn is_behind(&self, in_force: u64) -> bool {
+        self.peer_position > self.config_position || self.peer_version > in_force
     }
 
     /// Returns the age of the newest proof.
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -43,6 +43,7 @@
 use crate::gateway::message::Input;
 use crate::gateway::message::StoreEra;
 use crate::gateway::message::StorePosition;
+use crate::gateway::message::StoreUpdate;
 use crate::gateway::message::Watching;
 use crate::gateway::upstream::CallError;
 use crate::gateway::upstream::Upstream;
@@ -96,6 +97,8 @@
     /// Position of each key's newest change, and whether the key exists.
     keys: HashMap<String, (StorePosition, bool)>,
     config_position: StorePosition,
+    /// Version of the configuration that the store shows, if it can be decoded.
+    shown_version: Option<u64>,
     /// Digest of the existing backend server entries and their revisions.
     entries_digest: u64,
     /// Consecutive heartbeats with a different digest.
@@ -123,8 +126,8 @@
 
     /// Applies changes that the store or another instance showed in `era`, and
     /// forwards those that are new to the core. `proved_at` is the time of the
-    /// store query if the changes prove that the operators' configuration is known
-    /// as of then. Returns the new changes; none if the era is over.
+    /// store query if it was for the operators' keys. Returns the new changes; none
+    /// if the era is over.
     pub fn apply(
         &self,
         era: StoreEra,
@@ -176,7 +179,14 @@
                 state.config_position = state.config_position.max(position);
             }
             let is_known_before_restore = known.is_some_and(|(known, _)| known.era < era);
-            match store::decode_change(&change) {
+            let decoded = store::decode_change(&change);
+            if store::is_configuration(&change) {
+                state.shown_version = match &decoded {
+                    Ok(Some(StoreUpdate::Routes(routes))) => Some(routes.version),
+                    _ => None,
+                };
+            }
+            match decoded {
                 Ok(Some(update)) if is_known_before_restore => {
                     updates.extend(update.after_restore());
                 }
@@ -191,6 +201,7 @@
         if !updates.is_empty() || proved_at.is_some() {
             let input = Input::StoreUpdates {
                 proved_at,
+                shown_version: state.shown_version,
                 config_position: state.config_position,
                 entries_digest: state.entries_digest,
                 updates,
--- a/src/gateway/instances.rs
+++ b/src/gateway/instances.rs
@@ -93,6 +93,8 @@
         /// Newest era of the store that the sender knows; that of
         /// `config_revision` and `entries_digest`.
         store_era: StoreEra,
+        /// Version of the configuration in force at the sender; 0 if none is.
+        config_version: u64,
     },
     /// A request crashed a backend server. Sent by earlier versions; replaced by
     /// [`PeerMessage::CrashRecords`].
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -399,9 +399,11 @@
     },
     /// Changes from the store, in order.
     StoreUpdates {
-        /// When the store was queried, if its response proves that the
-        /// operators' configuration is known as of then.
+        /// When the store was queried, if it was for the operators' keys.
         proved_at: Option<Millis>,
+        /// Version of the configuration that the store shows; `None` if it shows
+        /// none, or one that cannot be decoded.
+        shown_version: Option<u64>,
         /// Position of the newest known change by operators.
         config_position: StorePosition,
         /// Digest of the backend servers' entries.
--- a/src/gateway/tests/core.rs
+++ b/src/gateway/tests/core.rs
@@ -50,6 +50,8 @@
     pub(super) deadline: Millis,
     /// Number of the latest attempt of each request.
     attempts: BTreeMap<Ticket, AttemptNumber>,
+    /// Version of the configuration that the store shows.
+    pub(super) shown_version: Option<u64>,
     /// Position of the operators' keys in the store.
     pub(super) position: StorePosition,
     /// Whether probes of backend servers fail.
@@ -157,6 +159,7 @@
             next_ticket: 0,
             deadline: Millis(1_500),
             attempts: BTreeMap::new(),
+            shown_version: None,
             position: position(5),
             is_cut_off: false,
             answers_probes: true,
@@ -207,6 +210,7 @@
             entries_digest: None,
             period_ms: 2_000,
             store_era: StoreEra::default(),
+            config_version: 1,
         }));
     }
 
@@ -233,8 +237,14 @@
     }
 
     pub(super) fn apply_store_updates(&mut self, updates: Vec<StoreUpdate>) {
+        for update in &updates {
+            if let StoreUpdate::Routes(routes) = update {
+                self.shown_version = Some(routes.version);
+            }
+        }
         let input = Input::StoreUpdates {
             proved_at: Some(Millis(self.now)),
+            shown_version: self.shown_version,
             config_position: self.position,
             entries_digest: 0,
             updates,
@@ -371,6 +381,7 @@
             entries_digest: None,
             period_ms: 500,
             store_era: StoreEra::default(),
+            config_version: 1,
         })
     };
     // The peer knows a newer operator change than this instance.
@@ -394,9 +405,11 @@
         entries_digest: None,
         period_ms: 500,
         store_era: StoreEra::default(),
+        config_version: 1,
     }));
     let _ = harness.handle(Input::StoreUpdates {
         proved_at: None,
+        shown_version: Some(1),
         config_position: position(5),
         entries_digest: 77,
         updates: Vec::new(),
@@ -428,6 +441,7 @@
             entries_digest: None,
             period_ms: 500,
             store_era: StoreEra::default(),
+            config_version: 1,
         })
     };
     let watching_after_store_loss = |store_answers: bool| {
@@ -814,6 +828,7 @@
         entries_digest: None,
         period_ms: 500,
         store_era: StoreEra::default(),
+        config_version: 1,
     }));
     let mut announce = |rate_limit, advance: u64| {
         harness.now += advance;
--- a/src/gateway/tests/feed.rs
+++ b/src/gateway/tests/feed.rs
@@ -138,3 +138,19 @@
     assert!((0..9).all(|_| !tracker.compare_digest(StoreEra(1), 77)));
     assert!((0..9).any(|_| tracker.compare_digest(StoreEra(2), 77)));
 }
+
+#[test]
+fn a_configuration_that_cannot_be_decoded_is_not_reported_as_shown() {
+    let (tx, rx) = flume::unbounded();
+    let tracker = RevisionTracker::new(tx);
+    let changes = vec![change("op/config", 4, true)];
+    tracker.apply(StoreEra(0), changes, Some(Millis(5)));
+    assert!(matches!(
+        rx.try_recv(),
+        Ok(Input::StoreUpdates {
+            shown_version: None,
+            proved_at: Some(Millis(5)),
+            ..
+        })
+    ));
+}
--- a/src/gateway/tests/restored.rs
+++ b/src/gateway/tests/restored.rs
@@ -1,10 +1,18 @@
 //! A store that returns from an older copy, as the core sees it.
 
+use std::sync::Arc;
+
 use super::core::Harness;
 use super::core::entry;
+use super::core::keyed_table;
 use super::core::plan;
+use super::core::refusal;
+use crate::gateway::instances::PeerMessage;
+use crate::gateway::message::Input;
+use crate::gateway::message::StoreEra;
 use crate::gateway::message::StoreUpdate;
 use crate::gateway::server_table::ServerEntry;
+use crate::verdict::Reason;
 
 /// Time by which servers and operators have written again, in ms.
 const REWRITTEN_MS: u64 = 7_000;
@@ -118,3 +126,74 @@
         assert!(used_servers(&mut harness).contains(&"p0".to_owned()));
     }
 }
+
+fn routes(version: u64, keys: &[&str]) -> StoreUpdate {
+    StoreUpdate::Routes(Arc::new(keyed_table(version, keys)))
+}
+
+/// Returns why a call with this key is refused.
+fn refused(harness: &mut Harness, key: &str) -> Option<Reason> {
+    let (_, out) = harness.submit("/once/1", key);
+    refusal(&out).map(|refusal| refusal.reason)
+}
+
+fn heartbeat(era: u64, config_revision: u64, config_version: u64) -> Input {
+    Input::Peer(PeerMessage::Alive {
+        name: "other".to_owned(),
+        addr: "10.9.0.2:1".to_owned(),
+        config_revision,
+        proof_age_ms: 100,
+        store_answers: true,
+        entries_digest: None,
+        period_ms: 500,
+        store_era: StoreEra(era),
+        config_version,
+    })
+}
+
+#[test]
+fn an_older_configuration_in_the_store_proves_nothing_of_the_one_in_force() {
+    let mut harness = Harness::new();
+    harness.apply_store_updates(vec![routes(4, &["k"])]);
+    harness.restore(1);
+    harness.apply_store_updates(vec![routes(3, &["k", "revoked"])]);
+    let _ = harness.tick_until(harness.now + 4_000);
+    assert_eq!(refused(&mut harness, "k"), None);
+    assert_eq!(refused(&mut harness, "revoked"), Some(Reason::Unavailable));
+    let _ = harness.tick_until(harness.now + 1_000);
+    assert_eq!(refused(&mut harness, "k"), Some(Reason::Unavailable));
+    harness.apply_store_updates(vec![routes(4, &["k"])]);
+    assert_eq!(refused(&mut harness, "k"), None);
+    assert_eq!(refused(&mut harness, "revoked"), Some(Reason::Unauthorized));
+}
+
+#[test]
+fn a_configuration_that_cannot_be_decoded_leaves_the_one_in_force_unproven() {
+    let mut harness = Harness::new();
+    harness.shown_version = None;
+    let _ = harness.tick_until(harness.now + 5_000);
+    assert_eq!(refused(&mut harness, "k"), Some(Reason::Unavailable));
+}
+
+#[test]
+fn an_instance_that_holds_an_older_version_than_another_proves_nothing() {
+    let mut harness = Harness::new();
+    let _ = harness.handle(heartbeat(0, 5, 2));
+    let _ = harness.tick_until(harness.now + 5_000);
+    assert_eq!(refused(&mut harness, "k"), Some(Reason::Unavailable));
+}
+
+#[test]
+fn an_instance_without_the_store_serves_on_the_proof_of_others_after_its_return() {
+    let mut harness = Harness::new();
+    let _ = harness.handle(Input::StoreCallFailed);
+    harness.now += 6_000;
+    assert_eq!(refused(&mut harness, "k"), Some(Reason::Unavailable));
+    // Another instance holds the same version, at a lower revision.
+    let _ = harness.handle(heartbeat(1, 2, 1));
+    assert_eq!(refused(&mut harness, "k"), None);
+    let _ = harness.handle(Input::Tick);
+    harness.now += 6_000;
+    let _ = harness.handle(heartbeat(1, 3, 2));
+    assert_eq!(refused(&mut harness, "k"), Some(Reason::Unavailable));
+}
--- a/src/gateway/tests/simulation.rs
+++ b/src/gateway/tests/simulation.rs
@@ -371,6 +371,7 @@
         for index in 0..cores {
             let input = Input::StoreUpdates {
                 proved_at: Some(Millis::ZERO),
+                shown_version: Some(1),
                 config_position: super::core::position(1),
                 entries_digest: 0,
                 updates: updates.clone(),
@@ -514,6 +515,7 @@
                     self.handle_input(core, Input::Tick);
                     let input = Input::StoreUpdates {
                         proved_at: Some(Millis(self.now as u64)),
+                        shown_version: Some(1),
                         config_position: super::core::position(1),
                         entries_digest: 0,
                         updates: Vec::new(),
@@ -1115,6 +1117,7 @@
         for core in 0..self.cores.len() {
             let input = Input::StoreUpdates {
                 proved_at: Some(Millis(self.now as u64)),
+                shown_version: Some(1),
                 config_position: super::core::position(1),
                 entries_digest: 0,
                 updates: updates.clone(),
