Prove nothing by a returned store before operators can have written again

What callers saw: an instance that started after the store's return, and before the operators had written again, let a revoked key in and served dropped routes, as the older copy was the newest it knew. A version that no instance had seen before the store lost it can be missing in the same way from instances that were running.

Answers to queries of the first 2 s of an era prove nothing; this is the time in which the platform promises that lost entries are back. The last proof from before carries running instances over a return after up to 1.3 s. An instance that starts cannot tell when the store returned: it takes the proof of any instance with the same version, and each answers the first heartbeat of another at once; alone it waits 2 s. A store in its first era, or without eras, has nothing to wait for. Refusals meanwhile say when the wait ends.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -34,6 +34,7 @@
 use crate::clock::Millis;
 use crate::gateway::instances::CrashSuspect;
 use crate::gateway::instances::Instances;
+use crate::gateway::instances::MAX_HEARTBEAT_PERIOD;
 use crate::gateway::instances::MIN_HEARTBEAT_PERIOD;
 use crate::gateway::instances::Member;
 use crate::gateway::instances::PeerMessage;
@@ -225,13 +226,15 @@
             }
             Input::BroadcastItem(item) => self.broadcast(&mut out, PeerMessage::Item(item)),
             Input::StoreCallFailed => self.freshness.record_store_loss(now),
-            Input::StoreRestored(era) => {
-                self.freshness.record_restore(now, era);
-                self.count(Count::StoreRestored);
-                // Tells the other instances.
-                self.next_heartbeat = now;
+            Input::StoreEra { era, restored } => {
+                self.freshness.record_era(now, era, restored);
+                if restored {
+                    self.count(Count::StoreRestored);
+                    // Tells the other instances.
+                    self.next_heartbeat = now;
+                }
             }
-            Input::Peer(message) => self.on_peer_message(now, message),
+            Input::Peer(message) => self.on_peer_message(now, message, &mut out),
             Input::Tick => self.tick(now, &mut out),
             Input::Drain => {
                 self.draining = true;
@@ -276,7 +279,19 @@
             false => heartbeat_period(self.instances.known_count()),
         };
         self.next_heartbeat = now + period;
-        let message = PeerMessage::Alive {
+        self.broadcast(out, self.heartbeat(now, period));
+        if self.draining || !self.links.lost_services().is_empty() {
+            self.broadcast_relay_state(out);
+        }
+        self.repeat_crash_records(now, out);
+        let instances = self.instances.known_count() as f64;
+        self.budgets
+            .set_max_saved((self.bounds.retry_extra * RETRY_LIMIT_SHARE / instances).max(1.0));
+    }
+
+    fn heartbeat(&self, now: Millis, period: Millis) -> PeerMessage {
+        let watch_closely = self.watching == Watching::Closely;
+        PeerMessage::Alive {
             name: self.local.name.clone(),
             addr: self.local.addr.clone(),
             config_revision: self.freshness.config_revision(),
@@ -286,15 +301,7 @@
             period_ms: period.0,
             store_era: self.freshness.era(),
             config_version: self.config_version(),
-        };
-        self.broadcast(out, message);
-        if self.draining || !self.links.lost_services().is_empty() {
-            self.broadcast_relay_state(out);
         }
-        self.repeat_crash_records(now, out);
-        let instances = self.instances.known_count() as f64;
-        self.budgets
-            .set_max_saved((self.bounds.retry_extra * RETRY_LIMIT_SHARE / instances).max(1.0));
     }
 
     /// Selects how closely this instance watches the store. The first instances
@@ -357,7 +364,7 @@
         }
     }
 
-    fn on_peer_message(&mut self, now: Millis, message: PeerMessage) {
+    fn on_peer_message(&mut self, now: Millis, message: PeerMessage, out: &mut Vec<Output>) {
         match message {
             PeerMessage::Placed(placed) => {
                 self.fleet_load
@@ -398,6 +405,9 @@
                     .apply_heartbeat(now, &member, period, store_answers)
                 {
                     log::info!(instance = member.name.as_str(), addr = member.addr.as_str(); "instance heard");
+                    // It may just have started, and need a proof to serve.
+                    let heartbeat = self.heartbeat(now, MAX_HEARTBEAT_PERIOD);
+                    out.push(Output::Broadcast(Arc::new(vec![member.addr]), heartbeat));
                 }
                 let proof = PeerProof {
                     position: StorePosition {
--- a/src/gateway/core/freshness.rs
+++ b/src/gateway/core/freshness.rs
@@ -41,8 +41,13 @@
     max_age_for_absence: Millis,
     /// When the query that gave the newest proof was sent.
     proved_at: Option<Millis>,
+    /// Time in which what a store has lost is written again.
+    rewrite_time: Millis,
     /// Newest known era of the store.
     era: StoreEra,
+    /// Earliest query whose answer is a proof: until then the operators may not
+    /// have written again what the store has lost.
+    settled_at: Millis,
     config_position: StorePosition,
     /// Newest operator change that another instance reported.
     peer_position: StorePosition,
@@ -64,7 +69,9 @@
             max_age_for_keys: bounds.key_revoke_limit - REVOKE_MARGIN,
             max_age_for_absence: bounds.config_apply_limit,
             proved_at: None,
+            rewrite_time: bounds.entry_recovery_time,
             era: StoreEra::default(),
+            settled_at: Millis::ZERO,
             config_position: StorePosition::default(),
             peer_position: StorePosition::default(),
             peer_version: 0,
@@ -74,11 +81,23 @@
         }
     }
 
-    /// Records that the store has returned from an older copy. Entries that were
-    /// written after the copy are missing until they are written again.
-    pub fn record_restore(&mut self, now: Millis, era: StoreEra) {
+    /// Records the store's era. Once it has `restored` an older copy, what was
+    /// written after that is missing until it is written again. An instance that
+    /// starts cannot tell how long ago the store returned.
+    pub fn record_era(&mut self, now: Millis, era: StoreEra, restored: bool) {
         self.era = era;
-        self.regained_at = Some(now);
+        if era > StoreEra::default() {
+            self.settled_at = now + self.rewrite_time;
+        }
+        if restored {
+            self.regained_at = Some(now);
+        }
+    }
+
+    /// Returns the time until the store's answers prove something again.
+    #[must_use]
+    pub fn settle_time_left(&self, now: Millis) -> Millis {
+        self.settled_at.since(now)
     }
 
     /// Records an answer of the store and the position that it shows.
@@ -99,9 +118,10 @@
     }
 
     /// Records an answer to a query at `proved_at` as a proof if it shows the
-    /// version `in_force`.
+    /// version `in_force`, and if no newer one can be missing from the store.
     pub fn record_proof(&mut self, proved_at: Millis, shown: Option<u64>, in_force: u64) {
-        let is_proof = shown == Some(in_force) && self.peer_version <= in_force;
+        let is_settled = proved_at >= self.settled_at;
+        let is_proof = is_settled && shown == Some(in_force) && self.peer_version <= in_force;
         if is_proof {
             self.proved_at = self.proved_at.max(Some(proved_at));
         }
@@ -111,7 +131,8 @@
                 proved = is_proof,
                 shown_version = shown.unwrap_or_default(),
                 in_force = in_force,
-                newest_reported = self.peer_version;
+                newest_reported = self.peer_version,
+                settled = is_settled;
                 "what the store's answers prove of the configuration changed"
             );
         }
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -187,9 +187,9 @@
     fn validate(&self, now: Millis, submission: Submission) -> Result<Request, (String, Refusal)> {
         let id = submission.head.request_id.clone();
         let refuse = |refusal| Err((id.clone(), refusal));
-        let unready = |message: &str| {
-            Refusal::not_run(Reason::Unavailable, message).retry_after(RETRY_AFTER_UNREADY)
-        };
+        let retry_after = RETRY_AFTER_UNREADY.max(self.freshness.settle_time_left(now));
+        let unready =
+            |message: &str| Refusal::not_run(Reason::Unavailable, message).retry_after(retry_after);
         let Some(routes) = &self.routes else {
             return refuse(unready("no configuration has been received yet"));
         };
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -53,6 +53,12 @@
 /// configuration change, and that a half-open connection is detected before a
 /// draining server must receive no more requests.
 const CLOSE_WATCH_WAIT: Millis = Millis(600);
+/// Wait time of a close watch shortly after the store returned from an older copy,
+/// when only a query that was sent late enough proves something.
+const SETTLING_WATCH_WAIT: Millis = Millis(200);
+/// Time for which that wait time applies; longer than the time in which operators
+/// write again what the store has lost.
+const SETTLING_TIME: Millis = Millis(2_500);
 /// Wait time of other watches; the store allows 30 s.
 const LOOSE_WATCH_WAIT: Millis = Millis(29_000);
 /// Interval at which an instance that does not watch the entries of servers and
@@ -86,8 +92,8 @@
 #[derive(Debug, Clone)]
 pub struct RevisionTracker {
     state: Rc<RefCell<TrackerState>>,
-    /// Newest known era of the store.
-    era: Rc<watch::Sender<StoreEra>>,
+    /// Newest known era of the store; `None` if it has named none.
+    era: Rc<watch::Sender<Option<StoreEra>>>,
     inputs: Sender<Input>,
     digest_mismatch: Rc<Notify>,
 }
@@ -212,9 +218,10 @@
         new_changes
     }
 
-    /// Returns the newest known era of the store.
+    /// Returns the newest known era of the store; the first one if it has named
+    /// none.
     fn era(&self) -> StoreEra {
-        *self.era.borrow()
+        self.era.borrow().unwrap_or_default()
     }
 
     /// Returns the era that a response of the store names. If it is a new one, all
@@ -236,26 +243,35 @@
         }
     }
 
-    /// Records the era that another instance knows.
+    /// Records the era that another instance knows. The first era is also what an
+    /// instance reports that knows none.
     pub fn observe_peer_era(&self, era: StoreEra) {
-        self.record_era(era, "another instance");
+        if era > StoreEra::default() {
+            self.record_era(era, "another instance");
+        }
     }
 
     fn record_era(&self, era: StoreEra, reported_by: &str) {
-        let before = self.era();
-        if era <= before {
+        let before = *self.era.borrow();
+        if before.is_some_and(|before| era <= before) {
             return;
         }
-        self.era.send_replace(era);
-        log::warn!(
-            era:% = era,
-            before:% = before,
-            config_revision = self.state.borrow().config_position.revision,
-            reported_by = reported_by;
-            "store returned from an older copy"
-        );
+        self.era.send_replace(Some(era));
+        match before {
+            Some(before) => log::warn!(
+                era:% = era,
+                before:% = before,
+                config_revision = self.state.borrow().config_position.revision,
+                reported_by = reported_by;
+                "store returned from an older copy"
+            ),
+            None => {
+                log::info!(era:% = era, reported_by = reported_by; "era of the store learned");
+            }
+        }
+        let restored = before.is_some();
         // Sending fails only during process exit.
-        let _ = self.inputs.send(Input::StoreRestored(era));
+        let _ = self.inputs.send(Input::StoreEra { era, restored });
     }
 
     /// Applies a change broadcast by another instance.
@@ -398,9 +414,20 @@
         let mut position = None;
         let mut backoff = MIN_BACKOFF;
         let mut era = self.revisions.era.subscribe();
+        let mut last_era = StoreEra::default();
+        let mut settled_at = Millis::ZERO;
         loop {
             let watching = *self.watching.borrow_and_update();
-            let position_before = position_in(position, *era.borrow_and_update());
+            let known_era = era.borrow_and_update().unwrap_or_default();
+            if known_era != last_era {
+                last_era = known_era;
+                settled_at = self.clock.now() + SETTLING_TIME;
+            }
+            let position_before = position_in(position, known_era);
+            let close_wait = match self.clock.now() < settled_at {
+                true => SETTLING_WATCH_WAIT,
+                false => CLOSE_WATCH_WAIT,
+            };
             let watcher = self.clone();
             let call = async {
                 match (position_before, watching) {
@@ -408,9 +435,7 @@
                     // After a failure, a short wait detects soon that the store has
                     // recovered.
                     (Some(after), _) if watching == Watching::Closely || backoff > MIN_BACKOFF => {
-                        watcher
-                            .watch(Part::Operators, after, CLOSE_WATCH_WAIT)
-                            .await
+                        watcher.watch(Part::Operators, after, close_wait).await
                     }
                     (Some(after), _) => tokio::select! {
                         result = watcher.watch(Part::Operators, after, LOOSE_WATCH_WAIT) => result,
@@ -434,7 +459,8 @@
         let mut era = self.revisions.era.subscribe();
         loop {
             let watching = *self.watching.borrow_and_update();
-            let position_before = position_in(position, *era.borrow_and_update());
+            let known_era = era.borrow_and_update().unwrap_or_default();
+            let position_before = position_in(position, known_era);
             let watcher = self.clone();
             let call = async {
                 match (position_before, watching) {
@@ -703,12 +729,12 @@
     position.filter(|position| position.era == era)
 }
 
-/// Awaits a call that continues from `position`, until the store is known to have
-/// returned from an older copy. A read needs no position and is not ended.
+/// Awaits a call that continues from `position`, until the store is known to be in
+/// another era. A read needs no position and is not ended.
 async fn until_restored(
     call: impl Future<Output = Result<StorePosition, StoreError>>,
     position: Option<StorePosition>,
-    era: &mut watch::Receiver<StoreEra>,
+    era: &mut watch::Receiver<Option<StoreEra>>,
 ) -> Result<StorePosition, StoreError> {
     if position.is_none() {
         return call.await;
--- a/src/gateway/instances.rs
+++ b/src/gateway/instances.rs
@@ -25,7 +25,7 @@
 /// known configuration.
 pub const MIN_HEARTBEAT_PERIOD: Millis = Millis(500);
 /// Maximum heartbeat period.
-const MAX_HEARTBEAT_PERIOD: Millis = Millis(2_000);
+pub const MAX_HEARTBEAT_PERIOD: Millis = Millis(2_000);
 /// Heartbeat period per known instance. A heartbeat goes to every instance, so
 /// a period that grows with their number limits each instance to about 40
 /// heartbeat datagrams a second with up to 80 instances. With more, the maximum
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -415,8 +415,13 @@
     BroadcastItem(Item),
     /// A call to the store failed.
     StoreCallFailed,
-    /// The store has returned from an older copy and is now in this era.
-    StoreRestored(StoreEra),
+    /// The store is in a new era, or this instance has learned of its era.
+    StoreEra {
+        /// The era.
+        era: StoreEra,
+        /// Whether the store was seen in an earlier era.
+        restored: bool,
+    },
     /// A message from another instance.
     Peer(PeerMessage),
     /// Periodic timer.
--- a/src/gateway/tests/core.rs
+++ b/src/gateway/tests/core.rs
@@ -153,7 +153,14 @@
 
 impl Harness {
     pub(super) fn new() -> Harness {
-        let mut harness = Harness {
+        let mut harness = Harness::unconfigured();
+        harness.configure();
+        harness
+    }
+
+    /// Returns a core that has not read anything from the store.
+    pub(super) fn unconfigured() -> Harness {
+        Harness {
             core: core_with_bounds(Bounds::default()),
             now: 10_000,
             next_ticket: 0,
@@ -163,13 +170,11 @@
             position: position(5),
             is_cut_off: false,
             answers_probes: true,
-        };
-        harness.configure();
-        harness
+        }
     }
 
     /// Gives the core its configuration and backend servers.
-    fn configure(&mut self) {
+    pub(super) fn configure(&mut self) {
         let mut updates = vec![StoreUpdate::Routes(Arc::new(keyed_table(1, &["k"])))];
         for index in 0..SERVERS {
             updates.push(StoreUpdate::Server(entry(&format!("p{index}"), "plain")));
@@ -233,7 +238,11 @@
     /// Lets the store return from an older copy.
     pub(super) fn restore(&mut self, era: u64) {
         self.position.era = StoreEra(era);
-        let _ = self.handle(Input::StoreRestored(StoreEra(era)));
+        let era = StoreEra(era);
+        let _ = self.handle(Input::StoreEra {
+            era,
+            restored: true,
+        });
     }
 
     pub(super) fn apply_store_updates(&mut self, updates: Vec<StoreUpdate>) {
--- a/src/gateway/tests/feed.rs
+++ b/src/gateway/tests/feed.rs
@@ -93,12 +93,17 @@
 fn changes_after_the_store_returned_from_an_older_copy_are_new_at_lower_revisions() {
     let (tx, rx) = flume::unbounded();
     let tracker = RevisionTracker::new(tx);
+    tracker.observe_peer_era(StoreEra(1));
     tracker.apply(StoreEra(1), vec![change("servers/a", 30, true)], None);
     tracker.observe_peer_era(StoreEra(2));
-    assert!(matches!(
-        rx.try_iter().last(),
-        Some(Input::StoreRestored(StoreEra(2)))
-    ));
+    let eras: Vec<(StoreEra, bool)> = rx
+        .try_iter()
+        .filter_map(|input| match input {
+            Input::StoreEra { era, restored } => Some((era, restored)),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(eras, [(StoreEra(1), false), (StoreEra(2), true)]);
     let changes = || {
         vec![
             change("servers/a", 12, false),
--- a/src/gateway/tests/restored.rs
+++ b/src/gateway/tests/restored.rs
@@ -7,8 +7,10 @@
 use super::core::keyed_table;
 use super::core::plan;
 use super::core::refusal;
+use crate::clock::Millis;
 use crate::gateway::instances::PeerMessage;
 use crate::gateway::message::Input;
+use crate::gateway::message::Output;
 use crate::gateway::message::StoreEra;
 use crate::gateway::message::StoreUpdate;
 use crate::gateway::server_table::ServerEntry;
@@ -197,3 +199,73 @@
     let _ = harness.handle(heartbeat(1, 3, 2));
     assert_eq!(refused(&mut harness, "k"), Some(Reason::Unavailable));
 }
+
+/// Returns a core that has just started and learned that the store is in era 1.
+fn starting() -> Harness {
+    let mut harness = Harness::unconfigured();
+    harness.position.era = StoreEra(1);
+    let _ = harness.handle(Input::StoreEra {
+        era: StoreEra(1),
+        restored: false,
+    });
+    harness.configure();
+    harness
+}
+
+#[test]
+fn an_instance_that_starts_alone_waits_until_operators_can_have_written_again() {
+    let mut harness = starting();
+    let (_, out) = harness.submit("/once/1", "k");
+    let refused_until = refusal(&out).and_then(|refusal| refusal.retry_after);
+    assert_eq!(refused_until, Some(Millis(2_000)));
+    let _ = harness.tick_until(harness.now + 1_900);
+    assert_eq!(refused(&mut harness, "k"), Some(Reason::Unavailable));
+    let _ = harness.tick_until(harness.now + 200);
+    assert_eq!(refused(&mut harness, "k"), None);
+}
+
+#[test]
+fn an_instance_that_starts_beside_others_serves_once_one_proves_its_configuration() {
+    let mut harness = starting();
+    let out = harness.handle(heartbeat(1, 5, 1));
+    assert_eq!(refused(&mut harness, "k"), None);
+    // The other instance is answered at once, as it may have started, too.
+    let addrs = out.iter().find_map(|output| match output {
+        Output::Broadcast(addrs, PeerMessage::Alive { .. }) => Some(addrs.to_vec()),
+        _ => None,
+    });
+    assert_eq!(addrs, Some(vec!["10.9.0.2:1".to_owned()]));
+}
+
+#[test]
+fn an_instance_that_starts_with_an_older_version_than_others_serves_no_keys() {
+    let mut harness = starting();
+    let _ = harness.handle(heartbeat(1, 5, 2));
+    let _ = harness.tick_until(harness.now + 5_000);
+    assert_eq!(refused(&mut harness, "k"), Some(Reason::Unavailable));
+    harness.apply_store_updates(vec![routes(2, &["k"])]);
+    assert_eq!(refused(&mut harness, "k"), None);
+}
+
+#[test]
+fn every_return_of_the_store_starts_the_wait_for_operators_anew() {
+    let mut harness = starting();
+    let _ = harness.tick_until(harness.now + 1_500);
+    harness.restore(2);
+    let _ = harness.tick_until(harness.now + 1_500);
+    assert_eq!(refused(&mut harness, "k"), Some(Reason::Unavailable));
+    let _ = harness.tick_until(harness.now + 600);
+    assert_eq!(refused(&mut harness, "k"), None);
+}
+
+#[test]
+fn a_short_absence_of_the_store_that_returns_from_an_older_copy_interrupts_no_service() {
+    let mut harness = Harness::new();
+    // Its last answer was to a query 1.3 s ago.
+    harness.now += 1_300;
+    harness.restore(1);
+    for _ in 0..100 {
+        let _ = harness.tick_until(harness.now + 50);
+        assert_eq!(refused(&mut harness, "k"), None);
+    }
+}
