Count the time for which a heartbeat waited towards the age of its proof

What callers saw: a revoked key could be let in by an instance that had been suspended, as heartbeats that had waited in its socket for seconds counted from the moment at which they were handled. The same holds for those in the queue of the control thread.

The socket is known to have been empty at the check before the last one, 0.1 to 0.2 s ago; after a suspension that is a time before it. A message carries this time, and its proof is older by what has passed since.

the_proof_of_a_heartbeat_is_as_old_as_the_time_for_which_it_waited_here failed before (the key was let in) and passes; a gateway process that is stopped for 6.5 s while the store and the other instance are gone lets no key in.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -234,7 +234,10 @@
                     self.next_heartbeat = now;
                 }
             }
-            Input::Peer(message) => self.on_peer_message(now, message, &mut out),
+            Input::Peer {
+                message,
+                arrived_after,
+            } => self.on_peer_message(now, arrived_after, message, &mut out),
             Input::Tick => self.tick(now, &mut out),
             Input::Drain => {
                 self.draining = true;
@@ -364,7 +367,13 @@
         }
     }
 
-    fn on_peer_message(&mut self, now: Millis, message: PeerMessage, out: &mut Vec<Output>) {
+    fn on_peer_message(
+        &mut self,
+        now: Millis,
+        arrived_after: Millis,
+        message: PeerMessage,
+        out: &mut Vec<Output>,
+    ) {
         match message {
             PeerMessage::Placed(placed) => {
                 self.fleet_load
@@ -415,7 +424,7 @@
                         revision: config_revision,
                     },
                     version: config_version,
-                    age: Millis(proof_age_ms),
+                    age: Millis(proof_age_ms) + now.since(arrived_after),
                 };
                 let in_force = self.config_version();
                 self.freshness.record_peer_proof(now, proof, in_force);
--- a/src/gateway/core/freshness.rs
+++ b/src/gateway/core/freshness.rs
@@ -16,8 +16,8 @@
 /// Reserve kept within the time limit for revoking keys, for queueing,
 /// transmission and clock differences.
 const REVOKE_MARGIN: Millis = Millis(400);
-/// Maximum delivery time of another instance's heartbeat between failure
-/// domains, including queueing. Added to the age of its proof.
+/// Maximum time that another instance's heartbeat takes to arrive, including
+/// queueing on the way. Added to the age of its proof.
 const MAX_HEARTBEAT_DELAY: Millis = Millis(100);
 
 /// What another instance says of its configuration.
@@ -27,7 +27,7 @@
     pub position: StorePosition,
     /// Version in force; 0 if none is.
     pub version: u64,
-    /// Age of the newest proof.
+    /// Age of the newest proof, with the time for which the message waited here.
     pub age: Millis,
 }
 
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -232,7 +232,11 @@
         spawn_local(server::serve_status(listener, ready, metrics));
     }
     let revisions = RevisionTracker::new(inputs.clone());
-    spawn_local(peers.clone().receive(deferred_inputs, revisions.clone()));
+    spawn_local(
+        peers
+            .clone()
+            .receive(clock, deferred_inputs, revisions.clone()),
+    );
     let (watching_tx, watching) = watch::channel(Watching::Loosely);
     let watcher = StoreWatcher::new(
         cfg.gateway_store.clone(),
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -423,7 +423,13 @@
         restored: bool,
     },
     /// A message from another instance.
-    Peer(PeerMessage),
+    Peer {
+        /// The message.
+        message: PeerMessage,
+        /// Time after which it arrived. It may have waited since, above all while
+        /// the process was suspended.
+        arrived_after: Millis,
+    },
     /// Periodic timer.
     Tick,
     /// The instance starts to drain before it shuts down.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -4,10 +4,14 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use flume::Sender;
 use tokio::net::UdpSocket;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
 
+use crate::clock::Clock;
 use crate::gateway::feed::RevisionTracker;
 use crate::gateway::instances::PeerMessage;
 use crate::gateway::message::Input;
@@ -18,6 +22,9 @@
 /// 200.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 
+/// Interval at which it is checked that no datagram waits to be read.
+const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The datagram socket of this instance.
 #[derive(Debug, Clone)]
 pub struct PeerSocket {
@@ -70,10 +77,31 @@
     }
 
     /// Forwards received messages to the core until the process ends.
-    pub async fn receive(self, deferred_inputs: Sender<Input>, revisions: RevisionTracker) {
+    pub async fn receive(
+        self,
+        clock: Clock,
+        deferred_inputs: Sender<Input>,
+        revisions: RevisionTracker,
+    ) {
         let mut buf = [0; MAX_DATAGRAM_BYTES];
+        let mut checks = interval(QUEUE_CHECK_INTERVAL);
+        checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut checked_at = clock.now();
+        // A datagram that is read now arrived after this.
+        let mut empty_at = checked_at;
         loop {
-            let len = match self.socket.recv_from(&mut buf).await {
+            let received = tokio::select! {
+                biased;
+                received = self.socket.recv_from(&mut buf) => received,
+                _ = checks.tick() => {
+                    // The runtime has polled the socket since the check before, and
+                    // perhaps not since a suspension.
+                    empty_at = checked_at;
+                    checked_at = clock.now();
+                    continue;
+                }
+            };
+            let len = match received {
                 Ok((len, _)) => len,
                 Err(error) => {
                     log::debug!(error:% = error; "datagram not received");
@@ -97,7 +125,10 @@
                         }
                     }
                     // Sending fails only during process exit.
-                    let _ = deferred_inputs.send(Input::Peer(message));
+                    let _ = deferred_inputs.send(Input::Peer {
+                        message,
+                        arrived_after: empty_at,
+                    });
                 }
                 Err(error) => {
                     self.metrics.add(Count::PeerFramesDropped, 1);
--- a/src/gateway/tests/core.rs
+++ b/src/gateway/tests/core.rs
@@ -142,6 +142,14 @@
     }
 }
 
+/// Returns a message from another instance that has not waited.
+pub(super) fn heard(message: PeerMessage) -> Input {
+    Input::Peer {
+        message,
+        arrived_after: Millis::NEVER,
+    }
+}
+
 fn core_with_one_retry() -> Core {
     core_with_bounds(Bounds {
         retry_ratio: 0.0,
@@ -206,7 +214,7 @@
 
     /// Lets another instance be heard; its name gives its address.
     pub(super) fn hear_instance(&mut self, name: &str) {
-        let _ = self.handle(Input::Peer(PeerMessage::Alive {
+        let _ = self.handle(heard(PeerMessage::Alive {
             name: name.to_owned(),
             addr: format!("{name}:1"),
             config_revision: 5,
@@ -381,7 +389,7 @@
     let mut harness = Harness::new();
     harness.now += 6_000;
     let alive = |config_revision| {
-        Input::Peer(PeerMessage::Alive {
+        heard(PeerMessage::Alive {
             name: "other".to_owned(),
             addr: "10.9.0.2:1".to_owned(),
             config_revision,
@@ -402,10 +410,39 @@
     assert!(plan(&out).is_some());
 }
 
+#[test]
+fn the_proof_of_a_heartbeat_is_as_old_as_the_time_for_which_it_waited_here() {
+    let mut harness = Harness::new();
+    let arrived_after = Millis(harness.now);
+    // The process is suspended, and a key may be taken away meanwhile.
+    harness.now += 6_000;
+    let mut heartbeat = heard(PeerMessage::Alive {
+        name: "other".to_owned(),
+        addr: "10.9.0.2:1".to_owned(),
+        config_revision: 5,
+        proof_age_ms: 100,
+        store_answers: true,
+        entries_digest: None,
+        period_ms: 500,
+        store_era: StoreEra::default(),
+        config_version: 1,
+    });
+    if let Input::Peer {
+        arrived_after: after,
+        ..
+    } = &mut heartbeat
+    {
+        *after = arrived_after;
+    }
+    let _ = harness.handle(heartbeat);
+    let (_, out) = harness.submit("/once/1", "k");
+    assert_eq!(refusal(&out).unwrap().reason, Reason::Unavailable);
+}
+
 #[test]
 fn heartbeats_of_a_close_watcher_carry_the_digest_of_entries() {
     let mut harness = Harness::new();
-    let _ = harness.handle(Input::Peer(PeerMessage::Alive {
+    let _ = harness.handle(heard(PeerMessage::Alive {
         name: "other".to_owned(),
         addr: "10.9.0.2:1".to_owned(),
         config_revision: 5,
@@ -441,7 +478,7 @@
 #[test]
 fn few_instances_poll_an_unavailable_store() {
     let heartbeat = |n: u32, store_answers| {
-        Input::Peer(PeerMessage::Alive {
+        heard(PeerMessage::Alive {
             name: format!("other-{n}"),
             addr: format!("10.9.0.{n}:1"),
             config_revision: 5,
@@ -591,7 +628,7 @@
 fn a_request_that_crashed_three_servers_is_refused() {
     let mut harness = Harness::new();
     for server in 0..3 {
-        let _ = harness.handle(Input::Peer(PeerMessage::Crashed {
+        let _ = harness.handle(heard(PeerMessage::Crashed {
             fingerprint: 7,
             server,
         }));
@@ -811,7 +848,7 @@
 fn a_rate_limit_that_another_instance_reports_is_kept() {
     let mut harness = Harness::new();
     let report = |rate_limit| {
-        Input::Peer(PeerMessage::ServerNotice {
+        heard(PeerMessage::ServerNotice {
             server: id_hash("p0"),
             notice: ServerNotice {
                 rate_limit,
@@ -828,7 +865,7 @@
 #[test]
 fn a_rate_limit_is_announced_to_the_other_instances() {
     let mut harness = Harness::new();
-    let _ = harness.handle(Input::Peer(PeerMessage::Alive {
+    let _ = harness.handle(heard(PeerMessage::Alive {
         name: "other".to_owned(),
         addr: "10.9.0.2:1".to_owned(),
         config_revision: 5,
--- a/src/gateway/tests/notices.rs
+++ b/src/gateway/tests/notices.rs
@@ -3,6 +3,7 @@
 use super::core::Harness;
 use super::core::SERVERS;
 use super::core::entry;
+use super::core::heard;
 use super::core::plan;
 use super::core::refusal;
 use crate::clock::Millis;
@@ -109,7 +110,7 @@
     };
     assert!(notice(&mut harness, 0, leaving).iter().any(tells));
     assert!(!notice(&mut harness, 0, leaving).iter().any(tells));
-    let _ = harness.handle(Input::Peer(PeerMessage::ServerNotice {
+    let _ = harness.handle(heard(PeerMessage::ServerNotice {
         server: id_hash("p1"),
         notice: leaving,
     }));
--- a/src/gateway/tests/relays.rs
+++ b/src/gateway/tests/relays.rs
@@ -2,12 +2,12 @@
 //! those that it receives from others.
 
 use super::core::Harness;
+use super::core::heard;
 use super::core::plan;
 use super::core::refusal;
 use crate::clock::Millis;
 use crate::gateway::instances::PeerMessage;
 use crate::gateway::message::AttemptEnd;
-use crate::gateway::message::Input;
 use crate::gateway::message::Output;
 use crate::gateway::relay;
 use crate::gateway::relay::RelayTerms;
@@ -127,7 +127,7 @@
 fn instances_that_drain_or_reach_no_server_either_get_no_relayed_requests() {
     for (draining, lost_services) in [(true, vec![]), (false, vec!["plain".to_owned()])] {
         let mut harness = cut_off_harness("/once/1", &["a", "b"]);
-        let _ = harness.handle(Input::Peer(PeerMessage::RelayState {
+        let _ = harness.handle(heard(PeerMessage::RelayState {
             name: "a".to_owned(),
             draining,
             lost_services,
--- a/src/gateway/tests/restored.rs
+++ b/src/gateway/tests/restored.rs
@@ -4,6 +4,7 @@
 
 use super::core::Harness;
 use super::core::entry;
+use super::core::heard;
 use super::core::keyed_table;
 use super::core::plan;
 use super::core::refusal;
@@ -140,7 +141,7 @@
 }
 
 fn heartbeat(era: u64, config_revision: u64, config_version: u64) -> Input {
-    Input::Peer(PeerMessage::Alive {
+    heard(PeerMessage::Alive {
         name: "other".to_owned(),
         addr: "10.9.0.2:1".to_owned(),
         config_revision,
--- a/src/gateway/tests/simulation.rs
+++ b/src/gateway/tests/simulation.rs
@@ -577,7 +577,7 @@
                 Output::Broadcast(addrs, message) => {
                     for addr in addrs.iter() {
                         let to = addr[1..].parse().unwrap();
-                        let input = Input::Peer(message.clone());
+                        let input = super::core::heard(message.clone());
                         self.push(
                             self.now + NETWORK_DELAY_MS,
                             Event::Input { core: to, input },
--- a/tests/gateway/restored.rs
+++ b/tests/gateway/restored.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use nix::sys::signal::Signal;
 use tempfile::TempDir;
 
 use crate::backend::Backend;
@@ -23,6 +24,10 @@
 const LIMIT: Duration = Duration::from_secs(15);
 /// Writes to the store between the copy and its return.
 const LOST_WRITES: u64 = 20;
+/// Time in which an instance sends some heartbeats.
+const HEARTBEATS: Duration = Duration::from_millis(1_500);
+/// Time after which a key that was taken away must not be used.
+const REVOKE_LIMIT: Duration = Duration::from_secs(5);
 /// Calls that show that something is not used.
 const CALLS: usize = 20;
 
@@ -198,6 +203,30 @@
     wait_status(&started, "/again/1", "k2", 401);
 }
 
+#[test]
+fn an_instance_that_was_suspended_takes_no_waiting_heartbeat_for_a_fresh_proof() {
+    let stage = stage();
+    let [suspended, other] = ["g1", "g2"].map(|name| stage.start(name));
+    suspended.wait_ready();
+    other.wait_ready();
+    suspended.wait_metric("skylarkhook_members_live", 1);
+    other.wait_metric("skylarkhook_members_live", 1);
+    suspended.signal(Signal::SIGSTOP);
+    // Heartbeats of the other instance wait in the socket.
+    thread::sleep(HEARTBEATS);
+    other.signal(Signal::SIGSTOP);
+    stage.store.down.store(true, Ordering::SeqCst);
+    thread::sleep(REVOKE_LIMIT);
+    suspended.signal(Signal::SIGCONT);
+    for _ in 0..CALLS {
+        assert_ne!(send(&suspended, "/again/1", "k2").status, 200);
+        thread::sleep(Duration::from_millis(50));
+    }
+    other.signal(Signal::SIGCONT);
+    stage.store.down.store(false, Ordering::SeqCst);
+    wait_status(&suspended, "/again/1", "k2", 200);
+}
+
 #[test]
 fn an_instance_registers_again_after_the_store_lost_its_entry() {
     let stage = stage();
