Refuse relayed requests of newer configurations before routes and keys are looked up

What callers saw: 404 or 401 for a route or key that had been added, from an instance that knew the change, as it relayed the request to one that did not know it yet. That instance compared the versions only after it had looked the route and the key up.

a_route_or_key_that_only_the_relaying_instance_knows_yet_is_not_refused_as_unknown failed before (NotFound) and passes: the answer is not run, unavailable, so that the first instance tries another one.

--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -193,6 +193,10 @@
         let Some(routes) = &self.routes else {
             return refuse(unready("no configuration has been received yet"));
         };
+        let relay_terms = submission.relay.as_ref();
+        if relay_terms.is_some_and(|terms| terms.config_version > routes.version) {
+            return refuse(unready("the configuration of this instance is older"));
+        }
         let is_absence_certain = self.freshness.absence_certain(now);
         let Some(route) = routes.route(&submission.host, &submission.path) else {
             if !is_absence_certain {
@@ -226,9 +230,6 @@
         let mut route = route.clone();
         let mut next_attempt = 0;
         if let Some(terms) = &submission.relay {
-            if terms.config_version > routes.version {
-                return refuse(unready("the configuration of this instance is older"));
-            }
             route.max_attempts = route.max_attempts.min(terms.attempts_left);
             next_attempt = terms.first_attempt;
         }
--- a/src/gateway/tests/relays.rs
+++ b/src/gateway/tests/relays.rs
@@ -218,6 +218,19 @@
     assert_eq!(refusal(&out).unwrap().reason, Reason::Unavailable);
 }
 
+#[test]
+fn a_route_or_key_that_only_the_relaying_instance_knows_yet_is_not_refused_as_unknown() {
+    let mut harness = Harness::new();
+    let terms = RelayTerms {
+        config_version: 2,
+        ..TERMS
+    };
+    for (path, key) in [("/added/1", "k"), ("/once/1", "added")] {
+        let (_, out) = harness.submit_relayed(path, key, Some(terms));
+        assert_eq!(refusal(&out).unwrap().reason, Reason::Unavailable);
+    }
+}
+
 #[test]
 fn requests_are_sent_to_servers_again_once_one_is_reached() {
     let mut harness = cut_off_harness("/once/1", &["a"]);
