Let the store return from an older copy during the soak

The stand-in remembers what operators and backend servers wrote, and writes again what a return has lost after up to 0.4 s. Each seed ends with a route that is added and a key that is taken away, which has to be in force at all gateways after 5 s.

--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -27,6 +27,8 @@
 #[derive(Clone, Default)]
 pub struct Store {
     state: Arc<Mutex<Items>>,
+    /// What operators and backend servers wrote last; survives a return.
+    written: Arc<Mutex<BTreeMap<String, Option<Vec<u8>>>>>,
     /// Whether it answers 503.
     pub down: Arc<AtomicBool>,
     /// Watches that wait are never answered once this has changed.
@@ -105,7 +107,26 @@
         self.change(key, None, 0);
     }
 
+    /// Writes again what operators and backend servers have written and the store
+    /// has lost.
+    pub fn write_again(&self) {
+        let written = self.written.lock().unwrap().clone();
+        for (key, value) in written {
+            let shown = {
+                let state = self.state.lock().unwrap();
+                state.items.get(&key).and_then(|item| item.value.clone())
+            };
+            if shown != value {
+                self.change(&key, value, 0);
+            }
+        }
+    }
+
     fn change(&self, key: &str, value: Option<Vec<u8>>, lease: u64) {
+        if lease == 0 {
+            let mut written = self.written.lock().unwrap();
+            written.insert(key.to_owned(), value.clone());
+        }
         let mut state = self.state.lock().unwrap();
         state.revision += 1;
         let item = Item {
--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -1,7 +1,8 @@
 //! A soak with random faults over real processes.
 //!
 //! Gateways are killed, stopped for a while, told to leave, started again and cut
-//! off from all backend servers, the store goes down, backend servers break
+//! off from all backend servers, the store goes down or returns from an older copy,
+//! of which operators and servers learn a little later, backend servers break
 //! answers off or leave their length open, name rate limits, ask for pauses or say
 //! that they are leaving, one part of prompts crashes them, the configuration
 //! changes: in series and overlapping. Callers send calls and streams all the
@@ -9,7 +10,7 @@
 //! may not be repeated runs once at most, a refusal that promises "not run" is
 //! true, a stream has no gap and no double event, a whole answer is the whole
 //! one, no prompt but those with the crashing part is quarantined, and those are
-//! not sent on for long.
+//! not sent on for long. In the end a route is added and a key taken away.
 //!
 //! `SOAK_SEEDS=50 cargo test --test gateway soak -- --nocapture` plays more
 //! seeds; `SOAK_FROM` is the first, and `SOAK_CUTS=1` also cuts gateways off, which
@@ -34,8 +35,10 @@
 use crate::backend::Runs;
 use crate::links::Cut;
 use crate::links::Links;
+use crate::platform::Copy;
 use crate::platform::Store;
 use crate::platform::configuration;
+use crate::platform::configuration_with;
 use crate::process::Answer;
 use crate::process::Gateway;
 use crate::process::call;
@@ -49,6 +52,10 @@
 const FAULTS: usize = 12;
 const GATEWAYS: usize = 3;
 const CALLERS: u64 = 4;
+/// Version of the configuration at the end; above all of the faults.
+const LAST_VERSION: u64 = 1_000;
+/// Time after which a key that was taken away must not be used.
+const REVOKE_LIMIT: Duration = Duration::from_secs(5);
 /// Part of some prompts that crashes backend servers.
 const CRASHING_PART: &str = "bad";
 /// Servers that it may crash, and further ones for each time that a gateway
@@ -87,7 +94,7 @@
     let backends: Vec<Backend> = (1..=3)
         .map(|at| Backend::start_with_links(&format!("i-{at}"), runs.clone(), &links).unwrap())
         .collect();
-    store.put("op/config", configuration(1, &["k1"]).as_bytes());
+    store.put("op/config", configuration(1, &["k1", "taken"]).as_bytes());
     for backend in &backends {
         store.put(
             &format!("servers/{}", backend.id),
@@ -125,14 +132,18 @@
     }
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut cut_rng = ChaCha8Rng::seed_from_u64(!seed);
+    let mut store_rng = ChaCha8Rng::seed_from_u64(seed << 32);
+    let mut copy = None;
     for step in 0..FAULTS {
         if number("SOAK_CUTS").is_some() {
             change_link(&mut cut_rng, &fleet, &links);
         }
         change_wish(&mut cut_rng, &backends);
+        change_store(&mut store_rng, &store, &mut copy);
         fault(&mut rng, &fleet, &store, &backends, &start, step as u64);
     }
     store.down.store(false, Ordering::SeqCst);
+    fleet.check_last_change(&store);
     fleet.over.store(true, Ordering::SeqCst);
     for caller in callers {
         caller.join().unwrap();
@@ -194,7 +205,8 @@
             *backend.faults.rate_limit.lock().unwrap() = is_limited.then_some(10.0);
         }
         _ => {
-            store.put("op/config", configuration(2 + step, &["k1"]).as_bytes());
+            let configuration = configuration(2 + step, &["k1", "taken"]);
+            store.put("op/config", configuration.as_bytes());
             fleet.gateways.lock().unwrap()[at].signal(Signal::SIGHUP);
         }
     }
@@ -221,6 +233,19 @@
     }
 }
 
+/// Copies the store, or lets it return from its copy, at some steps.
+fn change_store(rng: &mut impl Rng, store: &Store, copy: &mut Option<Copy>) {
+    match (rng.random_range(0..6), &copy) {
+        (0, _) | (1, None) => *copy = Some(store.copy()),
+        (1 | 2, Some(copy)) => {
+            store.return_from(copy, Duration::from_millis(rng.random_range(0..700)));
+            thread::sleep(Duration::from_millis(rng.random_range(0..400)));
+            store.write_again();
+        }
+        _ => {}
+    }
+}
+
 /// Lets a backend server ask for pauses or stop it, or say that it is leaving. One
 /// server at most is leaving, as it does so to the end.
 fn change_wish(rng: &mut impl Rng, backends: &[Backend]) {
@@ -281,6 +306,33 @@
         self.broken_rules.lock().unwrap().push(rule);
     }
 
+    /// Adds a route and takes a key away, which has to be in force at each gateway
+    /// in the end.
+    fn check_last_change(&self, store: &Store) {
+        let routes = ["once", "again", "stream", "added"];
+        let configuration = configuration_with(LAST_VERSION, &["k1"], &routes);
+        store.put("op/config", configuration.as_bytes());
+        thread::sleep(REVOKE_LIMIT);
+        let gateways = self.gateways.lock().unwrap();
+        for gateway in gateways.iter() {
+            let status = |key: &str, path: &str, id: &str| {
+                let headers = [
+                    ("X-Skylarkhook-Request-Id", id),
+                    ("X-Skylarkhook-Deadline-Ms", "3000"),
+                    ("Authorization", key),
+                ];
+                call(gateway.callers, "POST", path, &headers, "x").map(|answer| answer.status)
+            };
+            let id = format!("last-{}", gateway.process_id());
+            if status("Token taken", "/again/1", &id).is_ok_and(|status| status == 200) {
+                self.broken(format!("{id}: a key that was taken away is let in"));
+            }
+            if status("Token k1", "/added/1", &id).is_ok_and(|status| status == 404) {
+                self.broken(format!("{id}: a route that was added is not known"));
+            }
+        }
+    }
+
     /// Checks what a caller got against what backend servers ran.
     fn check(&self, id: &str, path: &str, answer: Option<&Answer>) {
         let ran = self.runs.of(id);
