Write claims again that a restored key-value service has lost

What callers saw: a call with an idempotency key ran a second time when it was resent after the service had returned to older data. Cause: the keeper took the older document for current, though its version was below the one that it had written.

A version that went down shows the return. The keeper keeps the claims and results that the document lacks and writes them with the next change; a claim of another owner that was granted since stays.

--- a/src/once/keeper.rs
+++ b/src/once/keeper.rs
@@ -79,6 +79,9 @@
 struct Shard {
     document: ShardDocument,
     version: KeyVersion,
+    /// Claims that the service has lost by returning to older data; written again
+    /// with the next change.
+    lost_claims: BTreeMap<Slot, Claim>,
     /// Number of store calls started.
     calls: u64,
     /// Number of the last store call that returned or wrote the document, or
@@ -180,6 +183,7 @@
             return Vec::new();
         };
         let mut next = self.document.clone();
+        self.add_lost_claims(&mut next);
         next.claims.retain(|_, claim| claim.expires > unix_now);
         let (answers, needs_read) = apply(&mut next, &self.waiting, confirmed_by, unix_now);
         if needs_read {
@@ -239,6 +243,7 @@
         match (call, result) {
             (Pending::Write { next, answers }, Ok(StoreAnswer::Written(version))) => {
                 self.document = next;
+                self.lost_claims.clear();
                 self.version = version;
                 self.last_confirmed_by = Some(self.calls);
                 self.remove_answered(&answers);
@@ -265,6 +270,7 @@
     /// Replaces the document by the stored one.
     fn set_document(&mut self, now: Millis, number: u16, entry: Option<StoreEntry>) {
         let Some(entry) = entry else {
+            self.keep_lost_claims(number, KeyVersion(0), &ShardDocument::default());
             self.document = ShardDocument::default();
             self.version = KeyVersion(0);
             self.last_confirmed_by = Some(self.calls);
@@ -273,6 +279,7 @@
         let config = bincode::config::standard();
         match bincode::serde::decode_from_slice(&entry.value, config) {
             Ok((document, _)) => {
+                self.keep_lost_claims(number, entry.version, &document);
                 self.document = document;
                 self.version = entry.version;
                 self.last_confirmed_by = Some(self.calls);
@@ -285,6 +292,34 @@
         }
     }
 
+    /// Keeps the known claims that a document lacks if its version shows that the
+    /// service has returned to older data.
+    fn keep_lost_claims(&mut self, number: u16, version: KeyVersion, stored: &ShardDocument) {
+        if version >= self.version {
+            return;
+        }
+        for (slot, claim) in &self.document.claims {
+            if claim.is_lost(stored.claims.get(slot)) {
+                self.lost_claims.insert(*slot, claim.clone());
+            }
+        }
+        log::warn!(
+            shard = number,
+            version = version.0,
+            known_version = self.version.0,
+            lost = self.lost_claims.len();
+            "key-value service returned to older claims; the lost ones are written again"
+        );
+    }
+
+    fn add_lost_claims(&self, document: &mut ShardDocument) {
+        for (slot, claim) in &self.lost_claims {
+            if claim.is_lost(document.claims.get(slot)) {
+                document.claims.insert(*slot, claim.clone());
+            }
+        }
+    }
+
     /// Removes answered changes from the queue.
     fn remove_answered(&mut self, answers: &[Answer]) {
         self.waiting.retain(|waiting| {
@@ -387,6 +422,14 @@
 }
 
 impl Claim {
+    /// Returns whether the stored claim of the same key lacks what this one holds.
+    /// A claim of another owner has been granted since.
+    fn is_lost(&self, stored: Option<&Claim>) -> bool {
+        stored.is_none_or(|stored| {
+            stored.owner == self.owner && stored.result.is_none() && self.result.is_some()
+        })
+    }
+
     fn answer(&self, request: RequestId, body: u64) -> ClaimAnswer {
         if self.body != body {
             return ClaimAnswer::OtherBody;
--- a/tests/proof/main.rs
+++ b/tests/proof/main.rs
@@ -60,6 +60,8 @@
     store_down = "store-down";
     store_loses_answers = "store-loses-answers";
     store_restored_older = "store-restored-older";
+    claims_restored_older = "claims-restored-older";
+    one_claim_restored_older = "one-claim-restored-older";
 }
 
 #[test]
