Tell others at once that the store's answers prove the configuration again

Instances that rely on others got the first proof after a return with the next heartbeat, up to 0.5 s later, by when theirs could be too old for keys. An answer of an era that is over, as a stale read may give, is read again and no longer counts as a lost store.

the_first_proof_after_the_stores_return_is_told_to_others_at_once failed with the change switched off and passes.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -219,8 +219,13 @@
                 self.apply_store_updates(now, updates, &mut out);
                 if let Some(proved_at) = proved_at {
                     let in_force = self.config_version();
-                    self.freshness
-                        .record_proof(proved_at, shown_version, in_force);
+                    let is_proven_again =
+                        self.freshness
+                            .record_proof(proved_at, shown_version, in_force);
+                    if is_proven_again {
+                        // Others may be about to refuse keys for lack of a proof.
+                        self.next_heartbeat = now;
+                    }
                 }
                 self.retry_waiting(now, &mut out);
             }
--- a/src/gateway/core/freshness.rs
+++ b/src/gateway/core/freshness.rs
@@ -119,14 +119,16 @@
 
     /// Records an answer to a query at `proved_at` as a proof if it shows the
     /// version `in_force`, and if no newer one can be missing from the store.
-    pub fn record_proof(&mut self, proved_at: Millis, shown: Option<u64>, in_force: u64) {
+    /// Returns whether it is a proof after answers that were none.
+    pub fn record_proof(&mut self, proved_at: Millis, shown: Option<u64>, in_force: u64) -> bool {
         let is_settled = proved_at >= self.settled_at;
         let is_proof = is_settled && shown == Some(in_force) && self.peer_version <= in_force;
         if is_proof {
             self.proved_at = self.proved_at.max(Some(proved_at));
         }
-        if !is_proof != self.is_unproven {
-            self.is_unproven = !is_proof;
+        let is_changed = is_proof == self.is_unproven;
+        self.is_unproven = !is_proof;
+        if is_changed {
             log::warn!(
                 proved = is_proof,
                 shown_version = shown.unwrap_or_default(),
@@ -136,6 +138,7 @@
                 "what the store's answers prove of the configuration changed"
             );
         }
+        is_changed && is_proof
     }
 
     /// Records that the store did not answer.
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -233,9 +233,14 @@
             // A store without eras never returns from a copy.
             None if known == StoreEra::default() => Ok(known),
             None => Err(call_error(&"the response names no era")),
-            Some(era) if era < known => Err(call_error(&format!(
-                "the response is of era {era}, and the store is in era {known}"
-            ))),
+            Some(era) if era < known => {
+                log::info!(
+                    era:% = era,
+                    known_era:% = known;
+                    "response of the store ignored: of an era before it returned from an older copy"
+                );
+                Err(StoreError::Restored)
+            }
             Some(era) => {
                 self.record_era(era, "the store");
                 Ok(era)
@@ -506,8 +511,11 @@
                 log::warn!(revision = previous.unwrap_or_default().revision; "store dropped its history; its items are read again");
                 None
             }
-            // Its rise was logged.
-            Err(StoreError::Restored) => None,
+            // A stale read may show the era before for a while.
+            Err(StoreError::Restored) => {
+                sleep(MIN_BACKOFF).await;
+                None
+            }
             Err(error @ (StoreError::NotFound | StoreError::Call(_))) => {
                 log::warn!(cause:% = error, pause_ms = backoff.as_millis() as u64; "store call failed");
                 // Sending fails only during process exit.
--- a/src/gateway/tests/restored.rs
+++ b/src/gateway/tests/restored.rs
@@ -248,6 +248,24 @@
     assert_eq!(refused(&mut harness, "k"), None);
 }
 
+#[test]
+fn the_first_proof_after_the_stores_return_is_told_to_others_at_once() {
+    let mut harness = starting();
+    let _ = harness.handle(heartbeat(1, 5, 1));
+    harness.apply_store_updates(Vec::new());
+    harness.now += 1_950;
+    for _ in 0..2 {
+        harness.now += 25;
+        let _ = harness.handle(Input::Tick);
+    }
+    harness.apply_store_updates(Vec::new());
+    harness.now += 5;
+    let out = harness.handle(Input::Tick);
+    let is_heartbeat =
+        |output: &Output| matches!(output, Output::Broadcast(_, PeerMessage::Alive { .. }));
+    assert!(out.iter().any(is_heartbeat), "{out:?}");
+}
+
 #[test]
 fn every_return_of_the_store_starts_the_wait_for_operators_anew() {
     let mut harness = starting();
