Read no entries again for stale answers from before the store's return

After a return, entries of instances are read with a stale read, which may show the era before for seconds; the entries of servers were then read again every 50 ms meanwhile. Heartbeats tell which instances live, so that the answer is left out. The stand-in shows stale reads the older state for a second.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -544,7 +544,14 @@
 
     async fn read_entries(&self, allow_stale: bool) -> Result<StorePosition, StoreError> {
         let position = self.read(Part::Servers, allow_stale).await?;
-        self.read(Part::Instances, true).await?;
+        match self.read(Part::Instances, true).await {
+            // A stale answer from before the store's return. Heartbeats tell which
+            // instances live.
+            Err(StoreError::Restored) => {}
+            result => {
+                result?;
+            }
+        }
         Ok(position)
     }
 
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -22,6 +22,8 @@
 
 /// Time for which a silent connection stays so; longer than any test.
 const SILENCE: Duration = Duration::from_secs(60);
+/// Time after its return in which stale reads show what was there before.
+const STALENESS: Duration = Duration::from_secs(1);
 
 /// The store: items with revisions, leases, and watches that poll them.
 #[derive(Clone, Default)]
@@ -31,6 +33,8 @@
     written: Arc<Mutex<BTreeMap<String, Option<Vec<u8>>>>>,
     /// Whether it answers 503.
     pub down: Arc<AtomicBool>,
+    /// What stale reads show until a while after the store's return.
+    before_return: Arc<Mutex<Option<(Items, Instant)>>>,
     /// Watches that wait are never answered once this has changed.
     silenced: Arc<AtomicU64>,
 }
@@ -78,9 +82,10 @@
     /// and leases are given out again.
     pub fn restore(&self, copy: &Copy) {
         let mut state = self.state.lock().unwrap();
-        let era = state.era + 1;
-        *state = copy.0.clone();
-        state.era = era;
+        let mut before = copy.0.clone();
+        before.era = state.era + 1;
+        std::mem::swap(&mut *state, &mut before);
+        *self.before_return.lock().unwrap() = Some((before, Instant::now() + STALENESS));
     }
 
     /// Goes away for a while and comes back from an older copy.
@@ -149,7 +154,15 @@
             .filter_map(|pair| pair.split_once('='))
             .collect();
         let (era, text) = match path.trim_start_matches("/skylarkhook/") {
-            "kv-range" => self.page("items", 0, query.get("prefix").copied().unwrap_or("")),
+            "kv-range" => {
+                let prefix = query.get("prefix").copied().unwrap_or("");
+                let is_stale = query.contains_key("allowStale");
+                let before_return = self.before_return.lock().unwrap().clone();
+                match before_return.filter(|(_, until)| is_stale && Instant::now() < *until) {
+                    Some((items, _)) => items.page("items", 0, prefix),
+                    None => self.state.lock().unwrap().page("items", 0, prefix),
+                }
+            }
             "kv-watch" => {
                 let number = |name| query.get(name).and_then(|n| n.parse().ok()).unwrap_or(0);
                 let until = Instant::now() + Duration::from_millis(number("waitMs"));
@@ -169,7 +182,7 @@
                 if after > self.state.lock().unwrap().revision {
                     return respond(request, 410, era, "{}".to_owned());
                 }
-                self.page("events", after, prefix)
+                self.state.lock().unwrap().page("events", after, prefix)
             }
             "kv-lease" => {
                 let mut state = self.state.lock().unwrap();
@@ -216,11 +229,12 @@
         let mut items = state.items.iter();
         items.any(|(key, item)| key.starts_with(prefix) && item.revision > after)
     }
+}
 
+impl Items {
     /// Returns a page of items or events, and the era that it shows.
     fn page(&self, name: &str, after: u64, prefix: &str) -> (u64, String) {
-        let state = self.state.lock().unwrap();
-        let mut items: Vec<_> = state
+        let mut items: Vec<_> = self
             .items
             .iter()
             .filter(|(key, _)| key.starts_with(prefix))
@@ -239,8 +253,8 @@
             })
             .collect();
         let page =
-            serde_json::json!({ name: items, "hasMore": false, "currentRev": state.revision });
-        (state.era, page.to_string())
+            serde_json::json!({ name: items, "hasMore": false, "currentRev": self.revision });
+        (self.era, page.to_string())
     }
 }
 
