--- a/src/gateway/core/facts.rs
+++ b/src/gateway/core/facts.rs
@@ -138,17 +138,25 @@
         if !self.freshness.is_store_answering() {
             return;
         }
-        let ended = self.missing_cordons.extract_if(|_, until| now >= *until);
-        let ended: Vec<String> = ended.map(|(domain, _)| domain).collect();
+        let mut ended = Vec::new();
+        self.missing_cordons.retain(|domain, until| {
+            let is_kept = now < *until;
+            if !is_kept {
+                ended.push(domain.clone());
+            }
+            is_kept
+        });
         for domain in ended {
             self.uncordon(&domain);
         }
-        let is_due = |_: &String, (_, until): &mut (ServerEntry, Millis)| now >= *until;
-        let due: Vec<ServerEntry> = self
-            .reappeared_servers
-            .extract_if(is_due)
-            .map(|(_, (entry, _))| entry)
-            .collect();
+        let mut due = Vec::new();
+        self.reappeared_servers.retain(|_, (entry, until)| {
+            let is_kept = now < *until;
+            if !is_kept {
+                due.push(entry.clone());
+            }
+            is_kept
+        });
         for entry in due {
             self.apply_server(now, entry);
         }
