Register once at the start

Since the entry is written again when the store's era changes, an instance took the first era that it learned for a change and registered twice at its start (log of a test run: entry written again 37 ms after the start). A lease is now over once the era differs from the one that granted it.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -645,15 +645,14 @@
         let mut backoff = MIN_BACKOFF;
         let mut era = self.revisions.era.subscribe();
         loop {
-            era.borrow_and_update();
             match self.write_entry(&member).await {
-                Ok(lease) => {
+                Ok((lease, lease_era)) => {
                     backoff = MIN_BACKOFF;
                     tokio::select! {
                         () = self.renew_until_expired(lease) => {}
                         // The entry may be lost, and the lease may now be another
                         // instance's.
-                        _ = era.changed() => {}
+                        _ = era.wait_for(|era| era.unwrap_or_default() != lease_era) => {}
                     }
                     log::info!(lease = lease; "entry of this instance is written again: its lease is over");
                 }
@@ -666,8 +665,8 @@
         }
     }
 
-    /// Writes this instance's entry under a new lease; returns the lease.
-    async fn write_entry(&self, member: &Member) -> Result<u64, StoreError> {
+    /// Writes this instance's entry under a new lease; returns the lease and its era.
+    async fn write_entry(&self, member: &Member) -> Result<(u64, StoreEra), StoreError> {
         let (lease_era, body) = self
             .call(&store::grant_lease(ENTRY_TTL), CALL_TIMEOUT)
             .await?;
@@ -676,7 +675,7 @@
             .call(&store::register(member, lease), CALL_TIMEOUT)
             .await?;
         match era == lease_era {
-            true => Ok(lease),
+            true => Ok((lease, era)),
             false => Err(StoreError::Restored),
         }
     }
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -96,6 +96,11 @@
         self.down.store(false, Ordering::SeqCst);
     }
 
+    /// Returns the number of leases that were granted.
+    pub fn leases(&self) -> u64 {
+        self.state.lock().unwrap().last_lease
+    }
+
     /// Returns whether an item exists.
     pub fn holds(&self, key: &str) -> bool {
         let state = self.state.lock().unwrap();
--- a/tests/gateway/restored.rs
+++ b/tests/gateway/restored.rs
@@ -28,6 +28,8 @@
 const HEARTBEATS: Duration = Duration::from_millis(1_500);
 /// Time after which a key that was taken away must not be used.
 const REVOKE_LIMIT: Duration = Duration::from_secs(5);
+/// Time in which an instance that registers twice has done so.
+const SECOND_LEASE_TIME: Duration = Duration::from_millis(200);
 /// Calls that show that something is not used.
 const CALLS: usize = 20;
 
@@ -241,6 +243,9 @@
         }
     };
     wait_registered();
+    gateway.wait_ready();
+    thread::sleep(SECOND_LEASE_TIME);
+    assert_eq!(stage.store.leases(), 1);
     stage.store.return_from(&copy, AWAY);
     // Another instance is given the lease that this one had.
     let lease = call(stage.addr, "POST", "/skylarkhook/kv-lease", &[], "{}").unwrap();
