--- a/tests/proof/main.rs
+++ b/tests/proof/main.rs
@@ -38,6 +38,7 @@
 scenarios! {
     backend_leaves = "backend-leaves";
     callers_leave = "callers-leave";
+    claims_restored_older = "claims-restored-older";
     cut_off_whole = "cut-off-whole";
     domain_out_and_back = "domain-out-and-back";
     domains_cut = "domains-cut";
@@ -48,6 +49,7 @@
     home_paused_old_epochs = "home-paused-old-epochs";
     instance_dies_in_a_call = "instance-dies-in-a-call";
     new_instance_in_an_outage = "new-instance-in-an-outage";
+    one_claim_restored_older = "one-claim-restored-older";
     overload = "overload";
     plain_load = "plain-load";
     platform_cut = "platform-cut";
@@ -60,8 +62,6 @@
     store_down = "store-down";
     store_loses_answers = "store-loses-answers";
     store_restored_older = "store-restored-older";
-    claims_restored_older = "claims-restored-older";
-    one_claim_restored_older = "one-claim-restored-older";
 }
 
 #[test]
