Wait for the writing thread before the core's ports are checked

Cause: the thread that writes the answer closes the relay after the caller can read it; the test looked between the two. It now waits until no request is open, which is the order that a shutdown uses, and then demands the same.

--- a/src/entry/tests/callers.rs
+++ b/src/entry/tests/callers.rs
@@ -264,6 +264,8 @@
     late.send(&post(COMPLETION, "", NOT_STREAMED));
     let (status, _, answer) = late.answer();
     assert_eq!((status, &answer["error"]["ran"]), (503, &"no".into()));
+    // A caller may have its answer before the thread that wrote it is done.
+    assert!(entry.wait_idle(TEST_TIMEOUT));
     assert!(ports.relays.is_empty());
 }
 
