Let the test of a resumed stream set the engine's time

Cause: 60 tokens at 1 ms are over in 60 ms. If the test's thread is not run for that long between the answer's head and the cut, the engine has written the whole answer into the socket, counts it as delivered and knows no such stream.

The engine of the test now runs up to a time that the test sets: 40 ms before the cut, the rest after the resume.

--- a/bench/src/engine/tests.rs
+++ b/bench/src/engine/tests.rs
@@ -1,5 +1,11 @@
 use std::io::BufRead;
 use std::io::BufReader;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
 
 use serde_json::Value;
 use serde_json::json;
@@ -11,7 +17,9 @@
 use super::OldEpochs;
 use super::Submit;
 use super::Submitted;
+use super::handle;
 use crate::answer::expected_answer;
+use crate::site::Site;
 use skylarkhook::backend::Rejection;
 use skylarkhook::clock::Millis;
 use skylarkhook::declaration::Limits;
@@ -36,8 +44,48 @@
     }
 }
 
+/// An engine whose time is set by the test.
+struct SteppedEngine {
+    site: Arc<Site>,
+    /// Time up to which it may run.
+    until: Arc<AtomicU64>,
+}
+
+impl SteppedEngine {
+    fn start(cfg: EngineConfig) -> SteppedEngine {
+        let state = Arc::new(Mutex::new(EngineState::new(cfg)));
+        let now = Arc::new(AtomicU64::new(0));
+        let until = Arc::new(AtomicU64::new(0));
+        let (handled, time) = (Arc::clone(&state), Arc::clone(&now));
+        let site = Site::start("127.0.0.1:0", move |request| {
+            handle(&handled, Millis(time.load(Ordering::SeqCst)), request);
+        })
+        .unwrap();
+        let (limit, ticked) = (Arc::clone(&until), Arc::downgrade(&state));
+        let open = Arc::downgrade(&site);
+        thread::spawn(move || {
+            while let (Some(state), Some(_)) = (ticked.upgrade(), open.upgrade()) {
+                let step = now.load(Ordering::SeqCst) + 1;
+                let step = step.min(limit.load(Ordering::SeqCst));
+                now.store(step, Ordering::SeqCst);
+                state.lock().unwrap().tick(Millis(step));
+                thread::yield_now();
+            }
+        });
+        SteppedEngine { site, until }
+    }
+
+    fn run_until(&self, ms: u64) {
+        self.until.store(ms, Ordering::SeqCst);
+    }
+}
+
 fn post(engine: &EngineHandle, path: &str, body: &Value) -> attohttpc::Result<attohttpc::Response> {
-    let url = format!("http://{}{path}", engine.addr());
+    post_to(engine.addr(), path, body)
+}
+
+fn post_to(addr: SocketAddr, path: &str, body: &Value) -> attohttpc::Result<attohttpc::Response> {
+    let url = format!("http://{addr}{path}");
     attohttpc::post(url)
         .text(body.to_string())
         .read_timeout(std::time::Duration::from_secs(5))
@@ -45,12 +93,15 @@
 }
 
 fn generate(engine: &EngineHandle, prompt: &str, max_tokens: u32) -> attohttpc::Response {
-    let body = json!({
+    post(engine, "/v1/generate", &generate_body(prompt, max_tokens)).unwrap()
+}
+
+fn generate_body(prompt: &str, max_tokens: u32) -> Value {
+    json!({
         "request": REQUEST, "attempt": 1, "owner": "a", "epoch": 1, "priority": 1,
         "model": "callback-7b", "prompt": prompt, "prompt_tokens": 1, "prefix": 1,
         "max_tokens": max_tokens, "offset": 0, "generated": "",
-    });
-    post(engine, "/v1/generate", &body).unwrap()
+    })
 }
 
 /// Reads frames of an attempt until `count` or the finish; returns the text and
@@ -99,14 +150,27 @@
 
 #[test]
 fn a_stream_resumes_at_its_offset_after_a_cut() {
-    let engine = EngineHandle::start(fast()).unwrap();
-    let (head, _) = read(generate(&engine, "hello", 60), 1, 5);
+    let engine = SteppedEngine::start(fast());
+    let addr = engine.site.addr();
+    let answer = post_to(addr, "/v1/generate", &generate_body("hello", 60)).unwrap();
+    // Time for some tokens, but not for the whole answer.
+    engine.run_until(40);
+    let (head, whole) = read(answer, 1, 5);
+    assert!(!whole);
     let body = json!({"request": REQUEST, "attempt": 2, "owner": "b", "epoch": 1, "offset": 5});
-    let (tail, whole) = read(post(&engine, "/v1/resume", &body).unwrap(), 2, usize::MAX);
+    let answer = post_to(addr, "/v1/resume", &body).unwrap();
+    engine.run_until(1_000);
+    let (tail, whole) = read(answer, 2, usize::MAX);
     assert!(whole);
     assert_eq!(head + &tail, expected_answer("hello", 60));
-    let stats = engine.stats();
-    assert_eq!((stats.submitted, stats.resumed), (1, 1));
+    let stats = attohttpc::get(format!("http://{addr}/stats"))
+        .send()
+        .unwrap();
+    let stats: Value = serde_json::from_str(&stats.text().unwrap()).unwrap();
+    assert_eq!(
+        (&stats["submitted"], &stats["resumed"]),
+        (&1.into(), &1.into())
+    );
 }
 
 #[test]
