Take a link to backend servers as working only once a server answers

Links may fall silent: connections open, stay open and nothing comes back.

Cause: a probe only opened a connection, which says nothing of what lies behind it. Probes now send a request on a new connection, to engines for their report and to plain servers for their health, and any answer counts. A probe without an answer after 500 ms counts against the link unless the service has given output since: then the server is only slow. A server that asked for a pause is sent nothing.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -202,10 +202,9 @@
             Input::AttemptEnded(ticket, attempt, end) => {
                 self.on_attempt_ended(now, ticket, attempt, end, &mut out);
             }
-            Input::ProbeEnded {
-                server_id,
-                connected,
-            } => self.on_probe_ended(now, &server_id, connected, &mut out),
+            Input::ProbeEnded { server_id, end } => {
+                self.on_probe_ended(now, &server_id, end, &mut out);
+            }
             Input::StoreUpdates {
                 proved_at,
                 shown_version,
--- a/src/gateway/core/links.rs
+++ b/src/gateway/core/links.rs
@@ -13,6 +13,7 @@
 use crate::clock::Millis;
 use crate::gateway::instances::PeerMessage;
 use crate::gateway::message::Output;
+use crate::gateway::message::ProbeEnd;
 use crate::gateway::server_links::Change;
 use crate::gateway::server_table::ServerKey;
 use crate::gateway::server_table::id_hash;
@@ -82,7 +83,7 @@
         &mut self,
         now: Millis,
         server_id: &str,
-        connected: bool,
+        end: ProbeEnd,
         out: &mut Vec<Output>,
     ) {
         let Some(server) = self.server_table.find_by_id(server_id) else {
@@ -90,9 +91,7 @@
         };
         let service = self.server_table.get(server).entry.service.clone();
         let servers = self.servers_of(&service).len();
-        let change = self
-            .links
-            .record_probe(now, &service, server, connected, servers);
+        let change = self.links.record_probe(now, &service, server, end, servers);
         self.apply_link_change(now, &service, change, out);
         self.probe(now, &service, out);
     }
@@ -227,10 +226,22 @@
         let servers = self.servers_of(service);
         for key in self.links.take_probes(now, service, &servers) {
             let entry = &self.server_table.get(key).entry;
+            // A server that asked for a pause is sent nothing.
+            let path = match self.pause_left(now, key) {
+                Millis::ZERO => self.probe_path(service),
+                _ => None,
+            };
+            self.count(Count::LinkProbes);
             out.push(Output::Probe {
                 server_id: entry.id.clone(),
                 addr: entry.addr.clone(),
+                path,
             });
         }
     }
+
+    fn probe_path(&self, service: &str) -> Option<String> {
+        let service = self.routes.as_ref()?.services.get(service)?;
+        Some(service.probe_path.clone())
+    }
 }
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -46,6 +46,7 @@
 use crate::gateway::instances::PeerMessage;
 use crate::gateway::message::Input;
 use crate::gateway::message::Output;
+use crate::gateway::message::ProbeEnd;
 use crate::gateway::message::Watching;
 use crate::gateway::peers::PeerSocket;
 use crate::gateway::route::CallerLimits;
@@ -53,6 +54,7 @@
 use crate::gateway::server::ServerContext;
 use crate::gateway::server::ShutdownPhase;
 use crate::gateway::settings::Bounds;
+use crate::gateway::upstream::CallError;
 use crate::gateway::upstream::Upstream;
 use crate::logging::LeftOut;
 use crate::metrics::Metrics;
@@ -356,8 +358,12 @@
             Output::Watch(value) => {
                 publishers.watching.send_replace(value);
             }
-            Output::Probe { server_id, addr } => {
-                spawn_local(probe(Rc::clone(&traffic), server_id, addr));
+            Output::Probe {
+                server_id,
+                addr,
+                path,
+            } => {
+                spawn_local(probe(Rc::clone(&traffic), server_id, addr, path));
             }
             Output::Send(ticket, _)
             | Output::Refuse(ticket, _)
@@ -368,15 +374,19 @@
     }
 }
 
-async fn probe(traffic: Rc<Traffic>, server_id: String, addr: String) {
-    let probed = traffic.upstream.probe(&addr).await;
+async fn probe(traffic: Rc<Traffic>, server_id: String, addr: String, path: Option<String>) {
+    let probed = traffic.upstream.probe(&addr, path.as_deref()).await;
     if let Err(error) = &probed {
         log::debug!(server = server_id.as_str(), error:% = error; "backend server probed without success");
     }
-    traffic.send_input(Input::ProbeEnded {
-        server_id,
-        connected: probed.is_ok(),
-    });
+    let end = match probed {
+        Ok(()) => ProbeEnd::Answered,
+        Err(CallError::TimedOut) => ProbeEnd::Unanswered,
+        Err(CallError::NotSent(_) | CallError::Unreachable(_) | CallError::Broken(_)) => {
+            ProbeEnd::Unreachable
+        }
+    };
+    traffic.send_input(Input::ProbeEnded { server_id, end });
 }
 
 async fn close_expired_connections(upstream: Upstream) {
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -149,6 +149,18 @@
     pub relay: Option<RelayTerms>,
 }
 
+/// Outcome of a probe of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProbeEnd {
+    /// The server answered, with whatever status; or the connection stayed open,
+    /// if nothing was to be sent.
+    Answered,
+    /// No connection could be opened, or it broke before an answer.
+    Unreachable,
+    /// The connection stayed open without an answer.
+    Unanswered,
+}
+
 /// Outcome of one attempt to send a request to a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptEnd {
@@ -394,8 +406,8 @@
     ProbeEnded {
         /// Id of the backend server.
         server_id: String,
-        /// Whether a connection could be opened.
-        connected: bool,
+        /// Its outcome.
+        end: ProbeEnd,
     },
     /// Changes from the store, in order.
     StoreUpdates {
@@ -449,12 +461,15 @@
     ForwardFailure(Ticket),
     /// Send a message to these instances.
     Broadcast(Arc<Vec<String>>, PeerMessage),
-    /// Open a connection to a backend server and report whether that succeeds.
+    /// Send a request to a backend server on a new connection and report whether
+    /// it answers.
     Probe {
         /// Id of the backend server.
         server_id: String,
         /// Its address, `ip:port`.
         addr: String,
+        /// Path of the request; `None` if the connection is only opened.
+        path: Option<String>,
     },
     /// Change how the store is watched.
     Watch(Watching),
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -67,8 +67,9 @@
 pub struct Service {
     /// Name.
     pub name: String,
-    /// Path of the health check. The gateway does not use it.
-    pub health_path: String,
+    /// Path of the request by which a server is probed; it needs no slot of an
+    /// engine.
+    pub probe_path: String,
     /// Maximum connections that one backend server accepts, over all instances.
     pub max_connections: u32,
     /// Requests per second that a cold backend server can handle; 0 if the
--- a/src/gateway/server_links.rs
+++ b/src/gateway/server_links.rs
@@ -2,16 +2,19 @@
 //!
 //! One server that cannot be reached has failed, or the link to it has. If an
 //! instance reaches no server of a service, its own link is the likelier cause.
-//! After each failure the instance therefore probes a few other servers: it opens
-//! a connection to each. If one of them can be reached, the failed server is at
-//! fault. If none can, the link is lost, until a later probe succeeds. Open
-//! connections say nothing about the link, as they may go on while new ones are
-//! refused.
-
+//! After each failure the instance therefore probes a few other servers: it sends
+//! a request to each on a new connection. If one of them answers, the failed server
+//! is at fault. If none does, the link is lost, until a later probe is answered.
+//! Open connections say nothing about the link, as they may go on while new ones
+//! are refused; and a connection that opens says nothing either, as something on
+//! the way may accept it and pass nothing on.
+
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 
 use crate::clock::Millis;
+use crate::gateway::message::ProbeEnd;
 use crate::gateway::server_table::ServerKey;
 
 /// Servers that cannot be reached at which the link counts as lost; all, if the
@@ -40,8 +43,8 @@
 #[derive(Debug, Default)]
 struct Link {
     state: LinkState,
-    /// Servers that are being probed.
-    probing: BTreeSet<ServerKey>,
+    /// Servers that are being probed, and since when.
+    probing: BTreeMap<ServerKey, Millis>,
     /// When a lost link is probed next.
     next_probe: Millis,
     /// When a silent link may be put in doubt next.
@@ -135,14 +138,20 @@
         now: Millis,
         service: &str,
         server: ServerKey,
-        connected: bool,
+        end: ProbeEnd,
         servers: usize,
     ) -> Option<Change> {
-        self.link(service).probing.remove(&server);
-        if !connected {
+        let link = self.link(service);
+        let probed_at = link.probing.remove(&server).unwrap_or(now);
+        let is_reached = match end {
+            ProbeEnd::Answered => true,
+            ProbeEnd::Unreachable => false,
+            // While other requests are answered, the server is only slow.
+            ProbeEnd::Unanswered => link.last_output > probed_at,
+        };
+        if !is_reached {
             return self.record_unreachable(now, service, server, servers);
         }
-        let link = self.link(service);
         match std::mem::take(&mut link.state) {
             LinkState::Up => None,
             LinkState::InDoubt(_) => Some(Change::Confirmed),
@@ -186,7 +195,7 @@
             LinkState::Lost { .. } => (1, None),
         };
         let is_candidate = |server: &ServerKey| {
-            !link.probing.contains(server)
+            !link.probing.contains_key(server)
                 && !unreachable.is_some_and(|unreachable| unreachable.contains(server))
         };
         let mut candidates: Vec<ServerKey> = servers.iter().copied().filter(is_candidate).collect();
@@ -196,7 +205,8 @@
         }
         candidates.truncate(wanted);
         link.next_probe = now + LOST_PROBE_PERIOD;
-        link.probing.extend(&candidates);
+        link.probing
+            .extend(candidates.iter().map(|server| (*server, now)));
         self.probes += candidates.len();
         candidates
     }
--- a/src/gateway/tests/core.rs
+++ b/src/gateway/tests/core.rs
@@ -16,6 +16,7 @@
 use crate::gateway::message::AttemptPlan;
 use crate::gateway::message::Input;
 use crate::gateway::message::Output;
+use crate::gateway::message::ProbeEnd;
 use crate::gateway::message::PromptShape;
 use crate::gateway::message::RequestHead;
 use crate::gateway::message::ServerNotice;
@@ -67,7 +68,7 @@
         "plain".to_owned(),
         Service {
             name: "plain".to_owned(),
-            health_path: "/health".to_owned(),
+            probe_path: "/health".to_owned(),
             max_connections: 96,
             cold_requests_per_s: 0.0,
             engine: None,
@@ -200,11 +201,11 @@
                     self.attempts.insert(ticket, plan.attempt);
                 }
                 Output::Probe { server_id, .. } if self.answers_probes => {
-                    let connected = !self.is_cut_off;
-                    out.extend(self.handle(Input::ProbeEnded {
-                        server_id,
-                        connected,
-                    }));
+                    let end = match self.is_cut_off {
+                        true => ProbeEnd::Unreachable,
+                        false => ProbeEnd::Answered,
+                    };
+                    out.extend(self.handle(Input::ProbeEnded { server_id, end }));
                 }
                 _ => {}
             }
--- a/src/gateway/tests/links.rs
+++ b/src/gateway/tests/links.rs
@@ -138,7 +138,7 @@
 #[test]
 fn cores_that_are_cut_off_from_all_engines_serve_like_the_others_and_after_it() {
     const CUT_OFF: usize = 3;
-    for cut in [Cut::Hang, Cut::Reset, Cut::RefuseNew] {
+    for cut in [Cut::Hang, Cut::Reset, Cut::RefuseNew, Cut::Silent] {
         let mut simulation = Simulation::new(Policy::Cores, 6, 18);
         let phase = Phase {
             until_ms: 40_000.0,
--- a/src/gateway/tests/simulation.rs
+++ b/src/gateway/tests/simulation.rs
@@ -153,7 +153,7 @@
         "engines".to_owned(),
         Service {
             name: "engines".to_owned(),
-            health_path: "/health".to_owned(),
+            probe_path: "/health".to_owned(),
             max_connections: 400,
             cold_requests_per_s: 0.0,
             engine: Some(engine_spec()),
@@ -601,7 +601,9 @@
                         Some(_) => Outcome::Failed,
                     };
                 }
-                Output::Probe { server_id, addr } => self.probe(core, server_id, &addr),
+                Output::Probe {
+                    server_id, addr, ..
+                } => self.probe(core, server_id, &addr),
                 Output::ForwardFailure(_)
                 | Output::Ready(_)
                 | Output::Limits(_)
@@ -615,7 +617,7 @@
         self.requests[request_index].live_attempts.push(attempt);
         let core = self.core_of(request_index, attempt);
         if let Some(cut) = self.cuts[core] {
-            return self.send_into_cut(request_index, attempt, cut);
+            return self.send_into_cut(request_index, &plan, cut);
         }
         let helpers = plan.helpers.iter().map(|helper| &helper.addr);
         let mut engines = helpers.chain([&plan.addr]).map(|addr| engine_of(addr));
@@ -680,23 +682,22 @@
                 },
             );
         }
-        let due = plan.first_output_deadline.0 as f64;
-        let events_received = self.requests[request_index].events_received;
+        self.push_deadlines(request_index, &plan);
+    }
+
+    fn push_deadlines(&mut self, request: usize, plan: &AttemptPlan) {
+        let attempt = plan.attempt.0;
+        let events_received = self.requests[request].events_received;
         self.push(
-            due,
+            plan.first_output_deadline.0 as f64,
             Event::OutputDue {
-                request: request_index,
+                request,
                 attempt,
                 events_received,
             },
         );
-        self.push(
-            plan.response_deadline.0 as f64,
-            Event::ResponseDue {
-                request: request_index,
-                attempt,
-            },
-        );
+        let due = plan.response_deadline.0 as f64;
+        self.push(due, Event::ResponseDue { request, attempt });
     }
 
     fn reserve(&mut self, request_index: usize, plan: &AttemptPlan) -> bool {
@@ -931,7 +932,8 @@
         if request.outcome != Outcome::Open || !request.live_attempts.contains(&attempt) {
             return;
         }
-        if self.cuts[self.core_of(request_index, attempt)] == Some(Cut::Hang) {
+        let cut = self.cuts[self.core_of(request_index, attempt)];
+        if let Some(Cut::Hang | Cut::Silent) = cut {
             return;
         }
         let request = &self.requests[request_index];
--- a/src/gateway/tests/simulation/links.rs
+++ b/src/gateway/tests/simulation/links.rs
@@ -9,12 +9,15 @@
 use crate::gateway::message::AttemptEnd;
 use crate::gateway::message::AttemptPlan;
 use crate::gateway::message::Input;
+use crate::gateway::message::ProbeEnd;
 use crate::gateway::message::Ticket;
 use crate::verdict::Refusal;
 use crate::verdict::Verdict;
 
 /// Time after which connecting is given up.
 const CONNECT_TIMEOUT_MS: f64 = 250.0;
+/// Time limit of a probe.
+const PROBE_TIMEOUT_MS: f64 = 500.0;
 /// Time after which a connection without acknowledgements breaks.
 const ACK_TIMEOUT_MS: f64 = 1_800.0;
 /// Attempt numbers that each receiving core of a request uses.
@@ -29,6 +32,8 @@
     Reset,
     /// Open connections go on, new ones are refused.
     RefuseNew,
+    /// Connections stay open, new ones too, and nothing more arrives on them.
+    Silent,
 }
 
 impl Simulation {
@@ -43,7 +48,7 @@
         match cut {
             Cut::Hang => self.push(self.now + ACK_TIMEOUT_MS, Event::ConnectionsBreak(core)),
             Cut::Reset => self.break_connections(core),
-            Cut::RefuseNew => {}
+            Cut::RefuseNew | Cut::Silent => {}
         }
     }
 
@@ -59,8 +64,10 @@
 
     /// Ends an attempt that a cut-off core makes. If connections hang, every other
     /// request has an open one.
-    pub(super) fn send_into_cut(&mut self, request: usize, attempt: u32, cut: Cut) {
+    pub(super) fn send_into_cut(&mut self, request: usize, plan: &AttemptPlan, cut: Cut) {
+        let attempt = plan.attempt.0;
         let (delay, end) = match cut {
+            Cut::Silent => return self.push_deadlines(request, plan),
             Cut::Hang if request.is_multiple_of(2) => (ACK_TIMEOUT_MS, AttemptEnd::Broken),
             Cut::Hang => (CONNECT_TIMEOUT_MS, AttemptEnd::Unreachable),
             Cut::Reset | Cut::RefuseNew => (0.0, AttemptEnd::Unreachable),
@@ -74,15 +81,15 @@
     }
 
     pub(super) fn probe(&mut self, core: usize, server_id: String, addr: &str) {
-        let delay = match self.cuts[core] {
-            Some(Cut::Hang) => CONNECT_TIMEOUT_MS,
-            _ => 2.0 * NETWORK_DELAY_MS,
-        };
         let is_up = self.now >= self.engines[engine_of(addr)].down_until;
-        let input = Input::ProbeEnded {
-            server_id,
-            connected: is_up && self.cuts[core].is_none(),
+        let (delay, end) = match self.cuts[core] {
+            Some(Cut::Hang) => (CONNECT_TIMEOUT_MS, ProbeEnd::Unreachable),
+            Some(Cut::Silent) => (PROBE_TIMEOUT_MS, ProbeEnd::Unanswered),
+            Some(Cut::Reset | Cut::RefuseNew) => (2.0 * NETWORK_DELAY_MS, ProbeEnd::Unreachable),
+            None if is_up => (2.0 * NETWORK_DELAY_MS, ProbeEnd::Answered),
+            None => (2.0 * NETWORK_DELAY_MS, ProbeEnd::Unreachable),
         };
+        let input = Input::ProbeEnded { server_id, end };
         self.push(self.now + delay, Event::Input { core, input });
     }
 
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -17,6 +17,7 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
+use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -37,8 +38,11 @@
 /// Time limit for connecting: many times the delay between failure domains, and
 /// short enough to try another server in time.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time for which a probed connection has to stay open: many times the delay
-/// between failure domains.
+/// Time limit for the response to a probe, connecting included: long enough for a
+/// plain server that gives it a slot after the requests that wait.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which a probed connection has to stay open if nothing is sent: many
+/// times the delay between failure domains.
 const PROBE_SETTLE_TIME: Duration = Duration::from_millis(50);
 /// Time without acknowledgement after which a connection is considered broken;
 /// longer than the retransmission of a lost packet takes.
@@ -255,13 +259,39 @@
         Ok(Response::from_parts(head, body.to_bytes()))
     }
 
-    /// Opens a connection and keeps it for later requests.
+    /// Probes a server on a new connection, which is kept for later requests: sends
+    /// a request for `path` and waits for its response, whatever its status. If
+    /// there is no path, the connection has to stay open for a short time.
     ///
     /// # Errors
     ///
-    /// Returns an error if no connection can be opened, or if it is closed at
-    /// once, as by a proxy in front of a server that cannot be reached.
-    pub async fn probe(&self, addr: &str) -> Result<(), CallError> {
+    /// Returns an error if no connection can be opened, if it is closed at once,
+    /// as by a proxy in front of a server that cannot be reached, or if there is no
+    /// response within the time limit.
+    pub async fn probe(&self, addr: &str, path: Option<&str>) -> Result<(), CallError> {
+        let Some(path) = path else {
+            return self.probe_connection(addr).await;
+        };
+        let request = Request::get(path)
+            .header(header::HOST, addr)
+            .body(Full::default())
+            .map_err(|error| CallError::NotSent(error.to_string()))?;
+        let call = async {
+            let sent = self.send(addr, request, Reuse::NewOnly, usize::MAX).await;
+            let (response, connection) = sent?;
+            let body = Limited::new(response.into_body(), MAX_BUFFERED_RESPONSE_BYTES);
+            // The head has shown that the server is reached.
+            if body.collect().await.is_ok() {
+                connection.return_to_pool(None);
+            }
+            Ok(())
+        };
+        timeout(PROBE_TIMEOUT, call)
+            .await
+            .unwrap_or(Err(CallError::TimedOut))
+    }
+
+    async fn probe_connection(&self, addr: &str) -> Result<(), CallError> {
         self.reserve_slot(addr, usize::MAX)?;
         let guard = OpenCountGuard::new(self, addr);
         let mut stream = open_stream(addr).await?;
--- a/tests/gateway/backend.rs
+++ b/tests/gateway/backend.rs
@@ -49,6 +49,9 @@
     pub id: String,
 }
 
+/// Path of the health check in the stand-ins' configuration.
+const HEALTH_PATH: &str = "/health";
+
 /// Events of a stream.
 pub const EVENTS: usize = 6;
 
@@ -135,7 +138,7 @@
 
     /// Ends what a cut leaves of the open connections to a gateway.
     fn cut_connections(&self, caller: u32, cut: Cut) {
-        if cut == Cut::RefuseNew {
+        if cut != Cut::Reset {
             return;
         }
         let connections = self.connections.lock().unwrap();
@@ -272,8 +275,9 @@
 fn serve(stream: TcpStream, name: &str, runs: &Runs, faults: &Faults) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let caller = stream.peer_addr()?;
-    let process = faults.links.owner(caller);
-    if process.is_some_and(|process| faults.links.is_cut(process)) {
+    let process = faults.links.owner(caller, stream.local_addr()?);
+    let cut = process.and_then(|process| faults.links.cut_of(process));
+    if let Some(Cut::Reset | Cut::RefuseNew) = cut {
         return SockRef::from(&stream).set_linger(Some(Duration::ZERO));
     }
     let connection = Connection {
@@ -291,6 +295,9 @@
             Ok(request) => request,
             Err(_) => break After::Close,
         };
+        if process.is_some_and(|process| faults.links.wait_while_silent(process)) {
+            break After::Reset;
+        }
         match answer(name, runs, faults, &request, reader.get_mut()) {
             Ok(After::KeepAlive) => {}
             Ok(after) => break after,
@@ -312,6 +319,10 @@
     request: &Request,
     writer: &mut TcpStream,
 ) -> io::Result<After> {
+    if request.path == HEALTH_PATH {
+        writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")?;
+        return Ok(After::KeepAlive);
+    }
     let id = request.header("x-skylarkhook-request-id");
     let current_id = faults.current_id(name);
     if request.header("x-skylarkhook-expect-instance") != current_id {
--- a/tests/gateway/links.rs
+++ b/tests/gateway/links.rs
@@ -7,6 +7,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+/// Interval at which the end of a silent link's cut is looked for.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// How a link is cut. A link that drops packets cannot be played without the
 /// means of an administrator; the simulated fleet does that.
@@ -16,6 +21,9 @@
     Reset,
     /// Open connections go on, new ones are reset.
     RefuseNew,
+    /// Open connections stay open and nothing more arrives on them, and so do new
+    /// ones.
+    Silent,
 }
 
 type OnCut = Box<dyn Fn(u32, Cut) + Send>;
@@ -58,18 +66,30 @@
         self.0.lock().unwrap().cuts.remove(&process);
     }
 
-    /// Returns whether a gateway is cut off.
-    pub fn is_cut(&self, process: u32) -> bool {
-        self.0.lock().unwrap().cuts.contains_key(&process)
+    /// Returns how a gateway is cut off, if it is.
+    pub fn cut_of(&self, process: u32) -> Option<Cut> {
+        self.0.lock().unwrap().cuts.get(&process).copied()
+    }
+
+    /// Waits until the links of a gateway are not silent. Returns whether they
+    /// were.
+    pub fn wait_while_silent(&self, process: u32) -> bool {
+        let mut was_silent = false;
+        while self.cut_of(process) == Some(Cut::Silent) {
+            was_silent = true;
+            thread::sleep(SILENCE_CHECK_INTERVAL);
+        }
+        was_silent
     }
 
-    /// Returns the known gateway that holds the socket with this address.
-    pub fn owner(&self, addr: SocketAddr) -> Option<u32> {
+    /// Returns the known gateway that holds the socket of a connection from
+    /// `caller` to `server`.
+    pub fn owner(&self, caller: SocketAddr, server: SocketAddr) -> Option<u32> {
         let known = self.0.lock().unwrap().known.clone();
         if known.is_empty() {
             return None;
         }
-        let socket = format!("socket:[{}]", inode(addr)?);
+        let socket = format!("socket:[{}]", inode(caller, server)?);
         known.into_iter().find(|process| {
             let files = fs::read_dir(format!("/proc/{process}/fd"));
             let mut files = files.into_iter().flatten().map_while(Result::ok);
@@ -80,13 +100,16 @@
     }
 }
 
-/// Returns the inode of the IPv4 socket that is bound to a loopback address.
-fn inode(addr: SocketAddr) -> Option<u64> {
-    let local = format!("0100007F:{:04X}", addr.port());
+/// Returns the inode of the IPv4 socket that connects two loopback addresses. The
+/// system gives one port to several connections if their targets differ.
+fn inode(local: SocketAddr, remote: SocketAddr) -> Option<u64> {
+    let column = |addr: SocketAddr| format!("0100007F:{:04X}", addr.port());
+    let (local, remote) = (column(local), column(remote));
     let table = fs::read_to_string("/proc/net/tcp").ok()?;
     table.lines().find_map(|line| {
         let fields: Vec<&str> = line.split_whitespace().collect();
         let inode = fields.get(9)?.parse().ok()?;
-        (fields.get(1) == Some(&&*local) && inode > 0).then_some(inode)
+        let is_found = fields.get(1) == Some(&&*local) && fields.get(2) == Some(&&*remote);
+        (is_found && inode > 0).then_some(inode)
     })
 }
--- a/tests/gateway/partition.rs
+++ b/tests/gateway/partition.rs
@@ -21,6 +21,8 @@
 /// Share of the requests that sound instances serve, of which callers of a
 /// cut-off instance get at least this numerator and denominator.
 const SERVED_SHARE: (usize, usize) = (2, 3);
+/// All ways of cutting an instance off.
+const CUTS: [Cut; 3] = [Cut::Reset, Cut::RefuseNew, Cut::Silent];
 const PATHS: [&str; 3] = ["/once/1", "/again/1", "/stream/1"];
 
 struct Fleet {
@@ -104,7 +106,7 @@
 
 #[test]
 fn callers_of_an_instance_that_is_cut_off_from_all_servers_are_served() {
-    for cut in [Cut::Reset, Cut::RefuseNew] {
+    for cut in CUTS {
         let mut fleet = Fleet::start();
         fleet.serve(SETTLING_REQUESTS);
         fleet.cut(0, cut);
@@ -121,7 +123,7 @@
 
 #[test]
 fn instances_that_reach_all_servers_serve_while_another_is_cut_off() {
-    for cut in [Cut::Reset, Cut::RefuseNew] {
+    for cut in CUTS {
         let mut fleet = Fleet::start();
         fleet.serve(SETTLING_REQUESTS);
         fleet.cut(0, cut);
--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -13,8 +13,8 @@
 //! not sent on for long. In the end a route is added and a key taken away.
 //!
 //! `SOAK_SEEDS=50 cargo test --test gateway soak -- --nocapture` plays more
-//! seeds; `SOAK_FROM` is the first, and `SOAK_CUTS=1` also cuts gateways off, which
-//! depends on how quickly the stand-ins reset connections. A seed that ever failed is kept below.
+//! seeds; `SOAK_FROM` is the first. `SOAK_CUTS=1` also cuts gateways off, `SOAK_CUTS=2`
+//! with links that fall silent. A seed that ever failed is kept below.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -220,14 +220,16 @@
 
 /// Cuts a gateway off from all backend servers, or ends its cut, at some steps.
 fn change_link(rng: &mut impl Rng, fleet: &Fleet, links: &Links) {
+    let is_silent = number("SOAK_CUTS") == Some(2);
     let cut = match rng.random_range(0..6) {
+        0 | 1 if is_silent => Cut::Silent,
         0 => Cut::Reset,
         1 => Cut::RefuseNew,
         _ => return,
     };
     let at = rng.random_range(0..GATEWAYS);
     let process = fleet.gateways.lock().unwrap()[at].process_id();
-    match links.is_cut(process) {
+    match links.cut_of(process).is_some() {
         true => links.heal(process),
         false => links.cut(process, cut),
     }
