Number the fields of datagrams between instances

An instance of one release among those of another heard nobody, as fields stood by position and a heartbeat with two new fields was dropped as undecodable.

Datagrams now have a kind and a length before each message and numbered fields (Protocol Buffers by prost): kinds and fields that are not known are skipped, missing ones have a stated meaning. The earlier format is frozen in a module of its own. Each instance states the formats that it reads in its store entry and in each heartbeat; the sender picks.

New metrics show two formats in use.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,6 +11,7 @@
 pub mod connection;
 pub mod core;
 pub mod daemon;
+pub mod datagram;
 pub mod engine;
 pub mod events;
 pub mod feed;
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -11,6 +11,7 @@
 mod fleet_load;
 mod freshness;
 mod health;
+mod heartbeats;
 mod links;
 mod notices;
 mod quarantine;
@@ -26,7 +27,6 @@
 use self::crashes::Crashes;
 use self::fleet_load::FleetLoad;
 use self::freshness::Freshness;
-use self::freshness::PeerProof;
 use self::health::Health;
 use self::links::HeldReport;
 use self::requests::Request;
@@ -34,14 +34,10 @@
 use crate::clock::Millis;
 use crate::gateway::instances::CrashSuspect;
 use crate::gateway::instances::Instances;
-use crate::gateway::instances::MAX_HEARTBEAT_PERIOD;
 use crate::gateway::instances::MIN_HEARTBEAT_PERIOD;
-use crate::gateway::instances::Member;
 use crate::gateway::instances::PeerMessage;
-use crate::gateway::instances::heartbeat_period;
 use crate::gateway::message::Input;
 use crate::gateway::message::Output;
-use crate::gateway::message::StorePosition;
 use crate::gateway::message::Ticket;
 use crate::gateway::message::Watching;
 use crate::gateway::rate_limits::RateLimits;
@@ -279,38 +275,6 @@
         }
     }
 
-    fn send_heartbeat(&mut self, now: Millis, out: &mut Vec<Output>) {
-        let watch_closely = self.watching == Watching::Closely;
-        let period = match watch_closely {
-            true => MIN_HEARTBEAT_PERIOD,
-            false => heartbeat_period(self.instances.known_count()),
-        };
-        self.next_heartbeat = now + period;
-        self.broadcast(out, self.heartbeat(now, period));
-        if self.draining || !self.links.lost_services().is_empty() {
-            self.broadcast_relay_state(out);
-        }
-        self.repeat_crash_records(now, out);
-        let instances = self.instances.known_count() as f64;
-        self.budgets
-            .set_max_saved((self.bounds.retry_extra * RETRY_LIMIT_SHARE / instances).max(1.0));
-    }
-
-    fn heartbeat(&self, now: Millis, period: Millis) -> PeerMessage {
-        let watch_closely = self.watching == Watching::Closely;
-        PeerMessage::Alive {
-            name: self.local.name.clone(),
-            addr: self.local.addr.clone(),
-            config_revision: self.freshness.config_revision(),
-            proof_age_ms: self.freshness.proof_age(now).0,
-            store_answers: self.freshness.is_store_answering(),
-            entries_digest: watch_closely.then_some(self.entries_digest),
-            period_ms: period.0,
-            store_era: self.freshness.era(),
-            config_version: self.config_version(),
-        }
-    }
-
     /// Selects how closely this instance watches the store. The first instances
     /// that the store answers watch it closely, and so does an instance that is
     /// behind the others or whose newest proof is overdue. If the store answers
@@ -352,6 +316,10 @@
             .set(Level::RequestsOpen, level(self.requests.len()));
         self.metrics
             .set(Level::MembersLive, level(self.instances.live_count()));
+        self.metrics.set(
+            Level::MembersEarlierFormat,
+            level(self.instances.earlier_format_count()),
+        );
         self.metrics.set(Level::Ready, i64::from(self.ready));
         let age = self.freshness.proof_age(now).0;
         self.metrics
@@ -365,9 +333,9 @@
     }
 
     fn broadcast(&self, out: &mut Vec<Output>, message: PeerMessage) {
-        let addrs = self.instances.addrs();
-        if !addrs.is_empty() {
-            out.push(Output::Broadcast(addrs, message));
+        let recipients = self.instances.recipients();
+        if !recipients.is_empty() {
+            out.push(Output::Broadcast(recipients, message));
         }
     }
 
@@ -396,42 +364,8 @@
                 self.fleet_load
                     .remove_peer_request(now, &self.server_table, job, server, &parts);
             }
-            PeerMessage::Alive {
-                name,
-                addr,
-                config_revision,
-                proof_age_ms,
-                store_answers,
-                period_ms,
-                store_era,
-                config_version,
-                // Compared by `RevisionTracker`.
-                entries_digest: _,
-            } => {
-                if name == self.local.name {
-                    return;
-                }
-                let member = Member { name, addr };
-                let period = Millis(period_ms);
-                if self
-                    .instances
-                    .apply_heartbeat(now, &member, period, store_answers)
-                {
-                    log::info!(instance = member.name.as_str(), addr = member.addr.as_str(); "instance heard");
-                    // It may just have started, and need a proof to serve.
-                    let heartbeat = self.heartbeat(now, MAX_HEARTBEAT_PERIOD);
-                    out.push(Output::Broadcast(Arc::new(vec![member.addr]), heartbeat));
-                }
-                let proof = PeerProof {
-                    position: StorePosition {
-                        era: store_era,
-                        revision: config_revision,
-                    },
-                    version: config_version,
-                    age: Millis(proof_age_ms) + now.since(arrived_after),
-                };
-                let in_force = self.config_version();
-                self.freshness.record_peer_proof(now, proof, in_force);
+            PeerMessage::Alive(heartbeat) => {
+                self.on_heartbeat(now, arrived_after, heartbeat, out);
             }
             PeerMessage::Crashed {
                 fingerprint,
--- a/src/gateway/core/quarantine.rs
+++ b/src/gateway/core/quarantine.rs
@@ -174,15 +174,15 @@
     /// Repeats what is known about crashes to a few instances, different ones
     /// each time.
     pub(super) fn repeat_crash_records(&mut self, now: Millis, out: &mut Vec<Output>) {
-        let addrs = self.instances.addrs();
+        let known = self.instances.recipients();
         let records = self.crashes.take_repeats(now, MAX_RECORDS_PER_MESSAGE);
-        if records.is_empty() || addrs.is_empty() {
+        if records.is_empty() || known.is_empty() {
             return;
         }
-        let first = self.next_repeat_to % addrs.len();
+        let first = self.next_repeat_to % known.len();
         self.next_repeat_to = first + REPEAT_FANOUT;
-        let recipients = addrs.iter().cycle().skip(first);
-        let recipients = recipients.take(REPEAT_FANOUT.min(addrs.len()));
+        let recipients = known.iter().cycle().skip(first);
+        let recipients = recipients.take(REPEAT_FANOUT.min(known.len()));
         let recipients = Arc::new(recipients.cloned().collect());
         out.push(Output::Broadcast(
             recipients,
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -38,12 +38,14 @@
 use crate::config::Settings;
 use crate::gateway::core::Core;
 use crate::gateway::core::LocalInstance;
+use crate::gateway::datagram::Formats;
 use crate::gateway::feed::RevisionTracker;
 use crate::gateway::feed::StoreWatcher;
 use crate::gateway::forward::RequestSender;
 use crate::gateway::forward::Traffic;
 use crate::gateway::instances::Member;
 use crate::gateway::instances::PeerMessage;
+use crate::gateway::instances::Recipient;
 use crate::gateway::message::Input;
 use crate::gateway::message::Output;
 use crate::gateway::message::ProbeEnd;
@@ -253,6 +255,7 @@
     let member = Member {
         name: cfg.name.clone(),
         addr: peer_addr,
+        formats: Formats::OWN,
     };
     spawn_local(watcher.clone().maintain_entry(member));
     spawn_local(watcher.watch_entries());
@@ -328,7 +331,7 @@
     peers: PeerSocket,
     publishers: StatePublishers,
 ) {
-    let mut pending_messages: Vec<(Arc<Vec<String>>, PeerMessage)> = Vec::new();
+    let mut pending_messages: Vec<(Arc<Vec<Recipient>>, PeerMessage)> = Vec::new();
     loop {
         let output = match outputs.try_recv() {
             Ok(output) => output,
@@ -338,8 +341,8 @@
                     // them.
                     yield_now().await;
                 }
-                for (addrs, message) in pending_messages.drain(..) {
-                    peers.send(&addrs, &message);
+                for (recipients, message) in pending_messages.drain(..) {
+                    peers.send(&recipients, &message);
                 }
                 match outputs.recv().await {
                     Some(output) => output,
@@ -348,7 +351,9 @@
             }
         };
         match output {
-            Output::Broadcast(addrs, message) => pending_messages.push((addrs, message)),
+            Output::Broadcast(recipients, message) => {
+                pending_messages.push((recipients, message));
+            }
             Output::Ready(value) => {
                 publishers.ready.send_replace(value);
             }
--- a/src/gateway/instances.rs
+++ b/src/gateway/instances.rs
@@ -10,12 +10,12 @@
 use std::fmt;
 use std::sync::Arc;
 
-use serde::Deserialize;
-use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Millis;
+use crate::gateway::datagram::Format;
+use crate::gateway::datagram::Formats;
 use crate::gateway::message::PromptPart;
 use crate::gateway::message::ServerNotice;
 use crate::gateway::message::StoreEra;
@@ -42,17 +42,59 @@
 
 /// Another instance, as registered in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
 pub struct Member {
     /// Name.
     pub name: String,
     /// Address for datagrams, `ip:port`.
     pub addr: String,
+    /// Formats of datagrams that it reads.
+    pub formats: Formats,
 }
 
-/// A datagram between instances.
+/// Where a datagram goes, and in which format.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Recipient {
+    /// Address, `ip:port`.
+    pub addr: String,
+    /// Newest format that the recipient reads.
+    pub format: Format,
+}
+
+impl From<&Member> for Recipient {
+    fn from(member: &Member) -> Recipient {
+        Recipient {
+            addr: member.addr.clone(),
+            format: member.formats.newest(),
+        }
+    }
+}
+
+/// Sign of life of an instance, and what it knows of the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// The sender.
+    pub member: Member,
+    /// Revision of the newest change by operators that the sender knows.
+    pub config_revision: u64,
+    /// Age of the store query that proved this revision current, in ms.
+    pub proof_age_ms: u64,
+    /// Whether the sender's last store call succeeded.
+    pub store_answers: bool,
+    /// Digest of the backend servers' entries, if the sender watches them.
+    pub entries_digest: Option<u64>,
+    /// Time until the sender's next heartbeat, in ms.
+    pub period_ms: u64,
+    /// Newest era of the store that the sender knows; that of `config_revision`
+    /// and `entries_digest`. `None` if the sender does not know eras: what it says
+    /// is of the first one.
+    pub store_era: Option<StoreEra>,
+    /// Version of the configuration in force at the sender; 0 if none is. A sender
+    /// that does not state it proves nothing.
+    pub config_version: u64,
+}
+
+/// A message between instances; [`crate::gateway::datagram`] encodes it.
 #[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize, Deserialize)]
 pub enum PeerMessage {
     /// A request was placed on an engine or a plain server.
     Placed(Placed),
@@ -75,27 +117,7 @@
         parts: Vec<u64>,
     },
     /// Heartbeat of the sender.
-    Alive {
-        /// Name.
-        name: String,
-        /// Address for datagrams.
-        addr: String,
-        /// Revision of the newest change by operators that the sender knows.
-        config_revision: u64,
-        /// Age of the store query that proved this revision current, in ms.
-        proof_age_ms: u64,
-        /// Whether the sender's last store call succeeded.
-        store_answers: bool,
-        /// Digest of the backend servers' entries, if the sender watches them.
-        entries_digest: Option<u64>,
-        /// Time until the sender's next heartbeat, in ms.
-        period_ms: u64,
-        /// Newest era of the store that the sender knows; that of
-        /// `config_revision` and `entries_digest`.
-        store_era: StoreEra,
-        /// Version of the configuration in force at the sender; 0 if none is.
-        config_version: u64,
-    },
+    Alive(Heartbeat),
     /// A request crashed a backend server. Sent by earlier versions; replaced by
     /// [`PeerMessage::CrashRecords`].
     Crashed {
@@ -136,7 +158,6 @@
 
 /// What may have caused the crash of a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-#[derive(Serialize, Deserialize)]
 pub enum CrashSuspect {
     /// A request, by the hash of its content.
     Request(u64),
@@ -155,7 +176,6 @@
 
 /// A crash of a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
 pub struct Crash {
     /// Hash of the server's id and start time.
     pub server: u64,
@@ -165,7 +185,6 @@
 
 /// What an instance knows about a suspect.
 #[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
 pub struct CrashRecord {
     /// The suspect.
     pub suspect: CrashSuspect,
@@ -177,7 +196,6 @@
 
 /// A change of a store item.
 #[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
 pub struct Item {
     /// Key.
     pub key: String,
@@ -191,7 +209,6 @@
 
 /// A placement, as broadcast to all instances.
 #[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize, Deserialize)]
 pub struct Placed {
     /// Key of the attempt.
     pub job: u64,
@@ -221,12 +238,13 @@
 #[derive(Debug, Default)]
 pub struct Instances {
     peers: BTreeMap<String, PeerState>,
-    addrs: Arc<Vec<String>>,
+    recipients: Arc<Vec<Recipient>>,
 }
 
 #[derive(Debug)]
 struct PeerState {
     addr: String,
+    formats: Formats,
     /// Time at which it is considered lost if no further heartbeat arrives.
     lost_after: Millis,
     alive: bool,
@@ -265,13 +283,13 @@
 
 impl Instances {
     /// Applies an instance's store entry; returns whether the instance is new,
-    /// alive again or has a new address.
+    /// alive again, or has a new address or other formats.
     pub fn apply_entry(&mut self, now: Millis, member: &Member) -> bool {
         self.apply_heartbeat(now, member, MAX_HEARTBEAT_PERIOD, true)
     }
 
     /// Applies a heartbeat that announces the time to the next one; returns
-    /// whether the instance is new, alive again or has a new address.
+    /// whether the instance is new, alive again, or has a new address or other formats.
     pub fn apply_heartbeat(
         &mut self,
         now: Millis,
@@ -285,6 +303,7 @@
             .entry(member.name.clone())
             .or_insert_with(|| PeerState {
                 addr: String::new(),
+                formats: member.formats,
                 lost_after: now,
                 alive: false,
                 store_answers,
@@ -293,11 +312,13 @@
             });
         peer.lost_after = now + period * MISSED_HEARTBEATS_UNTIL_LOST;
         peer.store_answers = store_answers;
-        let changed = !peer.alive || peer.addr != member.addr;
+        let is_moved = peer.addr != member.addr || peer.formats != member.formats;
+        let changed = !peer.alive || is_moved;
         peer.alive = true;
-        if peer.addr != member.addr {
+        if is_moved {
             peer.addr.clone_from(&member.addr);
-            self.rebuild_addrs();
+            peer.formats = member.formats;
+            self.rebuild_recipients();
         }
         changed
     }
@@ -306,7 +327,7 @@
     pub fn remove(&mut self, name: &str) {
         if self.peers.get(name).is_some_and(|peer| !peer.alive) {
             self.peers.remove(name);
-            self.rebuild_addrs();
+            self.rebuild_recipients();
         }
     }
 
@@ -342,6 +363,7 @@
             .map(|(name, peer)| Member {
                 name: name.clone(),
                 addr: peer.addr.clone(),
+                formats: peer.formats,
             })
     }
 
@@ -357,10 +379,19 @@
         lost
     }
 
-    /// Returns the addresses of all other known instances, lost ones included.
+    /// Returns all other known instances, lost ones included, as recipients of
+    /// datagrams.
     #[must_use]
-    pub fn addrs(&self) -> Arc<Vec<String>> {
-        Arc::clone(&self.addrs)
+    pub fn recipients(&self) -> Arc<Vec<Recipient>> {
+        Arc::clone(&self.recipients)
+    }
+
+    /// Returns the number of live instances that read no newer format of datagrams
+    /// than the one of earlier releases.
+    #[must_use]
+    pub fn earlier_format_count(&self) -> usize {
+        let live = self.peers.values().filter(|peer| peer.alive);
+        live.filter(|peer| peer.formats == Formats::EARLIER).count()
     }
 
     /// Returns the number of known instances, including this one.
@@ -416,8 +447,11 @@
         self.peers.values().filter(|peer| peer.alive).count()
     }
 
-    fn rebuild_addrs(&mut self) {
-        let addrs = self.peers.values().map(|peer| peer.addr.clone()).collect();
-        self.addrs = Arc::new(addrs);
+    fn rebuild_recipients(&mut self) {
+        let recipients = self.peers.values().map(|peer| Recipient {
+            addr: peer.addr.clone(),
+            format: peer.formats.newest(),
+        });
+        self.recipients = Arc::new(recipients.collect());
     }
 }
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -3,13 +3,11 @@
 use std::fmt;
 use std::sync::Arc;
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use crate::clock::Millis;
 use crate::gateway::instances::Item;
 use crate::gateway::instances::Member;
 use crate::gateway::instances::PeerMessage;
+use crate::gateway::instances::Recipient;
 use crate::gateway::relay::RelayTerms;
 use crate::gateway::route::RouteTable;
 use crate::gateway::server_table::ServerEntry;
@@ -37,7 +35,6 @@
 
 /// Identifies a part of a prompt that several requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-#[derive(Serialize, Deserialize)]
 pub struct PromptPart(pub u64);
 
 impl fmt::Display for PromptPart {
@@ -48,7 +45,6 @@
 
 /// Lengths of a prompt and its output.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
 pub struct PromptShape {
     /// Prompt tokens.
     pub prompt_tokens: u64,
@@ -99,7 +95,6 @@
 /// What a backend server states about itself in a response; also sent between
 /// instances.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
-#[derive(Serialize, Deserialize)]
 pub struct ServerNotice {
     /// Remaining time in the cold state.
     pub cold_remaining: Option<Millis>,
@@ -305,7 +300,6 @@
 /// written after that copy is lost, and revisions are given out again: those of
 /// different eras say nothing about which change is newer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-#[derive(Serialize, Deserialize)]
 pub struct StoreEra(pub u64);
 
 impl fmt::Display for StoreEra {
@@ -460,7 +454,7 @@
     /// Forward the buffered failure response of the backend server.
     ForwardFailure(Ticket),
     /// Send a message to these instances.
-    Broadcast(Arc<Vec<String>>, PeerMessage),
+    Broadcast(Arc<Vec<Recipient>>, PeerMessage),
     /// Send a request to a backend server on a new connection and report whether
     /// it answers.
     Probe {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -12,16 +12,17 @@
 use tokio::time::interval;
 
 use crate::clock::Clock;
+use crate::gateway::datagram;
+use crate::gateway::datagram::Format;
+use crate::gateway::datagram::Formats;
+use crate::gateway::datagram::MAX_DATAGRAM_BYTES;
 use crate::gateway::feed::RevisionTracker;
 use crate::gateway::instances::PeerMessage;
+use crate::gateway::instances::Recipient;
 use crate::gateway::message::Input;
 use crate::metrics::Count;
 use crate::metrics::Metrics;
 
-/// Maximum size of a datagram, in bytes; a placement on 17 engines takes about
-/// 200.
-const MAX_DATAGRAM_BYTES: usize = 1_400;
-
 /// Interval at which it is checked that no datagram waits to be read.
 const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -50,32 +51,45 @@
     /// the next heartbeat replaces a lost one, and a lost report of a placement
     /// or an end distorts the receiver's load estimate only until the request
     /// ends or expires.
-    pub fn send(&self, addrs: &[String], message: &PeerMessage) {
-        let bytes = match bincode::serde::encode_to_vec(message, bincode::config::standard()) {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                log::error!(error:% = error; "cannot encode message to instances");
-                return;
-            }
-        };
-        for addr in addrs {
-            let Ok(target) = addr.parse::<SocketAddr>() else {
-                log::warn!(addr = addr.as_str(); "instance has an invalid address");
-                continue;
-            };
-            match self.socket.try_send_to(&bytes, target) {
-                Ok(_) => {
-                    self.metrics.add(Count::PeerFramesSent, 1);
-                    self.metrics.add(Count::PeerBytesSent, bytes.len() as u64);
+    pub fn send(&self, recipients: &[Recipient], message: &PeerMessage) {
+        let mut encoded: Vec<(Format, Vec<u8>)> = Vec::new();
+        for recipient in recipients {
+            let format = recipient.format;
+            if !encoded.iter().any(|(known, _)| *known == format) {
+                match datagram::encode(message, format) {
+                    Ok(bytes) => encoded.push((format, bytes)),
+                    Err(error) => {
+                        log::error!(format:? = format, error:% = error; "cannot encode message to instances");
+                        continue;
+                    }
                 }
-                Err(error) => {
-                    self.metrics.add(Count::PeerFramesLost, 1);
-                    log::debug!(addr = addr.as_str(), error:% = error; "datagram not sent");
+            }
+            if let Some((_, bytes)) = encoded.iter().find(|(known, _)| *known == format) {
+                self.send_datagram(&recipient.addr, bytes);
+                if format < Formats::OWN.newest() {
+                    self.metrics.add(Count::PeerFramesEarlier, 1);
                 }
             }
         }
     }
 
+    fn send_datagram(&self, addr: &str, bytes: &[u8]) {
+        let Ok(target) = addr.parse::<SocketAddr>() else {
+            log::warn!(addr = addr; "instance has an invalid address");
+            return;
+        };
+        match self.socket.try_send_to(bytes, target) {
+            Ok(_) => {
+                self.metrics.add(Count::PeerFramesSent, 1);
+                self.metrics.add(Count::PeerBytesSent, bytes.len() as u64);
+            }
+            Err(error) => {
+                self.metrics.add(Count::PeerFramesLost, 1);
+                log::debug!(addr = addr, error:% = error; "datagram not sent");
+            }
+        }
+    }
+
     /// Forwards received messages to the core until the process ends.
     pub async fn receive(
         self,
@@ -109,31 +123,35 @@
                 }
             };
             self.metrics.add(Count::PeerFramesReceived, 1);
-            let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
-            match bincode::serde::decode_from_slice(&buf[..len], config) {
-                Ok((PeerMessage::Item(item), _)) => revisions.apply_item(item),
-                Ok((message, _)) => {
-                    if let PeerMessage::Alive {
-                        store_era,
-                        entries_digest,
-                        ..
-                    } = message
-                    {
-                        revisions.observe_peer_era(store_era);
-                        if let Some(digest) = entries_digest {
-                            revisions.compare_digest(store_era, digest);
-                        }
-                    }
-                    // Sending fails only during process exit.
-                    let _ = deferred_inputs.send(Input::Peer {
-                        message,
-                        arrived_after: empty_at,
-                    });
-                }
+            let decoded = match datagram::decode(&buf[..len]) {
+                Ok(decoded) => decoded,
                 Err(error) => {
                     self.metrics.add(Count::PeerFramesDropped, 1);
                     log::debug!(error:% = error; "datagram dropped: cannot be decoded");
+                    continue;
+                }
+            };
+            for kind in decoded.unknown_kinds {
+                self.metrics.add(Count::PeerMessagesUnknown, 1);
+                log::debug!(kind = kind; "message skipped: sent by a later release");
+            }
+            for message in decoded.messages {
+                if let PeerMessage::Item(item) = message {
+                    revisions.apply_item(item);
+                    continue;
+                }
+                if let PeerMessage::Alive(heartbeat) = &message {
+                    let era = heartbeat.store_era.unwrap_or_default();
+                    revisions.observe_peer_era(era);
+                    if let Some(digest) = heartbeat.entries_digest {
+                        revisions.compare_digest(era, digest);
+                    }
                 }
+                // Sending fails only during process exit.
+                let _ = deferred_inputs.send(Input::Peer {
+                    message,
+                    arrived_after: empty_at,
+                });
             }
         }
     }
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -3,6 +3,7 @@
 
 mod core;
 mod crashes;
+mod datagrams;
 mod engine;
 mod events;
 mod feed;
--- a/src/gateway/tests/core.rs
+++ b/src/gateway/tests/core.rs
@@ -10,6 +10,9 @@
 use crate::clock::Millis;
 use crate::gateway::core::Core;
 use crate::gateway::core::LocalInstance;
+use crate::gateway::datagram::Formats;
+use crate::gateway::instances::Heartbeat;
+use crate::gateway::instances::Member;
 use crate::gateway::instances::PeerMessage;
 use crate::gateway::message::AttemptEnd;
 use crate::gateway::message::AttemptNumber;
@@ -143,6 +146,15 @@
     }
 }
 
+/// Returns another instance of this release.
+pub(super) fn member(name: &str, addr: &str) -> Member {
+    Member {
+        name: name.to_owned(),
+        addr: addr.to_owned(),
+        formats: Formats::OWN,
+    }
+}
+
 /// Returns a message from another instance that has not waited.
 pub(super) fn heard(message: PeerMessage) -> Input {
     Input::Peer {
@@ -215,17 +227,16 @@
 
     /// Lets another instance be heard; its name gives its address.
     pub(super) fn hear_instance(&mut self, name: &str) {
-        let _ = self.handle(heard(PeerMessage::Alive {
-            name: name.to_owned(),
-            addr: format!("{name}:1"),
+        let _ = self.handle(heard(PeerMessage::Alive(Heartbeat {
+            member: member(name, &format!("{name}:1")),
             config_revision: 5,
             proof_age_ms: 0,
             store_answers: true,
             entries_digest: None,
             period_ms: 2_000,
-            store_era: StoreEra::default(),
+            store_era: Some(StoreEra::default()),
             config_version: 1,
-        }));
+        })));
     }
 
     pub(super) fn first_output(&mut self, ticket: Ticket) -> Vec<Output> {
@@ -390,17 +401,16 @@
     let mut harness = Harness::new();
     harness.now += 6_000;
     let alive = |config_revision| {
-        heard(PeerMessage::Alive {
-            name: "other".to_owned(),
-            addr: "10.9.0.2:1".to_owned(),
+        heard(PeerMessage::Alive(Heartbeat {
+            member: member("other", "10.9.0.2:1"),
             config_revision,
             proof_age_ms: 1_000,
             store_answers: true,
             entries_digest: None,
             period_ms: 500,
-            store_era: StoreEra::default(),
+            store_era: Some(StoreEra::default()),
             config_version: 1,
-        })
+        }))
     };
     // The peer knows a newer operator change than this instance.
     let _ = harness.handle(alive(6));
@@ -417,17 +427,16 @@
     let arrived_after = Millis(harness.now);
     // The process is suspended, and a key may be taken away meanwhile.
     harness.now += 6_000;
-    let mut heartbeat = heard(PeerMessage::Alive {
-        name: "other".to_owned(),
-        addr: "10.9.0.2:1".to_owned(),
+    let mut heartbeat = heard(PeerMessage::Alive(Heartbeat {
+        member: member("other", "10.9.0.2:1"),
         config_revision: 5,
         proof_age_ms: 100,
         store_answers: true,
         entries_digest: None,
         period_ms: 500,
-        store_era: StoreEra::default(),
+        store_era: Some(StoreEra::default()),
         config_version: 1,
-    });
+    }));
     if let Input::Peer {
         arrived_after: after,
         ..
@@ -443,17 +452,16 @@
 #[test]
 fn heartbeats_of_a_close_watcher_carry_the_digest_of_entries() {
     let mut harness = Harness::new();
-    let _ = harness.handle(heard(PeerMessage::Alive {
-        name: "other".to_owned(),
-        addr: "10.9.0.2:1".to_owned(),
+    let _ = harness.handle(heard(PeerMessage::Alive(Heartbeat {
+        member: member("other", "10.9.0.2:1"),
         config_revision: 5,
         proof_age_ms: 0,
         store_answers: true,
         entries_digest: None,
         period_ms: 500,
-        store_era: StoreEra::default(),
+        store_era: Some(StoreEra::default()),
         config_version: 1,
-    }));
+    })));
     let _ = harness.handle(Input::StoreUpdates {
         proved_at: None,
         shown_version: Some(1),
@@ -465,8 +473,8 @@
     for _ in 0..10 {
         harness.now += 500;
         for output in harness.handle(Input::Tick) {
-            if let Output::Broadcast(_, PeerMessage::Alive { entries_digest, .. }) = output {
-                digests.push(entries_digest);
+            if let Output::Broadcast(_, PeerMessage::Alive(heartbeat)) = output {
+                digests.push(heartbeat.entries_digest);
             }
         }
     }
@@ -479,17 +487,16 @@
 #[test]
 fn few_instances_poll_an_unavailable_store() {
     let heartbeat = |n: u32, store_answers| {
-        heard(PeerMessage::Alive {
-            name: format!("other-{n}"),
-            addr: format!("10.9.0.{n}:1"),
+        heard(PeerMessage::Alive(Heartbeat {
+            member: member(&format!("other-{n}"), &format!("10.9.0.{n}:1")),
             config_revision: 5,
             proof_age_ms: 20_000,
             store_answers,
             entries_digest: None,
             period_ms: 500,
-            store_era: StoreEra::default(),
+            store_era: Some(StoreEra::default()),
             config_version: 1,
-        })
+        }))
     };
     let watching_after_store_loss = |store_answers: bool| {
         let mut harness = Harness::new();
@@ -866,17 +873,16 @@
 #[test]
 fn a_rate_limit_is_announced_to_the_other_instances() {
     let mut harness = Harness::new();
-    let _ = harness.handle(heard(PeerMessage::Alive {
-        name: "other".to_owned(),
-        addr: "10.9.0.2:1".to_owned(),
+    let _ = harness.handle(heard(PeerMessage::Alive(Heartbeat {
+        member: member("other", "10.9.0.2:1"),
         config_revision: 5,
         proof_age_ms: 0,
         store_answers: true,
         entries_digest: None,
         period_ms: 500,
-        store_era: StoreEra::default(),
+        store_era: Some(StoreEra::default()),
         config_version: 1,
-    }));
+    })));
     let mut announce = |rate_limit, advance: u64| {
         harness.now += advance;
         let out = harness.handle(Input::ServerNotice {
--- a/src/gateway/tests/restored.rs
+++ b/src/gateway/tests/restored.rs
@@ -6,14 +6,19 @@
 use super::core::entry;
 use super::core::heard;
 use super::core::keyed_table;
+use super::core::member;
 use super::core::plan;
 use super::core::refusal;
 use crate::clock::Millis;
+use crate::gateway::datagram::Format;
+use crate::gateway::instances::Heartbeat;
 use crate::gateway::instances::PeerMessage;
+use crate::gateway::instances::Recipient;
 use crate::gateway::message::Input;
 use crate::gateway::message::Output;
 use crate::gateway::message::StoreEra;
 use crate::gateway::message::StoreUpdate;
+use crate::gateway::message::Watching;
 use crate::gateway::server_table::ServerEntry;
 use crate::verdict::Reason;
 
@@ -141,17 +146,16 @@
 }
 
 fn heartbeat(era: u64, config_revision: u64, config_version: u64) -> Input {
-    heard(PeerMessage::Alive {
-        name: "other".to_owned(),
-        addr: "10.9.0.2:1".to_owned(),
+    heard(PeerMessage::Alive(Heartbeat {
+        member: member("other", "10.9.0.2:1"),
         config_revision,
         proof_age_ms: 100,
         store_answers: true,
         entries_digest: None,
         period_ms: 500,
-        store_era: StoreEra(era),
+        store_era: Some(StoreEra(era)),
         config_version,
-    })
+    }))
 }
 
 #[test]
@@ -231,11 +235,15 @@
     let out = harness.handle(heartbeat(1, 5, 1));
     assert_eq!(refused(&mut harness, "k"), None);
     // The other instance is answered at once, as it may have started, too.
-    let addrs = out.iter().find_map(|output| match output {
-        Output::Broadcast(addrs, PeerMessage::Alive { .. }) => Some(addrs.to_vec()),
+    let answered = out.iter().find_map(|output| match output {
+        Output::Broadcast(recipients, PeerMessage::Alive(_)) => Some(recipients.to_vec()),
         _ => None,
     });
-    assert_eq!(addrs, Some(vec!["10.9.0.2:1".to_owned()]));
+    let other = Recipient {
+        addr: "10.9.0.2:1".to_owned(),
+        format: Format::Tagged,
+    };
+    assert_eq!(answered, Some(vec![other]));
 }
 
 #[test]
@@ -262,7 +270,7 @@
     harness.now += 5;
     let out = harness.handle(Input::Tick);
     let is_heartbeat =
-        |output: &Output| matches!(output, Output::Broadcast(_, PeerMessage::Alive { .. }));
+        |output: &Output| matches!(output, Output::Broadcast(_, PeerMessage::Alive(_)));
     assert!(out.iter().any(is_heartbeat), "{out:?}");
 }
 
@@ -288,3 +296,37 @@
         assert_eq!(refused(&mut harness, "k"), None);
     }
 }
+
+/// Returns whether an instance watches the store closely beside many others that
+/// the store answers, of which each states this era.
+fn watches_closely_beside(store_era: Option<StoreEra>) -> bool {
+    let mut harness = Harness::new();
+    harness.restore(1);
+    let mut watches_closely = false;
+    for _ in 0..10 {
+        for n in 0..30 {
+            let _ = harness.handle(heard(PeerMessage::Alive(Heartbeat {
+                member: member(&format!("other-{n}"), &format!("10.9.0.{n}:1")),
+                config_revision: 5,
+                proof_age_ms: 0,
+                store_answers: true,
+                entries_digest: None,
+                period_ms: 2_000,
+                store_era,
+                config_version: 1,
+            })));
+        }
+        for output in harness.tick_until(harness.now + 300) {
+            if let Output::Watch(watching) = output {
+                watches_closely = watching == Watching::Closely;
+            }
+        }
+    }
+    watches_closely
+}
+
+#[test]
+fn instances_that_do_not_know_eras_do_not_watch_a_returned_store_for_others() {
+    assert!(!watches_closely_beside(Some(StoreEra(1))));
+    assert!(watches_closely_beside(None));
+}
--- a/src/gateway/tests/simulation.rs
+++ b/src/gateway/tests/simulation.rs
@@ -23,7 +23,7 @@
 use crate::clock::Millis;
 use crate::gateway::core::Core;
 use crate::gateway::core::LocalInstance;
-use crate::gateway::instances::Member;
+use crate::gateway::datagram;
 use crate::gateway::message::AttemptEnd;
 use crate::gateway::message::AttemptNumber;
 use crate::gateway::message::AttemptPlan;
@@ -363,10 +363,7 @@
         let mut updates = vec![StoreUpdate::Routes(Arc::new(route_table()))];
         updates.extend((0..engines).map(|index| StoreUpdate::Server(entry(index, 0))));
         updates.extend((0..cores).map(|index| {
-            StoreUpdate::Instance(Member {
-                name: core_name(index),
-                addr: core_name(index),
-            })
+            StoreUpdate::Instance(super::core::member(&core_name(index), &core_name(index)))
         }));
         for index in 0..cores {
             let input = Input::StoreUpdates {
@@ -574,10 +571,12 @@
         let outputs = self.cores[core].handle(Millis(self.now as u64), input);
         for output in outputs {
             match output {
-                Output::Broadcast(addrs, message) => {
-                    for addr in addrs.iter() {
-                        let to = addr[1..].parse().unwrap();
-                        let input = super::core::heard(message.clone());
+                Output::Broadcast(recipients, message) => {
+                    for recipient in recipients.iter() {
+                        let to = recipient.addr[1..].parse().unwrap();
+                        let sent = datagram::encode(&message, recipient.format).unwrap();
+                        let received = datagram::decode(&sent).unwrap().messages.remove(0);
+                        let input = super::core::heard(received);
                         self.push(
                             self.now + NETWORK_DELAY_MS,
                             Event::Input { core: to, input },
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -59,6 +59,8 @@
     PeerFramesDropped = "peer_frames_dropped", "Frames from other instances that were malformed or not authentic";
     PeerFramesReceived = "peer_frames_received", "Frames taken over from other instances";
     PeerBytesReceived = "peer_bytes_received", "Bytes of frames taken over from other instances, before HTTP/2 framing";
+    PeerFramesEarlier = "peer_frames_earlier_format", "Datagrams sent in the format of earlier releases, as their recipients read no newer one";
+    PeerMessagesUnknown = "peer_messages_unknown", "Messages of other instances that were skipped, as this release does not know their kind";
     PeerFramesLost = "peer_frames_lost", "Frames to other instances that were lost: a full queue, a failed connection, no answer";
     PeerConnections = "peer_connections", "Connections opened to other instances";
     BadRequests = "requests_bad", "Requests refused before they reached the control core";
@@ -91,6 +93,7 @@
     Homes = "homes", "Backend servers whose home this instance is";
     StaticShares = "static_shares", "Backend servers of which this instance uses its static share as their home is silent";
     MembersLive = "members_live", "Other instances that are known and not suspected, leaving or gone";
+    MembersEarlierFormat = "members_earlier_format", "Live instances that read only the datagrams of earlier releases";
     ConfigAge = "config_proof_age_ms", "Age of the newest proof that the operators' configuration is current, in ms";
     Ready = "ready", "1 when the instance takes callers, else 0";
 }
