Start with whatever numbers a deployment states

Limits that are rendered, and times, may now have fractions and are rounded down, which keeps a limit; zero and large values are allowed.

--- a/src/bin/skylarkhookd.rs
+++ b/src/bin/skylarkhookd.rs
@@ -11,8 +11,10 @@
 use signal_hook::iterator::Signals;
 
 use skylarkhook::config::Override;
+use skylarkhook::config::SettingError;
 use skylarkhook::config::Settings;
 use skylarkhook::config::SettingsError;
+use skylarkhook::config::UnknownSettings;
 use skylarkhook::daemon::Daemon;
 use skylarkhook::gateway;
 use skylarkhook::logging;
@@ -58,7 +60,9 @@
 }
 
 impl Args {
-    fn settings(&self) -> Result<Settings, SettingsError> {
+    /// Reads the settings. Unknown ones are refused if the settings are only
+    /// checked; otherwise a gateway skips them.
+    fn settings(&self) -> Result<(Settings, Vec<SettingError>), SettingsError> {
         let flags = [
             ("instance", "name", &self.name),
             ("instance", "domain", &self.domain),
@@ -74,14 +78,18 @@
             })
         });
         let overrides: Vec<Override> = self.set.iter().cloned().chain(given_flags).collect();
-        Settings::load(self.settings.as_deref(), &overrides)
+        let unknown = match self.check_settings {
+            true => UnknownSettings::Refused,
+            false => UnknownSettings::SkippedInGateways,
+        };
+        Settings::load_with(self.settings.as_deref(), &overrides, unknown)
     }
 }
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    let settings = match args.settings() {
-        Ok(settings) => settings,
+    let (settings, skipped) = match args.settings() {
+        Ok(loaded) => loaded,
         Err(error) => {
             eprintln!("{error}");
             return ExitCode::from(EXIT_SETTINGS);
@@ -92,7 +100,7 @@
         println!("{}: the settings are right", file.display());
         return ExitCode::SUCCESS;
     }
-    match serve(&settings) {
+    match serve(&settings, &skipped) {
         Ok(exit) => exit,
         Err(error) => {
             eprintln!("{error:#}");
@@ -119,8 +127,11 @@
     })
 }
 
-fn serve(settings: &Settings) -> eyre::Result<ExitCode> {
+fn serve(settings: &Settings, skipped: &[SettingError]) -> eyre::Result<ExitCode> {
     let left_out = logging::start(settings.log_format, &settings.log_filter);
+    for setting in skipped {
+        log::warn!(setting:% = setting; "setting skipped: this release does not know it");
+    }
     if settings.is_gateway() {
         return serve_gateway(settings, left_out);
     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -19,6 +19,7 @@
 pub use load::Override;
 pub use load::SettingError;
 pub use load::SettingsError;
+pub use load::UnknownSettings;
 pub use secret::Secret;
 pub use table::Setting;
 pub use table::Settings;
--- a/src/config/allowed.rs
+++ b/src/config/allowed.rs
@@ -13,6 +13,11 @@
 /// Longest name of an instance or a failure domain, in bytes.
 const MAX_NAME_BYTES: usize = 63;
 
+/// Largest ratio.
+const MAX_RATIO: u64 = 1_000;
+/// Error of a binary fraction that stands for a whole number of thousandths.
+const RATIO_TOLERANCE: f64 = 1e-6;
+
 /// Units of spans, with their length in milliseconds.
 const SPAN_UNITS: &[(&str, u64)] = &[
     ("ms", 1),
@@ -62,7 +67,9 @@
     Size { min: u64, max: u64 },
     /// A plain number.
     Number { min: u64, max: u64 },
-    /// A part of one, with up to three decimals; kept in thousandths.
+    /// A limit that need not be whole; it is rounded down.
+    Limit { min: u64, max: u64 },
+    /// A ratio, with up to three decimals; kept in thousandths, rounded down.
     Ratio,
     /// `text` or `json`.
     LogFormat,
@@ -97,8 +104,10 @@
                 with_unit(min, SIZE_UNITS),
                 with_unit(max, SIZE_UNITS)
             ),
-            Allowed::Number { min, max } => write!(f, "{min} to {max}"),
-            Allowed::Ratio => f.write_str("0 to 1, such as 0.2"),
+            Allowed::Number { min, max } | Allowed::Limit { min, max } => {
+                write!(f, "{min} to {max}")
+            }
+            Allowed::Ratio => write!(f, "0 to {MAX_RATIO}, such as 0.2"),
             Allowed::LogFormat => f.write_str("text or json"),
             Allowed::LogFilter => {
                 f.write_str("off, error, warn, info, debug or trace, or a list such as info,skylarkhook::peer=debug")
@@ -164,12 +173,17 @@
         self.check(value)
     }
 
+    pub(super) fn limit(self, text: &str) -> Result<u64, String> {
+        let value = decimal(text)?;
+        self.check(value as u64)
+    }
+
     pub(super) fn ratio(self, text: &str) -> Result<u64, String> {
-        let value: f64 = text.parse().map_err(|_| "it is no number".to_owned())?;
-        if !(0.0..=1.0).contains(&value) {
-            return Err("it does not lie between 0 and 1".to_owned());
+        let value = decimal(text)?;
+        if value > MAX_RATIO as f64 {
+            return Err("it is too large".to_owned());
         }
-        Ok((value * 1000.0).round() as u64)
+        Ok((value * 1000.0 + RATIO_TOLERANCE) as u64)
     }
 
     pub(super) fn log_format(self, text: &str) -> Result<LogFormat, String> {
@@ -195,7 +209,8 @@
     fn check(self, value: u64) -> Result<u64, String> {
         let (Allowed::Span { min, max }
         | Allowed::Size { min, max }
-        | Allowed::Number { min, max }) = self
+        | Allowed::Number { min, max }
+        | Allowed::Limit { min, max }) = self
         else {
             return Ok(value);
         };
@@ -209,20 +224,33 @@
     }
 }
 
-/// Reads a number with a unit, such as `2 s`, as a multiple of the smallest.
+/// Reads a number that need not be whole, such as `38.5`.
+fn decimal(text: &str) -> Result<f64, String> {
+    let is_plain = text.chars().all(|c| c.is_ascii_digit() || c == '.');
+    let number = text.parse().ok().filter(|_| is_plain);
+    number.ok_or_else(|| "it is no number".to_owned())
+}
+
+/// Reads a number with a unit, such as `2 s` or `1.5 s`, as a multiple of the
+/// smallest, rounded down.
 fn number_with_unit(text: &str, units: &[(&str, u64)]) -> Result<u64, String> {
-    let digits = text.chars().take_while(char::is_ascii_digit).count();
+    let is_of_number = |c: &char| c.is_ascii_digit() || *c == '.';
+    let digits = text.chars().take_while(is_of_number).count();
     let (number, unit) = text.split_at(digits);
-    let number: u64 = number.parse().map_err(|_| "it is no number".to_owned())?;
+    let fraction = decimal(number)?;
     let unit = unit.trim();
     let factor = units.iter().find(|(name, _)| *name == unit);
     let Some((_, factor)) = factor else {
         let names: Vec<&str> = units.iter().map(|(name, _)| *name).collect();
         return Err(format!("its unit must be one of {}", names.join(", ")));
     };
-    number
-        .checked_mul(*factor)
-        .ok_or_else(|| "it is too large".to_owned())
+    match number.parse::<u64>() {
+        Ok(whole) => whole
+            .checked_mul(*factor)
+            .ok_or_else(|| "it is too large".to_owned()),
+        Err(_) if number.contains('.') => Ok((fraction * *factor as f64) as u64),
+        Err(_) => Err("it is no number".to_owned()),
+    }
 }
 
 /// Writes a number with the largest unit that divides it.
--- a/src/config/load.rs
+++ b/src/config/load.rs
@@ -14,6 +14,8 @@
 
 /// Greatest length of a settings file, in bytes.
 const MAX_FILE_BYTES: u64 = 1024 * 1024;
+/// Source of the settings that are given by flags.
+const FLAGS: &str = "flags";
 /// Section of the settings that every process needs.
 const INSTANCE_SECTION: &str = "instance";
 /// Greatest edit distance of a near miss.
@@ -86,6 +88,16 @@
 
 impl std::error::Error for SettingsError {}
 
+/// What is done with settings in a file that this release does not know.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UnknownSettings {
+    /// They are errors.
+    Refused,
+    /// They are skipped in the file of a gateway. The platform renders that file,
+    /// and may do so for a later release.
+    SkippedInGateways,
+}
+
 impl Settings {
     /// Reads the settings from a file, if one is named, and lays the overrides
     /// over it.
@@ -94,12 +106,28 @@
     ///
     /// Returns all that is wrong.
     pub fn load(file: Option<&Path>, overrides: &[Override]) -> Result<Settings, SettingsError> {
+        let (settings, _) = Settings::load_with(file, overrides, UnknownSettings::Refused)?;
+        Ok(settings)
+    }
+
+    /// Reads the settings as [`Settings::load`] does. Settings in the file that this
+    /// release does not know are treated as `unknown` says; those that were skipped
+    /// are returned.
+    ///
+    /// # Errors
+    ///
+    /// Returns all that is wrong.
+    pub fn load_with(
+        file: Option<&Path>,
+        overrides: &[Override],
+        unknown: UnknownSettings,
+    ) -> Result<(Settings, Vec<SettingError>), SettingsError> {
         let Some(path) = file else {
-            return Settings::parse("flags", "", overrides);
+            return Settings::parse_with(FLAGS, "", overrides, unknown);
         };
         let name = path.display().to_string();
         match read_file(path) {
-            Ok(text) => Settings::parse(&name, &text, overrides),
+            Ok(text) => Settings::parse_with(&name, &text, overrides, unknown),
             Err(message) => Err(SettingsError {
                 errors: vec![SettingError {
                     source: name,
@@ -120,14 +148,31 @@
         text: &str,
         overrides: &[Override],
     ) -> Result<Settings, SettingsError> {
+        let (settings, _) = Settings::parse_with(name, text, overrides, UnknownSettings::Refused)?;
+        Ok(settings)
+    }
+
+    /// Reads the settings from the text of the file `name`, as
+    /// [`Settings::load_with`] does.
+    ///
+    /// # Errors
+    ///
+    /// Returns all that is wrong.
+    pub fn parse_with(
+        name: &str,
+        text: &str,
+        overrides: &[Override],
+        unknown: UnknownSettings,
+    ) -> Result<(Settings, Vec<SettingError>), SettingsError> {
         let mut loader = Loader {
             settings: Settings::default(),
             given: HashMap::new(),
+            unknown: Vec::new(),
             errors: Vec::new(),
         };
         if loader.read_ini(name, text) {
             loader.read_overrides(overrides);
-            loader.complete(name);
+            loader.complete(name, unknown);
         }
         loader.finish()
     }
@@ -150,6 +195,8 @@
 struct Loader {
     settings: Settings,
     given: HashMap<usize, Given>,
+    /// Settings in the file that this release does not know.
+    unknown: Vec<SettingError>,
     errors: Vec<SettingError>,
 }
 
@@ -185,7 +232,7 @@
             }
         }
         for given in overrides {
-            self.give("flags", &given.section, &given.key, &given.value);
+            self.give(FLAGS, &given.section, &given.key, &given.value);
         }
     }
 
@@ -194,8 +241,15 @@
         let shown = shorten(&key.replace('\n', " "));
         let place = format!("[{section}] {shown}");
         let Some(index) = index_of(section, key) else {
-            let message = format!("unknown setting{}", hint(section, key));
-            self.error(source, place, message);
+            let error = SettingError {
+                source: source.to_owned(),
+                place,
+                message: format!("unknown setting{}", hint(section, key)),
+            };
+            match source {
+                FLAGS => self.errors.push(error),
+                _ => self.unknown.push(error),
+            }
             return;
         };
         if self.given.contains_key(&index) {
@@ -209,8 +263,11 @@
         self.given.insert(index, given);
     }
 
-    fn complete(&mut self, name: &str) {
+    fn complete(&mut self, name: &str, unknown: UnknownSettings) {
         let is_gateway = self.is_gateway();
+        if !is_gateway || unknown == UnknownSettings::Refused {
+            self.errors.append(&mut self.unknown);
+        }
         for (index, setting) in TABLE.iter().enumerate() {
             match self.given.remove(&index) {
                 Some(given) => self.apply(setting, &given),
@@ -234,13 +291,13 @@
         given.is_some_and(|given| !given.value.is_empty())
     }
 
-    fn finish(self) -> Result<Settings, SettingsError> {
+    fn finish(self) -> Result<(Settings, Vec<SettingError>), SettingsError> {
         if !self.errors.is_empty() {
             return Err(SettingsError {
                 errors: self.errors,
             });
         }
-        Ok(self.settings)
+        Ok((self.settings, self.unknown))
     }
 
     fn apply(&mut self, setting: &Setting, given: &Given) {
--- a/src/config/table.rs
+++ b/src/config/table.rs
@@ -64,6 +64,7 @@
 const SECOND: u64 = 1000;
 const MINUTE: u64 = 60 * SECOND;
 const HOUR: u64 = 60 * MINUTE;
+const YEAR: u64 = 365 * 24 * HOUR;
 const MIB: u64 = 1024 * 1024;
 
 settings! {
@@ -119,20 +120,20 @@
         "Address for datagrams of other gateways";
     "gateway" "store" gateway_store: String = Some(""), address(Allowed::Address { optional: true }),
         "Address of the platform's store; a gateway needs it";
-    "gateway" "revoke_limit" gateway_revoke_limit: Millis = Some("5 s"), span(span(SECOND, HOUR)),
+    "gateway" "revoke_limit" gateway_revoke_limit: Millis = Some("5 s"), span(span(0, YEAR)),
         "Time after which a key that was taken away must not be used any more";
-    "gateway" "config_limit" gateway_config_limit: Millis = Some("2 s"), span(span(100, HOUR)),
+    "gateway" "config_limit" gateway_config_limit: Millis = Some("2 s"), span(span(0, YEAR)),
         "Time after which a change of the configuration has to be in force";
     "gateway" "retry_ratio" gateway_retry_ratio: u64 = Some("0.2"), ratio(Allowed::Ratio),
         "Retries for each request, over all gateways";
     "gateway" "retry_extra" gateway_retry_extra: u64 = Some("100"),
-        number(Allowed::Number { min: 0, max: 1_000_000 }),
+        limit(Allowed::Limit { min: 0, max: 1_000_000 }),
         "Retries beyond that ratio in its window, over all gateways";
-    "gateway" "memory_free_limit" gateway_memory_free_limit: Millis = Some("4 s"), span(span(SECOND, HOUR)),
+    "gateway" "memory_free_limit" gateway_memory_free_limit: Millis = Some("4 s"), span(span(0, YEAR)),
         "Time after which memory reserved on an engine has to be free when nobody uses it";
-    "gateway" "server_write_interval" gateway_server_write_interval: Millis = Some("1200 ms"), span(span(100, HOUR)),
+    "gateway" "server_write_interval" gateway_server_write_interval: Millis = Some("1200 ms"), span(span(0, YEAR)),
         "Interval at which backend servers write their entries to the platform's store";
-    "shutdown" "time_limit" shutdown_time_limit: Millis = Some("10 min"), span(span(SECOND, 24 * HOUR)),
+    "shutdown" "time_limit" shutdown_time_limit: Millis = Some("10 min"), span(span(0, YEAR)),
         "Time after which a graceful shutdown gives up waiting for admitted requests";
     "control" "tick" tick: Millis = Some("20 ms"), span(span(1, SECOND)),
         "Period at which the control thread looks at its timers";
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -210,3 +210,36 @@
         assert!(format!("\n{part}").contains(line.trim_end()), "{line}");
     }
 }
+
+/// Settings of a gateway with one that a later release may know.
+const GATEWAY_WITH_UNKNOWN: &str = "[instance]\nname = g\ndomain = a\n[gateway]\n\
+    listen = 127.0.0.1:0\nstore = 127.0.0.1:7000\nlater_limit = 3 s\n";
+
+#[test]
+fn a_gateway_skips_settings_of_later_releases_and_says_so() {
+    let load = |unknown| Settings::parse_with("d.ini", GATEWAY_WITH_UNKNOWN, &[], unknown);
+    let (settings, skipped) = load(UnknownSettings::SkippedInGateways).unwrap();
+    assert_eq!(settings.gateway_store, "127.0.0.1:7000");
+    let message = "d.ini: [gateway] later_limit: unknown setting";
+    assert_eq!(skipped.len(), 1);
+    assert!(
+        skipped[0].to_string().starts_with(message),
+        "{}",
+        skipped[0]
+    );
+    // A check of the settings finds what may be a typing error.
+    let refused = load(UnknownSettings::Refused).unwrap_err();
+    assert_eq!(refused.errors, skipped);
+}
+
+#[test]
+fn unknown_settings_are_skipped_neither_in_flags_nor_outside_of_gateways() {
+    let flags = ["gateway.later_limit=3 s".parse().unwrap()];
+    let skip = UnknownSettings::SkippedInGateways;
+    let of_flag = Settings::parse_with("d.ini", GATEWAY_WITH_UNKNOWN, &flags, skip);
+    assert_eq!(of_flag.unwrap_err().errors[0].source, "flags");
+    let dir = tempfile::tempdir().unwrap();
+    let text = complete(dir.path()) + "[backend]\nlater_limit = 3 s\n";
+    let of_instance = Settings::parse_with("d.ini", &text, &[], skip);
+    assert_eq!(of_instance.unwrap_err().errors.len(), 1);
+}
