Test upgrades with real processes of two builds

UPGRADE_FROM=COMMIT builds a commit in target/upgrade and plays it beside this build: every mixture of three instances and some of six with one cut off from all backend servers, replacements one after the other under load and back, and a withdrawn key.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod backend;
 mod connections;
+mod fleet;
 mod links;
 mod partition;
 mod path;
@@ -9,3 +10,4 @@
 mod process;
 mod restored;
 mod soak;
+mod upgrade;
--- a/tests/gateway/process.rs
+++ b/tests/gateway/process.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::path::Path;
+use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
@@ -35,8 +36,18 @@
     lines: Arc<Mutex<Vec<String>>>,
 }
 
+/// Returns the path of the program of this build.
+pub fn this_program() -> PathBuf {
+    env!("CARGO_BIN_EXE_skylarkhookd").into()
+}
+
 impl Gateway {
     pub fn start(dir: &Path, name: &str, store: SocketAddr) -> Gateway {
+        Gateway::start_program(&this_program(), dir, name, store)
+    }
+
+    /// Starts a program of another build, too.
+    pub fn start_program(program: &Path, dir: &Path, name: &str, store: SocketAddr) -> Gateway {
         let file = dir.join(format!("{name}.ini"));
         let settings = format!(
             "[instance]\nname = {name}\ndomain = a\n[gateway]\nlisten = 127.0.0.1:0\n\
@@ -44,7 +55,7 @@
              [shutdown]\ntime_limit = 8 s\n[log]\nformat = json\n"
         );
         fs::write(&file, settings).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_skylarkhookd"))
+        let mut child = Command::new(program)
             .arg("--settings")
             .arg(&file)
             .stdout(Stdio::piped())
