Keep the start of many instances from filling the links of the close watchers

The logs showed 195 of 195 instances watching the store closely, 30,652 times a lost instance and 407 failed calls to the store.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -9,6 +9,7 @@
 mod endings;
 mod facts;
 mod fleet_load;
+mod forwarding;
 mod freshness;
 mod health;
 mod heartbeats;
@@ -26,6 +27,7 @@
 
 use self::crashes::Crashes;
 use self::fleet_load::FleetLoad;
+use self::forwarding::ForwardBudget;
 use self::freshness::Freshness;
 use self::health::Health;
 use self::links::HeldReport;
@@ -105,6 +107,7 @@
     /// the time at which they end.
     missing_cordons: HashMap<String, Millis>,
     freshness: Freshness,
+    forward_budget: ForwardBudget,
     fleet_load: FleetLoad,
     health: Health,
     crashes: Crashes,
@@ -154,6 +157,7 @@
             reappeared_servers: HashMap::new(),
             cordoned_domains: HashSet::new(),
             missing_cordons: HashMap::new(),
+            forward_budget: ForwardBudget::default(),
             fleet_load: FleetLoad::default(),
             health: Health::default(),
             crashes: Crashes::default(),
@@ -224,7 +228,7 @@
                 }
                 self.retry_waiting(now, &mut out);
             }
-            Input::BroadcastItem(item) => self.broadcast(&mut out, PeerMessage::Item(item)),
+            Input::ForwardItems(items) => self.forward_items(now, items, &mut out),
             Input::StoreCallFailed => self.freshness.record_store_loss(now),
             Input::StoreEra { era, restored } => {
                 self.freshness.record_era(now, era, restored);
@@ -276,9 +280,10 @@
     }
 
     /// Selects how closely this instance watches the store. The first instances
-    /// that the store answers watch it closely, and so does an instance that is
-    /// behind the others or whose newest proof is overdue. If the store answers
-    /// no instance, only the first ones keep polling.
+    /// that the store answers watch it closely for all. An instance that is behind
+    /// the others or whose newest proof is overdue watches it for itself; as long
+    /// as there is no configuration, there is nothing to prove. If the store
+    /// answers no instance, only the first ones keep polling.
     fn update_watching(&mut self, now: Millis, out: &mut Vec<Output>) {
         if now < STARTUP_HEARTBEAT_WAIT {
             return;
@@ -289,13 +294,14 @@
             true => self.instances.rank_among_connected(&self.local.name) < CLOSE_WATCHERS,
             false => is_outage_poller && !self.instances.any_reaches_store(),
         };
-        let is_proof_overdue = self.freshness.proof_age(now) > PROOF_OVERDUE_AGE;
-        let watch_closely = is_watcher
-            || self.freshness.is_behind(self.config_version())
+        let is_proof_overdue =
+            self.routes.is_some() && self.freshness.proof_age(now) > PROOF_OVERDUE_AGE;
+        let needs_own_watch = self.freshness.is_behind(self.config_version())
             || (is_proof_overdue && (store_answers || is_outage_poller));
-        let watching = match watch_closely {
-            true => Watching::Closely,
-            false => Watching::Loosely,
+        let watching = match (is_watcher, needs_own_watch) {
+            (true, _) => Watching::Closely,
+            (false, true) => Watching::ForItself,
+            (false, false) => Watching::Loosely,
         };
         if watching != self.watching {
             self.watching = watching;
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -75,9 +75,11 @@
 /// Maximum delay of an instance that does not watch closely; it learns from
 /// other instances that the store has recovered.
 const MAX_LOOSE_BACKOFF: Duration = Duration::from_secs(2);
-/// Delay after startup until all entries are read again; by then all instances
+/// Delay after startup until the entries of instances are read again; by then those
 /// that started together have registered.
-const STARTUP_REREAD_DELAY: Duration = Duration::from_millis(1_000);
+const INSTANCES_REREAD_DELAY: Duration = Duration::from_millis(1_000);
+/// Delay after that until the entries of backend servers are read again.
+const SERVERS_REREAD_DELAY: Duration = Duration::from_millis(1_000);
 /// Minimum time between two reads of entries that are caused by a digest
 /// mismatch.
 const MIN_REPAIR_INTERVAL: Millis = Millis(3_000);
@@ -439,7 +441,7 @@
                     (None, _) => watcher.read(Part::Operators, false).await,
                     // After a failure, a short wait detects soon that the store has
                     // recovered.
-                    (Some(after), _) if watching == Watching::Closely || backoff > MIN_BACKOFF => {
+                    (Some(after), _) if watching.has_short_waits() || backoff > MIN_BACKOFF => {
                         watcher.watch(Part::Operators, after, close_wait).await
                     }
                     (Some(after), _) => tokio::select! {
@@ -470,7 +472,7 @@
             let call = async {
                 match (position_before, watching) {
                     (None, _) => watcher.read_entries(false).await,
-                    (Some(after), Watching::Closely) => {
+                    (Some(after), Watching::Closely | Watching::ForItself) => {
                         watcher.watch(Part::Servers, after, CLOSE_WATCH_WAIT).await
                     }
                     (Some(_), Watching::Loosely) => tokio::select! {
@@ -523,7 +525,7 @@
                 let watching = *self.watching.borrow();
                 sleep(*backoff).await;
                 *backoff = (*backoff * 2).min(match watching {
-                    Watching::Closely => MAX_BACKOFF,
+                    Watching::Closely | Watching::ForItself => MAX_BACKOFF,
                     Watching::Loosely => MAX_LOOSE_BACKOFF,
                 });
                 previous
@@ -534,8 +536,12 @@
     /// Reads the entries of servers and instances again after all instances
     /// that started together have registered.
     pub async fn reread_after_startup(self) {
-        sleep(STARTUP_REREAD_DELAY).await;
-        for part in [Part::Instances, Part::Servers] {
+        let reads = [
+            (INSTANCES_REREAD_DELAY, Part::Instances),
+            (SERVERS_REREAD_DELAY, Part::Servers),
+        ];
+        for (delay, part) in reads {
+            sleep(delay).await;
             if let Err(error) = self.read(part, false).await {
                 log::warn!(part:? = part, cause:% = error; "entries not read; they are read again with the next heartbeats");
             }
@@ -584,9 +590,7 @@
             let new_changes = self
                 .revisions
                 .apply(era, changes, freshness_proof(part, queried_at));
-            if part == Part::Servers && *self.watching.borrow() == Watching::Closely {
-                self.broadcast(era, new_changes);
-            }
+            self.forward(part, era, new_changes);
             return Ok(position);
         }
     }
@@ -608,34 +612,33 @@
         let new_changes =
             self.revisions
                 .apply(era, page.changes, freshness_proof(part, queried_at));
-        if part == Part::Servers {
-            self.broadcast(era, new_changes);
-        }
+        self.forward(part, era, new_changes);
         Ok(StorePosition {
             era,
             revision: page.revision.max(after.revision),
         })
     }
 
-    /// Broadcasts changes to all other instances, except those too large for a
-    /// datagram.
-    fn broadcast(&self, era: StoreEra, changes: Vec<Change>) {
-        for change in changes {
-            if change
-                .value
-                .as_ref()
-                .is_some_and(|value| value.len() > MAX_ITEM_BYTES)
-            {
-                continue;
-            }
-            let item = Item {
+    /// Forwards changes of backend servers' entries to all other instances if this
+    /// one watches for them, except those too large for a datagram.
+    fn forward(&self, part: Part, era: StoreEra, changes: Vec<Change>) {
+        if part != Part::Servers || *self.watching.borrow() != Watching::Closely {
+            return;
+        }
+        let len = |change: &Change| change.value.as_ref().map_or(0, Bytes::len);
+        let sendable = changes.into_iter();
+        let sendable = sendable.filter(|change| len(change) <= MAX_ITEM_BYTES);
+        let items: Vec<Item> = sendable
+            .map(|change| Item {
                 key: change.key,
                 revision: change.revision,
                 value: change.value.map(|value| value.to_vec()),
                 era,
-            };
+            })
+            .collect();
+        if !items.is_empty() {
             // Sending fails only during process exit.
-            let _ = self.inputs.send(Input::BroadcastItem(item));
+            let _ = self.inputs.send(Input::ForwardItems(items));
         }
     }
 
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -364,11 +364,25 @@
     /// Watches operators' keys and backend servers' entries with short waits
     /// and forwards changes to the other instances.
     Closely,
+    /// Watches with short waits, but for itself: it forwards nothing, as other
+    /// instances watch closely for all.
+    ForItself,
     /// Watches only operators' keys; receives other changes from instances that
     /// watch closely.
     Loosely,
 }
 
+impl Watching {
+    /// Returns whether the waits are short and backend servers' entries are watched.
+    #[must_use]
+    pub fn has_short_waits(self) -> bool {
+        match self {
+            Watching::Closely | Watching::ForItself => true,
+            Watching::Loosely => false,
+        }
+    }
+}
+
 /// An input of the core.
 #[derive(Debug)]
 pub enum Input {
@@ -417,8 +431,8 @@
         /// The changes.
         updates: Vec<StoreUpdate>,
     },
-    /// A store change to broadcast to the other instances.
-    BroadcastItem(Item),
+    /// Store changes for the other instances.
+    ForwardItems(Vec<Item>),
     /// A call to the store failed.
     StoreCallFailed,
     /// The store is in a new era, or this instance has learned of its era.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -48,6 +48,7 @@
     Pauses = "pauses_named", "Times that a backend server asked for a pause";
     StoreRestored = "store_restores", "Times that the platform's store returned from an older copy";
     LinksLost = "links_lost", "Times that this instance reached no backend server of a service";
+    ItemsNotForwarded = "store_items_not_forwarded", "Changes of backend servers' entries that were not forwarded to the other instances, as there were too many at once";
     LinkProbes = "link_probes", "Probes of backend servers while the link to them was in doubt or lost";
     Relayed = "requests_relayed", "Requests relayed to another instance, as this one reached no backend server of the service";
     RelayedReceived = "requests_relayed_received", "Requests that other instances relayed to this one";
