--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -17,3 +17,4 @@
 mod restored;
 mod simulation;
 mod upstream;
+mod watching;
