--- a/review/4/case.rs
+++ b/review/4/test.rs
@@ -2,7 +2,7 @@
 //! same moment and restarted. A server that starts to drain then goes on getting
 //! requests through the other gateways for longer than `drainMs`.
 
-#[path = "../standins.rs"]
+#[path = "../tests/standins.rs"]
 mod standins;
 
 use std::sync::Arc;
--- a/review/5/case.rs
+++ b/review/5/test.rs
@@ -3,7 +3,7 @@
 //! in an outage and keeps the server for a while. The store then goes down, and the
 //! gateway keeps the server for as long as the store is down.
 
-#[path = "../standins.rs"]
+#[path = "../tests/standins.rs"]
 mod standins;
 
 use std::sync::Arc;
