--- a/src/gateway/core/endings.rs
+++ b/src/gateway/core/endings.rs
@@ -380,7 +380,10 @@
         let waiting: Vec<Ticket> = self
             .requests
             .iter()
-            .filter(|(_, request)| request.wait_until.is_some())
+            .filter(|(_, request)| match request.deferred_until {
+                Some(until) => now >= until,
+                None => request.wait_until.is_some(),
+            })
             .map(|(ticket, _)| *ticket)
             .collect();
         for ticket in waiting {
--- a/src/gateway/core/fleet_load.rs
+++ b/src/gateway/core/fleet_load.rs
@@ -245,6 +245,7 @@
             first_token_at: 0.0,
             parts_ready_at: now.0 as f64 + placed.ready_in_ms as f64,
             cost: 0.0,
+            cost_to_others: 0.0,
         };
         self.add_prompt(now, &service, &prompt, &placement);
     }
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -21,6 +21,7 @@
 use crate::gateway::message::Submission;
 use crate::gateway::message::Ticket;
 use crate::gateway::message::TimeLimit;
+use crate::gateway::placement;
 use crate::gateway::placement::Placement;
 use crate::gateway::placement::Prompt;
 use crate::gateway::route::Route;
@@ -82,6 +83,8 @@
     /// Until when the request waits for a backend server; `None` if it does not
     /// wait.
     pub(super) wait_until: Option<Millis>,
+    /// When the request is placed again; `None` if it is not held back.
+    pub(super) deferred_until: Option<Millis>,
     pub(super) active_attempt: Option<ActiveAttempt>,
     /// A second attempt, started because the active one is stalled. It becomes
     /// the active one if that ends without an answer.
@@ -258,6 +261,7 @@
             response_deadline: submission.arrived + time,
             time_limit,
             wait_until: None,
+            deferred_until: None,
             active_attempt: None,
             successor: None,
             relay: None,
@@ -312,9 +316,30 @@
             let wait = Millis((chosen.placement.first_token_at - now.0 as f64) as u64);
             return self.refuse_unreachable_deadline(now, ticket, wait, out);
         }
+        if let Some(prompt) = &chosen.prompt
+            && let Some(until) = placement::deferral(now, prompt, &chosen.placement)
+        {
+            return self.defer_request(ticket, until, &chosen.placement);
+        }
         self.send_request(now, ticket, &chosen, out);
     }
 
+    /// Holds a request back, so that it is placed when it delays others less.
+    fn defer_request(&mut self, ticket: Ticket, until: Millis, placement: &Placement) {
+        let Some(request) = self.requests.get_mut(&ticket) else {
+            return;
+        };
+        if request.deferred_until.is_none() {
+            log::info!(
+                request = request.submission.head.request_id.as_str(),
+                loss = placement.cost,
+                loss_of_others = placement.cost_to_others;
+                "deferred"
+            );
+        }
+        request.deferred_until = Some(until);
+    }
+
     /// Chooses where to send a request's next attempt.
     pub(super) fn choose_placement(&self, now: Millis, ticket: Ticket) -> Option<ChosenPlacement> {
         let routes = self.routes.clone()?;
@@ -339,6 +364,7 @@
                     first_token_at: now.0 as f64,
                     parts_ready_at: 0.0,
                     cost: 0.0,
+                    cost_to_others: 0.0,
                 };
                 (placement, None)
             }
@@ -429,6 +455,7 @@
             return;
         };
         request.wait_until = None;
+        request.deferred_until = None;
         request.next_attempt += 1;
         let attempt = ActiveAttempt {
             number: plan.attempt,
--- a/src/gateway/engine.rs
+++ b/src/gateway/engine.rs
@@ -30,6 +30,10 @@
 /// Time after which a request is dropped if its end was never reported.
 const JOB_EXPIRY: Millis = Millis::from_secs(30);
 
+/// Share of an answer's expected length that is still to come, at the median,
+/// while its end has not been reported: lengths are estimated, and about half of
+/// the answers are longer.
+const MIN_REMAINING_SHARE: f64 = 0.4;
 /// Time for which memory that an engine reported as used, but that no known job
 /// accounts for, is counted: about the duration of a long request.
 const UNTRACKED_MEMORY_EXPIRY: Millis = Millis(2_000);
@@ -66,6 +70,8 @@
     pub split_prompt_tokens: f64,
     /// Memory that the job takes here when it is complete, in tokens.
     pub memory: f64,
+    /// Expected length of the answer, in tokens.
+    pub output_tokens: f64,
     /// Output tokens not decoded yet.
     pub decode_tokens_left: f64,
     /// When the helpers have prefilled their parts, in ms: the earliest time of
@@ -330,14 +336,16 @@
         forecast
     }
 
-    /// Adds one pass of output to answers that reached their expected length
-    /// without a report of their end.
+    /// Extends answers near or beyond their expected length whose end has not
+    /// been reported: see [`MIN_REMAINING_SHARE`].
     fn extend_overrunning_answers(&mut self) {
+        let steps = f64::from(self.spec.steps_per_pass);
         for job in self.jobs.iter_mut().filter(|job| job.role == Role::Primary) {
-            if job.decode_tokens_left <= 0.0 {
-                let steps = f64::from(self.spec.steps_per_pass);
-                job.decode_tokens_left = steps;
-                job.memory += steps;
+            let remaining = (job.output_tokens * MIN_REMAINING_SHARE).max(steps);
+            let missing = remaining - job.decode_tokens_left;
+            if missing > 0.0 {
+                job.decode_tokens_left = remaining;
+                job.memory += missing;
             }
         }
     }
@@ -509,6 +517,16 @@
             .map(|(_, _, at)| *at)
     }
 
+    /// Returns the longest pass that a decoding request sees, in ms; `None` if
+    /// it sees none within the forecast.
+    #[must_use]
+    pub fn longest_gap(&self, key: JobKey) -> Option<f64> {
+        self.longest_gaps
+            .iter()
+            .find(|(other, _)| *other == key)
+            .map(|(_, ms)| *ms)
+    }
+
     fn record_gap(&mut self, key: JobKey, ms: f64) {
         match self
             .longest_gaps
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -51,6 +51,17 @@
 /// Share of the longest acceptable inter-token gap that a forward pass may
 /// take. The rest is for delivery of the event to the caller.
 const GAP_BUDGET_SHARE: f64 = 0.95;
+/// Interval at which a prompt that is held back is placed again.
+const DEFERRAL_STEP: Millis = Millis(75);
+/// Share of the target that is kept as a reserve when a prompt is held back.
+const DEFERRAL_MARGIN_SHARE: f64 = 0.1;
+/// Cost to others, in units of utility, from which a prompt is held back.
+const MAX_COST_TO_OTHERS: f64 = 0.3;
+/// Callers of streams disconnect after this multiple of the target gap without
+/// output, but not before [`MIN_PATIENCE_MS`].
+const PATIENCE_PER_GAP: f64 = 8.0;
+/// See [`PATIENCE_PER_GAP`], in ms.
+const MIN_PATIENCE_MS: f64 = 2_000.0;
 /// Cost, in units of utility, of each ms until the first token, even when it is
 /// on time: shorter waits leave more room for the next prompts.
 const WAIT_COST_PER_MS: f64 = 1e-4;
@@ -146,6 +157,9 @@
     pub parts_ready_at: f64,
     /// Cost of this placement, in units of utility.
     pub cost: f64,
+    /// Part of the cost that other prompts bear: those on the engines, and short
+    /// ones that arrive meanwhile.
+    pub cost_to_others: f64,
 }
 
 /// A candidate with the forecast and cost of its present load.
@@ -162,8 +176,10 @@
     index: usize,
     /// Predicted end of the part's prefill, in ms.
     done_at: f64,
-    /// Utility that the engine's other prompts lose.
-    cost: f64,
+    /// Utility that other prompts lose, those that arrive meanwhile included.
+    cost_to_others: f64,
+    /// Utility that the prompt itself loses.
+    own_cost: f64,
 }
 
 /// Chooses the cheapest placement. Returns `None` if no engine can take the
@@ -228,6 +244,18 @@
     placements
 }
 
+/// Returns until when a prompt is held back, so that it is placed when it
+/// delays others less; `None` if it is placed now. It is held back only while it
+/// would still be in time afterwards.
+#[must_use]
+pub fn deferral(now: Millis, prompt: &Prompt, placement: &Placement) -> Option<Millis> {
+    let until = now + DEFERRAL_STEP;
+    let margin_ms = (prompt.target_ms * DEFERRAL_MARGIN_SHARE).max(MIN_LATE_TRANSITION_MS);
+    let latest = prompt.due_at - margin_ms - DEFERRAL_STEP.0 as f64;
+    let is_in_time = placement.first_token_at < latest;
+    (is_in_time && placement.cost_to_others > MAX_COST_TO_OTHERS).then_some(until)
+}
+
 /// Returns the cost of a first token at time `at`: a logistic function of the
 /// time past `due_at`.
 #[must_use]
@@ -277,18 +305,23 @@
             .jobs()
             .iter()
             .find(|job| job.key == key && job.role == Role::Primary);
-        if let Some(job) = found
-            && !job.late
-        {
-            cost += gap_cost(job.utility, job.max_gap_ms, ms);
+        if let Some(job) = found {
+            cost += gap_cost(job.utility, job.max_gap_ms, job.late, ms);
         }
     }
     cost
 }
 
-/// Returns the cost of an inter-token gap of `ms`.
-fn gap_cost(utility: f64, max_gap_ms: f64, ms: f64) -> f64 {
-    lateness_cost(utility, max_gap_ms, max_gap_ms * GAP_BUDGET_SHARE, ms)
+/// Returns the cost of an inter-token gap of `ms`: the answer is late beyond the
+/// target gap, unless it already is, and is lost where its caller disconnects.
+fn gap_cost(utility: f64, max_gap_ms: f64, is_late: bool, ms: f64) -> f64 {
+    let lateness = match is_late {
+        true => 0.0,
+        false => lateness_cost(utility, max_gap_ms, max_gap_ms * GAP_BUDGET_SHARE, ms),
+    };
+    let patience_ms = (max_gap_ms * PATIENCE_PER_GAP).max(MIN_PATIENCE_MS);
+    let loss = 1.0 / (1.0 + (-(ms - patience_ms) / (patience_ms * LATE_TRANSITION_SHARE)).exp());
+    lateness + utility * (1.0 - LATE_COST_SHARE) * loss
 }
 
 fn lower_cost(best: Option<Placement>, other: Option<Placement>) -> Option<Placement> {
@@ -407,7 +440,10 @@
             prompt.due_at,
             option.done_at,
         );
-        option.cost + late + (option.done_at - now.0 as f64) * WAIT_COST_PER_MS
+        option.cost_to_others
+            + option.lane_cost
+            + late
+            + (option.done_at - now.0 as f64) * WAIT_COST_PER_MS
     };
     options.sort_by(|a, b| score(a).total_cmp(&score(b)));
     options
@@ -444,11 +480,24 @@
     if first_token_at >= prompt.deadline_at {
         cost = prompt.utility;
     }
-    cost += cost_of_jobs(load, &forecast, Some(prompt.key)) - engine.baseline_cost;
-    cost += lane_cost(engine, prompt, part_tokens);
+    let is_late = first_token_at > prompt.due_at;
+    cost += forecast.longest_gap(prompt.key).map_or(0.0, |ms| {
+        gap_cost(prompt.utility, prompt.max_gap_ms, is_late, ms)
+    });
+    let lane_cost = lane_cost(engine, prompt, part_tokens);
+    let mut cost_to_others = cost_of_jobs(load, &forecast, Some(prompt.key)) - engine.baseline_cost
+        + helpers
+            .iter()
+            .map(|option| option.cost_to_others)
+            .sum::<f64>();
+    match prompt.lane {
+        Lane::Long => cost_to_others += lane_cost,
+        Lane::Short => cost += lane_cost,
+    }
+    cost += cost_to_others;
     cost += helpers
         .iter()
-        .map(|option| option.cost + COST_PER_HELPER)
+        .map(|option| option.own_cost + COST_PER_HELPER)
         .sum::<f64>();
     cost += (forecast.decode_ms - engine.baseline.decode_ms).max(0.0) * DECODE_COST_PER_MS;
     cost += (first_token_at - now.0 as f64) * WAIT_COST_PER_MS;
@@ -469,6 +518,7 @@
         first_token_at,
         parts_ready_at,
         cost,
+        cost_to_others,
     }
 }
 
@@ -624,12 +674,18 @@
     let done_at = forecast
         .prefill_end(prompt.key, Role::Helper)
         .unwrap_or(now.0 as f64);
-    let cost = cost_of_jobs(load, &forecast, Some(prompt.key)) - engines[index].baseline_cost
-        + lane_cost(&engines[index], prompt, part_tokens);
+    let cost_of_delays =
+        cost_of_jobs(load, &forecast, Some(prompt.key)) - engines[index].baseline_cost;
+    let lane_cost = lane_cost(&engines[index], prompt, part_tokens);
+    let (cost_of_arrivals, own_cost) = match prompt.lane {
+        Lane::Long => (lane_cost, 0.0),
+        Lane::Short => (0.0, lane_cost),
+    };
     HelperOption {
         index,
         done_at,
-        cost,
+        cost_to_others: cost_of_delays + cost_of_arrivals,
+        own_cost,
     }
 }
 
@@ -651,6 +707,7 @@
         context_tokens: 0.0,
         split_prompt_tokens: if split { prompt.prompt_tokens } else { 0.0 },
         memory: prompt_memory + prompt.output_tokens,
+        output_tokens: prompt.output_tokens,
         decode_tokens_left: prompt.output_tokens,
         parts_ready_at,
         admitted: false,
@@ -677,6 +734,7 @@
         context_tokens: 0.0,
         split_prompt_tokens: prompt.prompt_tokens,
         memory,
+        output_tokens: 0.0,
         decode_tokens_left: 0.0,
         parts_ready_at: 0.0,
         admitted: false,
--- a/src/gateway/tests/engine.rs
+++ b/src/gateway/tests/engine.rs
@@ -99,6 +99,38 @@
     assert!(*longest_gap > 700.0, "{longest_gap}");
 }
 
+#[test]
+fn an_answer_beyond_its_expected_length_is_expected_to_go_on() {
+    let mut load = EngineLoad::new(Millis(0), engine_spec());
+    load.add(Millis(0), unsplit_job(0, 1, 1_000.0));
+    load.record_first_output(Millis(10), JobKey(1));
+    // Its 430 tokens take ten passes; no end has been reported after twelve.
+    load.advance(Millis(560));
+    let forecast = load.forecast(Some(&unsplit_job(560, 2, 80_000.0)));
+    let longest_gap = forecast.longest_gap(JobKey(1)).unwrap();
+    assert!(longest_gap > 700.0, "{longest_gap}");
+}
+
+#[test]
+fn a_prompt_is_held_back_only_while_it_delays_others_and_would_be_in_time() {
+    let prompt = prompt(1, 300_000.0, 8_000.0);
+    let placement = |first_token_at: f64, cost_to_others: f64| Placement {
+        primary: ServerKey::from_raw(RawIdx::from_u32(0)),
+        helpers: Vec::new(),
+        primary_reserved: 0,
+        first_token_at,
+        parts_ready_at: 0.0,
+        cost: cost_to_others,
+        cost_to_others,
+    };
+    let deferral = |now: u64, placement: &Placement| {
+        placement::deferral(Millis(now), &prompt, placement).is_some()
+    };
+    assert!(deferral(0, &placement(5_000.0, 3.0)));
+    assert!(!deferral(0, &placement(5_000.0, 0.1)));
+    assert!(!deferral(2_500, &placement(7_500.0, 3.0)));
+}
+
 #[test]
 fn a_prompt_that_does_not_fit_into_memory_blocks_later_ones() {
     let mut load = EngineLoad::new(Millis(0), engine_spec());
--- a/src/gateway/tests/load.rs
+++ b/src/gateway/tests/load.rs
@@ -1,6 +1,7 @@
 //! Simulates workloads that shift between many short and many long prompts, and
 //! checks the utility that callers receive.
 
+use super::simulation::LONG_TAIL;
 use super::simulation::Outcome;
 use super::simulation::Phase;
 use super::simulation::Policy;
@@ -40,6 +41,11 @@
 /// Request rate of short prompts at which each of twelve engines decodes 11 to
 /// 15 streams, relative to the profile.
 const BUSY_SHORT_FACTOR: f64 = 2.2;
+/// Minimum share of the possible utility under the long-tailed workload, as its
+/// users demand.
+const MIN_LONG_TAIL_SHARE: f64 = 0.88;
+/// Load factor of the long-tailed workload.
+const LONG_TAIL_LOAD: f64 = 0.27;
 /// Request rate of short prompts that leaves most engines free for a while.
 const LIGHT_SHORT_FACTOR: f64 = 1.0;
 
@@ -139,3 +145,26 @@
         assert_eq!(prompt.unwrap().outcome, Outcome::InTime, "seed {seed}");
     }
 }
+
+/// Simulates the long-tailed workload while it shifts between long and short
+/// prompts, on as many engines as keep it below saturation. Returns all requests.
+fn run_long_tail(seed: u64) -> Vec<Request> {
+    let mut simulation = Simulation::with_profile(Policy::Cores, 6, 26, &LONG_TAIL);
+    simulation.add_workload(seed, LONG_TAIL_LOAD, &WORKLOAD_SHIFTS);
+    simulation.run(50_000.0);
+    simulation.requests
+}
+
+#[test]
+fn parts_of_huge_prompts_hardly_interrupt_streams() {
+    for seed in SEEDS {
+        let requests = run_long_tail(seed);
+        let answered = requests.iter().filter(|r| r.first_event.is_some()).count();
+        let abandoned = requests.iter().filter(|r| r.is_abandoned()).count();
+        let achieved: f64 = requests.iter().map(Request::received_utility).sum();
+        let possible: f64 = requests.iter().map(Request::utility).sum();
+        let share = achieved / possible;
+        assert!(share > MIN_LONG_TAIL_SHARE, "seed {seed}: {share:.3}");
+        assert!(abandoned * 100 <= answered, "seed {seed}: {abandoned}");
+    }
+}
--- a/src/gateway/tests/simulation.rs
+++ b/src/gateway/tests/simulation.rs
@@ -88,7 +88,65 @@
     pub factors: [f64; 3],
 }
 
-pub const CLASSES: [Class; 3] = [
+/// A workload: its classes, and the engines that it is meant for.
+#[derive(Debug, Clone, Copy)]
+pub struct Profile {
+    pub classes: [Class; 3],
+    pub spec: EngineSpec,
+    /// Standard deviation of the logarithm of the factor by which callers
+    /// misjudge the length of their answers.
+    pub hint_error: f64,
+}
+
+/// Prompts of up to 600,000 tokens; the lengths of answers are known.
+pub const MIXED: Profile = Profile {
+    classes: CLASSES,
+    spec: ENGINE,
+    hint_error: 0.0,
+};
+
+/// Prompts of up to a million tokens, whose parts take an engine longer than
+/// streams may pause; callers often misjudge the length of their answers.
+pub const LONG_TAIL: Profile = Profile {
+    classes: [
+        Class {
+            target_ms: 250,
+            gap_ms: 200,
+            utility: 1.9,
+            rate: 100.0,
+            ..CLASSES[0]
+        },
+        Class {
+            gap_ms: 500,
+            utility: 1.9,
+            rate: 16.0,
+            ..CLASSES[1]
+        },
+        Class {
+            target_ms: 8_000,
+            gap_ms: 800,
+            utility: 11.0,
+            mean_tokens: 300_000.0,
+            max_tokens: 1_000_000.0,
+            rate: 2.7,
+            ..CLASSES[2]
+        },
+    ],
+    spec: EngineSpec {
+        slots: 12,
+        memory_tokens: 382_500,
+        step_per_decode_ms: 0.005,
+        step_per_kilotoken_ms: 0.0025,
+        prefill_tokens_per_ms: 256.0,
+        attention_ms_per_mpair: 0.09,
+        steps_per_pass: 52,
+        mean_output_tokens: 1_600,
+        ..ENGINE
+    },
+    hint_error: 0.5,
+};
+
+const CLASSES: [Class; 3] = [
     Class {
         name: "short",
         target_ms: 300,
@@ -127,24 +185,30 @@
     },
 ];
 
+const ENGINE: EngineSpec = EngineSpec {
+    slots: 16,
+    memory_tokens: 232_000,
+    step_ms: 1.0,
+    step_per_decode_ms: 0.002,
+    step_per_kilotoken_ms: 0.004,
+    prefill_tokens_per_ms: 200.0,
+    attention_ms_per_mpair: 0.14,
+    chunk_tokens: 2_048,
+    steps_per_pass: 43,
+    remote_kv_step_ms: 0.0,
+    mean_output_tokens: 1_300,
+};
+
 pub fn engine_spec() -> EngineSpec {
-    EngineSpec {
-        slots: 16,
-        memory_tokens: 232_000,
-        step_ms: 1.0,
-        step_per_decode_ms: 0.002,
-        step_per_kilotoken_ms: 0.004,
-        prefill_tokens_per_ms: 200.0,
-        attention_ms_per_mpair: 0.14,
-        chunk_tokens: 2_048,
-        steps_per_pass: 43,
-        remote_kv_step_ms: 0.0,
-        mean_output_tokens: 1_300,
-    }
+    ENGINE
 }
 
 /// Returns the routing table of one service with a route per class.
 pub fn route_table() -> RouteTable {
+    profile_table(&MIXED)
+}
+
+fn profile_table(profile: &Profile) -> RouteTable {
     let mut table = RouteTable {
         version: 1,
         limits: CallerLimits::default(),
@@ -157,10 +221,10 @@
             probe_path: "/health".to_owned(),
             max_connections: 400,
             cold_requests_per_s: 0.0,
-            engine: Some(engine_spec()),
+            engine: Some(profile.spec),
         },
     );
-    for class in CLASSES {
+    for class in profile.classes {
         let route = Route {
             name: class.name.to_owned(),
             prefix: format!("/{}/", class.name),
@@ -179,6 +243,12 @@
     table
 }
 
+/// Returns an approximately normally distributed number: the sum of twelve
+/// uniform ones.
+fn random_normal(rng: &mut impl Rng) -> f64 {
+    (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0
+}
+
 /// Outcome of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -192,9 +262,12 @@
 #[derive(Debug, Clone)]
 pub struct Request {
     pub class: usize,
+    profile: Class,
     /// Prompt tokens.
     pub tokens: f64,
     pub events: u32,
+    /// Number of events that its caller expects.
+    expected_events: u32,
     pub arrived: f64,
     pub outcome: Outcome,
     /// Why it was refused.
@@ -216,7 +289,7 @@
 impl Request {
     /// Returns its utility if it is served in time.
     pub fn utility(&self) -> f64 {
-        let class = CLASSES[self.class];
+        let class = self.profile;
         let size = 0.3 + 0.7 * self.tokens / class.mean_tokens;
         class.utility * size.min(4.0)
     }
@@ -322,6 +395,7 @@
     pub requests: Vec<Request>,
     cores: Vec<Core>,
     pub engines: Vec<Engine>,
+    profile: Profile,
     spec: EngineSpec,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: HashMap<u64, Event>,
@@ -344,12 +418,22 @@
 
 impl Simulation {
     pub fn new(policy: Policy, cores: usize, engines: usize) -> Simulation {
+        Simulation::with_profile(policy, cores, engines, &MIXED)
+    }
+
+    pub fn with_profile(
+        policy: Policy,
+        cores: usize,
+        engines: usize,
+        profile: &Profile,
+    ) -> Simulation {
         let mut simulation = Simulation {
             policy,
             requests: Vec::new(),
             cores: (0..cores).map(core).collect(),
             engines: (0..engines).map(|_| Engine::default()).collect(),
-            spec: engine_spec(),
+            profile: *profile,
+            spec: profile.spec,
             queue: BinaryHeap::new(),
             events: HashMap::new(),
             next_event_id: 0,
@@ -361,7 +445,7 @@
             part_crashes: Vec::new(),
             part_attempts: Vec::new(),
         };
-        let mut updates = vec![StoreUpdate::Routes(Arc::new(route_table()))];
+        let mut updates = vec![StoreUpdate::Routes(Arc::new(profile_table(profile)))];
         updates.extend((0..engines).map(|index| StoreUpdate::Server(entry(index, 0))));
         updates.extend((0..cores).map(|index| {
             StoreUpdate::Instance(super::core::member(&core_name(index), &core_name(index)))
@@ -384,7 +468,7 @@
     /// phases.
     pub fn add_workload(&mut self, seed: u64, scale: f64, phases: &[Phase]) {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        for (class, profile) in CLASSES.iter().enumerate() {
+        for (class, profile) in self.profile.classes.into_iter().enumerate() {
             let mut from = 1_000.0;
             for phase in phases {
                 let rate = profile.rate * phase.factors[class] * scale / 1_000.0;
@@ -402,19 +486,24 @@
     }
 
     fn add_request(&mut self, rng: &mut impl Rng, class: usize, at: f64) {
-        let profile = CLASSES[class];
-        // Approximately normally distributed: the sum of twelve uniform numbers.
-        let normal: f64 = (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0;
+        let profile = self.profile.classes[class];
+        let normal = random_normal(rng);
         let tokens = (profile.mean_tokens.ln() - profile.log_std_dev.powi(2) / 2.0
             + normal * profile.log_std_dev)
             .exp()
             .clamp(500.0, profile.max_tokens);
         let events = (profile.events * (0.4 + 1.2 * rng.random::<f64>())).max(2.0) as u32;
+        let expected_events = match self.profile.hint_error {
+            0.0 => events,
+            error => (f64::from(events) * (random_normal(rng) * error).exp()).max(1.0) as u32,
+        };
         let request = self.requests.len();
         self.requests.push(Request {
             class,
+            profile,
             tokens,
             events,
+            expected_events,
             arrived: at,
             outcome: Outcome::Open,
             refusal: None,
@@ -526,7 +615,7 @@
     }
 
     fn submit(&mut self, request_index: usize) {
-        let class = CLASSES[self.requests[request_index].class];
+        let class = self.requests[request_index].profile;
         let engines = 0..self.engines.len();
         let engine = match self.policy {
             Policy::Cores => None,
@@ -547,7 +636,7 @@
 
     fn submission(&self, request_index: usize) -> Submission {
         let request = &self.requests[request_index];
-        let class = CLASSES[request.class];
+        let class = request.profile;
         Submission {
             head: RequestHead {
                 shared_parts: request.shared_parts.clone(),
@@ -555,8 +644,10 @@
                 deadline: Some(Millis(class.deadline_ms)),
                 prompt: Some(PromptShape {
                     prompt_tokens: request.tokens as u64,
-                    max_output_tokens: u64::from(request.events) * 60,
-                    expected_output_tokens: Some(u64::from(request.events) * 43),
+                    max_output_tokens: u64::from(request.events.max(request.expected_events)) * 60,
+                    expected_output_tokens: Some(
+                        u64::from(request.expected_events) * u64::from(self.spec.steps_per_pass),
+                    ),
                 }),
                 ..RequestHead::default()
             },
@@ -951,7 +1042,7 @@
         request.last_event = now;
         let events_received = request.events_received;
         if events_received >= request.events {
-            let class = CLASSES[request.class];
+            let class = request.profile;
             let ttft = request.first_event.unwrap_or(now) - request.arrived;
             let in_time =
                 ttft <= class.target_ms as f64 && request.longest_gap <= class.gap_ms as f64;
@@ -1132,10 +1223,13 @@
     /// Adds one request with a prompt of this length. Returns its index.
     pub fn add_prompt(&mut self, class: usize, tokens: f64, at: f64) -> usize {
         let request = self.requests.len();
+        let profile = self.profile.classes[class];
         self.requests.push(Request {
             class,
+            profile,
             tokens,
-            events: CLASSES[class].events as u32,
+            events: profile.events as u32,
+            expected_events: profile.events as u32,
             arrived: at,
             outcome: Outcome::Open,
             refusal: None,
@@ -1155,11 +1249,17 @@
 impl Request {
     /// Returns whether a stream was stalled for longer than its caller waits.
     pub fn is_abandoned(&self) -> bool {
-        let class = CLASSES[self.class];
+        let class = self.profile;
         let patience_ms = 2_000.max(class.target_ms * 4).max(class.gap_ms * 8);
         self.longest_gap > patience_ms as f64
     }
 
+    /// Returns whether an answer that had begun in time paused longer than its
+    /// target gap.
+    pub fn has_long_pause(&self) -> bool {
+        self.longest_gap > self.profile.gap_ms as f64
+    }
+
     /// Returns the utility that the caller receives if it disconnects when its
     /// patience ends.
     pub fn received_utility(&self) -> f64 {
