--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -441,7 +441,7 @@
             option.done_at,
         );
         option.cost_to_others
-            + option.lane_cost
+            + option.own_cost
             + late
             + (option.done_at - now.0 as f64) * WAIT_COST_PER_MS
     };
--- a/src/gateway/tests/load.rs
+++ b/src/gateway/tests/load.rs
@@ -156,15 +156,22 @@
 }
 
 #[test]
-fn parts_of_huge_prompts_hardly_interrupt_streams() {
+fn callers_of_a_long_tailed_workload_are_served_as_they_demand() {
     for seed in SEEDS {
         let requests = run_long_tail(seed);
-        let answered = requests.iter().filter(|r| r.first_event.is_some()).count();
-        let abandoned = requests.iter().filter(|r| r.is_abandoned()).count();
         let achieved: f64 = requests.iter().map(Request::received_utility).sum();
         let possible: f64 = requests.iter().map(Request::utility).sum();
         let share = achieved / possible;
         assert!(share > MIN_LONG_TAIL_SHARE, "seed {seed}: {share:.3}");
+    }
+}
+
+#[test]
+fn parts_of_huge_prompts_break_off_hardly_any_streams() {
+    for seed in SEEDS {
+        let requests = run_long_tail(seed);
+        let answered = requests.iter().filter(|r| r.first_event.is_some()).count();
+        let abandoned = requests.iter().filter(|r| r.is_abandoned()).count();
         assert!(abandoned * 100 <= answered, "seed {seed}: {abandoned}");
     }
 }
