--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -7,31 +7,23 @@
 //! changes to all other instances, which read the entries themselves only
 //! occasionally. So the load on the store grows little with the number of
 //! instances.
-//!
-//! [`RevisionTracker`] keeps the newest position of each key, whether it came
-//! from the store or from another instance, and drops older changes. A position
-//! names the store's era: when the store returns from an older copy it gives
-//! revisions out again. All that was read before is then read again.
+//! [`revisions::RevisionTracker`] keeps what was read apart from what is older.
+
+mod revisions;
 
-use std::cell::RefCell;
-use std::collections::HashMap;
-use std::collections::HashSet;
 use std::fmt;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use flume::Sender;
-use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
 use http::header;
 use http_body_util::Full;
-use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::sleep;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+pub use self::revisions::RevisionTracker;
 use crate::adapter::store;
 use crate::adapter::store::Call;
 use crate::adapter::store::Change;
@@ -43,7 +35,6 @@
 use crate::gateway::message::Input;
 use crate::gateway::message::StoreEra;
 use crate::gateway::message::StorePosition;
-use crate::gateway::message::StoreUpdate;
 use crate::gateway::message::Watching;
 use crate::gateway::upstream::CallError;
 use crate::gateway::upstream::Upstream;
@@ -90,293 +81,6 @@
 /// Maximum size of an item that is broadcast in a datagram, in bytes.
 const MAX_ITEM_BYTES: usize = 1_000;
 
-/// Tracks the newest revision of each key and forwards new changes to the core.
-#[derive(Debug, Clone)]
-pub struct RevisionTracker {
-    state: Rc<RefCell<TrackerState>>,
-    /// Newest known era of the store; `None` if it has named none.
-    era: Rc<watch::Sender<Option<StoreEra>>>,
-    inputs: Sender<Input>,
-    digest_mismatch: Rc<Notify>,
-}
-
-#[derive(Debug, Default)]
-struct TrackerState {
-    /// Position of each key's newest change, and whether the key exists.
-    keys: HashMap<String, (StorePosition, bool)>,
-    /// Positions as of which whole parts were read: an unknown key of a part had
-    /// no item then.
-    reads: Vec<(Part, StorePosition)>,
-    config_position: StorePosition,
-    /// Version of the configuration that the store shows, if it can be decoded.
-    shown_version: Option<u64>,
-    /// Digest of the existing backend server entries and their revisions.
-    entries_digest: u64,
-    /// Consecutive heartbeats with a different digest.
-    mismatches: u32,
-}
-
-impl TrackerState {
-    /// Returns the position as of which the part of a key was read.
-    fn read_at(&self, key: &str) -> StorePosition {
-        let read = self.reads.iter().find(|(part, _)| part.contains(key));
-        read.map_or(StorePosition::default(), |(_, position)| *position)
-    }
-}
-
-/// Consecutive heartbeats with a different digest after which entries are read
-/// again. More than one, because the broadcast of a change may still be in
-/// transit at the first. With a single close watcher two heartbeats take one
-/// second, half of the time within which a draining server must stop receiving
-/// requests.
-const MISMATCHES_UNTIL_REREAD: u32 = 2;
-
-impl RevisionTracker {
-    /// Returns a tracker without any keys.
-    #[must_use]
-    pub fn new(inputs: Sender<Input>) -> RevisionTracker {
-        RevisionTracker {
-            state: Rc::default(),
-            era: Rc::new(watch::Sender::default()),
-            inputs,
-            digest_mismatch: Rc::default(),
-        }
-    }
-
-    /// Applies changes that the store or another instance showed in `era`, and
-    /// forwards those that are new to the core. `proved_at` is the time of the
-    /// store query if it was for the operators' keys. Returns the new changes; none
-    /// if the era is over.
-    pub fn apply(
-        &self,
-        era: StoreEra,
-        changes: Vec<Change>,
-        proved_at: Option<Millis>,
-    ) -> Vec<Change> {
-        let mut updates = Vec::new();
-        let mut new_changes = Vec::new();
-        if era < self.era() {
-            log::info!(
-                era:% = era,
-                known_era:% = self.era(),
-                items = changes.len();
-                "store items ignored: of an era before the store returned from an older copy"
-            );
-            return new_changes;
-        }
-        let mut state = self.state.borrow_mut();
-        for change in changes {
-            let position = StorePosition {
-                era,
-                revision: change.revision,
-            };
-            let known = state.keys.get(&change.key).copied();
-            let known_position = known.map_or(state.read_at(&change.key), |(position, _)| position);
-            if position <= known_position {
-                if position < known_position {
-                    log::info!(
-                        key = change.key.as_str(),
-                        revision = position.revision,
-                        known_revision = known_position.revision,
-                        era:% = era;
-                        "store item ignored: older than the known one"
-                    );
-                }
-                continue;
-            }
-            let exists = change.value.is_some();
-            if Part::Servers.contains(&change.key) {
-                if let Some((previous, true)) = known {
-                    state.entries_digest ^= digest(&change.key, previous.revision);
-                }
-                if exists {
-                    state.entries_digest ^= digest(&change.key, change.revision);
-                }
-            }
-            state.keys.insert(change.key.clone(), (position, exists));
-            if Part::Operators.contains(&change.key) {
-                state.config_position = state.config_position.max(position);
-            }
-            let is_known_before_restore = known.is_some_and(|(known, _)| known.era < era);
-            let decoded = store::decode_change(&change);
-            if store::is_configuration(&change) {
-                state.shown_version = match &decoded {
-                    Ok(Some(StoreUpdate::Routes(routes))) => Some(routes.version),
-                    _ => None,
-                };
-            }
-            match decoded {
-                Ok(Some(update)) if is_known_before_restore => {
-                    updates.extend(update.after_restore());
-                }
-                Ok(Some(update)) => updates.push(update),
-                Ok(None) => {}
-                Err(error) => {
-                    log::warn!(error:% = error, revision = change.revision; "store item ignored: cannot be decoded");
-                }
-            }
-            new_changes.push(change);
-        }
-        if !updates.is_empty() || proved_at.is_some() {
-            let input = Input::StoreUpdates {
-                proved_at,
-                shown_version: state.shown_version,
-                config_position: state.config_position,
-                entries_digest: state.entries_digest,
-                updates,
-            };
-            // Sending fails only during process exit.
-            let _ = self.inputs.send(input);
-        }
-        new_changes
-    }
-
-    /// Records that a part was read completely and applied. An item that is not
-    /// newer and was not there had been removed before, as a stale read or an
-    /// instance that was suspended may not know.
-    pub fn record_read(&self, part: Part, position: StorePosition) {
-        let mut state = self.state.borrow_mut();
-        state.reads.retain(|(read, _)| *read != part);
-        state.reads.push((part, position));
-    }
-
-    /// Returns the newest known era of the store; the first one if it has named
-    /// none.
-    fn era(&self) -> StoreEra {
-        self.era.borrow().unwrap_or_default()
-    }
-
-    /// Returns the era that a response of the store names. If it is a new one, all
-    /// positions are outdated: whoever waits for the store reads again.
-    fn observe_era(&self, headers: &HeaderMap) -> Result<StoreEra, StoreError> {
-        let known = self.era();
-        let named = store::decode_era(headers).map_err(|error| call_error(&error))?;
-        match named {
-            // A store without eras never returns from a copy.
-            None if known == StoreEra::default() => Ok(known),
-            None => Err(call_error(&"the response names no era")),
-            Some(era) if era < known => {
-                log::info!(
-                    era:% = era,
-                    known_era:% = known;
-                    "response of the store ignored: of an era before it returned from an older copy"
-                );
-                Err(StoreError::Restored)
-            }
-            Some(era) => {
-                self.record_era(era, "the store");
-                Ok(era)
-            }
-        }
-    }
-
-    /// Records the era that another instance knows. The first era is also what an
-    /// instance reports that knows none.
-    pub fn observe_peer_era(&self, era: StoreEra) {
-        if era > StoreEra::default() {
-            self.record_era(era, "another instance");
-        }
-    }
-
-    fn record_era(&self, era: StoreEra, reported_by: &str) {
-        let before = *self.era.borrow();
-        if before.is_some_and(|before| era <= before) {
-            return;
-        }
-        self.era.send_replace(Some(era));
-        match before {
-            Some(before) => log::warn!(
-                era:% = era,
-                before:% = before,
-                config_revision = self.state.borrow().config_position.revision,
-                reported_by = reported_by;
-                "store returned from an older copy"
-            ),
-            None => {
-                log::info!(era:% = era, reported_by = reported_by; "era of the store learned");
-            }
-        }
-        let restored = before.is_some();
-        // Sending fails only during process exit.
-        let _ = self.inputs.send(Input::StoreEra { era, restored });
-    }
-
-    /// Applies a change broadcast by another instance.
-    pub fn apply_item(&self, item: Item) {
-        self.observe_peer_era(item.era);
-        let change = Change {
-            key: item.key,
-            revision: item.revision,
-            value: item.value.map(Bytes::from),
-        };
-        self.apply(item.era, vec![change], None);
-    }
-
-    /// Returns the digest of the backend servers' entries.
-    #[must_use]
-    pub fn entries_digest(&self) -> u64 {
-        self.state.borrow().entries_digest
-    }
-
-    /// Compares the digest of the backend servers' entries with that of an
-    /// instance that watches them. If they differ for longer than a broadcast
-    /// may be in transit, a message was lost and a new read is triggered;
-    /// returns whether this call triggered it. Digests of another era are not
-    /// compared.
-    pub fn compare_digest(&self, era: StoreEra, other_digest: u64) -> bool {
-        if era != self.era() {
-            return false;
-        }
-        let mut state = self.state.borrow_mut();
-        if state.entries_digest == other_digest {
-            state.mismatches = 0;
-            return false;
-        }
-        state.mismatches += 1;
-        let triggered = state.mismatches == MISMATCHES_UNTIL_REREAD;
-        if triggered {
-            log::warn!(
-                "entries of backend servers differ from another instance's; they are read again"
-            );
-            self.digest_mismatch.notify_one();
-        }
-        triggered
-    }
-
-    /// Resets the count of mismatches after the entries have been read.
-    fn reset_mismatches(&self) {
-        self.state.borrow_mut().mismatches = 0;
-    }
-
-    /// Returns removals for the known keys of a part that are missing from a
-    /// read as of `read_at`. A key of an earlier era gets revision 0, as it is not
-    /// known when it was removed: any later change of it counts as newer.
-    fn missing_removals(
-        &self,
-        part: Part,
-        listed: &[Change],
-        read_at: StorePosition,
-    ) -> Vec<Change> {
-        let listed: HashSet<&str> = listed.iter().map(|change| change.key.as_str()).collect();
-        let state = self.state.borrow();
-        state
-            .keys
-            .iter()
-            .filter(|(key, (known, exists))| {
-                *exists && *known < read_at && part.contains(key) && !listed.contains(key.as_str())
-            })
-            .map(|(key, (known, _))| Change {
-                key: key.clone(),
-                revision: match known.era == read_at.era {
-                    true => read_at.revision,
-                    false => 0,
-                },
-                value: None,
-            })
-            .collect()
-    }
-}
-
 /// Reads and watches the store and feeds the [`RevisionTracker`].
 #[derive(Debug, Clone)]
 pub struct StoreWatcher {
@@ -732,11 +436,6 @@
     }
 }
 
-/// Returns an entry's contribution to the digest of all entries.
-fn digest(key: &str, revision: u64) -> u64 {
-    xxh3_64_with_seed(key.as_bytes(), revision)
-}
-
 /// Returns the time of a query as a freshness proof; only reads of the
 /// operators' part prove that the configuration is current.
 fn freshness_proof(part: Part, queried_at: Millis) -> Option<Millis> {
