A removal that was read soundly holds while the store is down

Any failed call, also a watch that was cut, made the removals of the next two seconds count as entries that lapsed in an outage. The server then stayed in use until 1.5 s later the store answered, so for as long as the store was down. Now the core knows when the store last answered anybody (own answers and other instances' proofs). Unless that is two write intervals of the servers ago, a live server's entry cannot have lapsed, and the 1.5 s end whatever the store answers. For longer outages the time stands still while the store is lost again, so that a second outage does not drop all servers at its end.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -27,6 +27,7 @@
 use std::sync::Arc;
 
 use self::crashes::Crashes;
+use self::facts::Lapse;
 use self::fleet_load::FleetLoad;
 use self::forwarding::ForwardBudget;
 use self::freshness::Freshness;
@@ -99,9 +100,8 @@
     metrics: Arc<Metrics>,
     routes: Option<Arc<RouteTable>>,
     server_table: ServerTable,
-    /// Servers whose store entries lapsed, with the time at which they are
-    /// dropped.
-    lapsed_servers: HashMap<String, Millis>,
+    /// Servers whose store entries lapsed.
+    lapsed_servers: HashMap<String, Lapse>,
     /// Entries of removed servers that the store shows again since it returned
     /// from an older copy, with the time at which they are taken to be true.
     reappeared_servers: HashMap<String, (ServerEntry, Millis)>,
@@ -227,8 +227,12 @@
                 updates,
             } => {
                 self.entries_digest = entries_digest;
-                self.freshness
-                    .record_store_answer(now, proved_at.is_some(), config_position);
+                let outage = self
+                    .freshness
+                    .record_store_answer(now, proved_at, config_position);
+                if let Some(outage) = outage {
+                    self.extend_lapses(now, outage);
+                }
                 self.apply_store_updates(now, updates, &mut out);
                 if let Some(proved_at) = proved_at {
                     let in_force = self.config_version();
--- a/src/gateway/core/facts.rs
+++ b/src/gateway/core/facts.rs
@@ -27,6 +27,16 @@
 /// silent for three.
 const REAPPEARED_ENTRY_WRITES: u64 = 5;
 
+/// A server whose entry disappeared around an outage of the store.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Lapse {
+    /// When it is dropped.
+    until: Millis,
+    /// Whether the outage was long enough for the entry of a live server to lapse.
+    /// If so, it cannot return while the store is lost again.
+    may_return: bool,
+}
+
 impl Core {
     pub(super) fn apply_store_updates(
         &mut self,
@@ -192,21 +202,41 @@
 
     /// Handles the removal of a server's entry. Entries lapse during a store
     /// outage and return soon after it, so a server whose entry disappears
-    /// during an outage or shortly after it is kept for a while.
+    /// during an outage or shortly after it is kept for a while. That is counted in
+    /// time in which the store answers only if the outage was long enough.
     fn on_server_removed(&mut self, now: Millis, id: &str) {
         self.reappeared_servers.remove(id);
         if self
             .freshness
             .recently_unavailable(now, self.bounds.entry_recovery_time)
         {
-            log::info!(server = id; "backend server's entry lapsed");
-            let until = now + self.bounds.entry_recovery_time - LEAVING_MARGIN;
-            self.lapsed_servers.insert(id.to_owned(), until);
+            let may_return = self
+                .freshness
+                .may_have_lapsed(now, self.bounds.entry_recovery_time);
+            log::info!(server = id, may_return = may_return; "backend server's entry lapsed");
+            let until = now + self.lapse_grace();
+            let lapse = Lapse { until, may_return };
+            self.lapsed_servers.insert(id.to_owned(), lapse);
             return;
         }
         self.drop_server(id, "entry removed");
     }
 
+    fn lapse_grace(&self) -> Millis {
+        self.bounds.entry_recovery_time - LEAVING_MARGIN
+    }
+
+    /// Gives servers whose entries lapsed, and could not return while the store was
+    /// lost again, that much more time.
+    pub(super) fn extend_lapses(&mut self, now: Millis, outage: Millis) {
+        let latest = now + self.lapse_grace();
+        for lapse in self.lapsed_servers.values_mut() {
+            if lapse.may_return {
+                lapse.until = (lapse.until + outage).min(latest);
+            }
+        }
+    }
+
     /// Drops servers whose entries have not returned after a store outage.
     pub(super) fn drop_lapsed_servers(&mut self, now: Millis) {
         let gone: Vec<String> = self
@@ -223,11 +253,10 @@
 
     /// Returns whether a server's entry has lapsed and not returned in time.
     pub(super) fn has_left(&self, now: Millis, id: &str) -> bool {
-        self.freshness.is_store_answering()
-            && self
-                .lapsed_servers
-                .get(id)
-                .is_some_and(|&until| now >= until)
+        let store_answers = self.freshness.is_store_answering();
+        self.lapsed_servers
+            .get(id)
+            .is_some_and(|lapse| now >= lapse.until && (store_answers || !lapse.may_return))
     }
 
     fn drop_server(&mut self, id: &str, cause: &str) {
--- a/src/gateway/core/freshness.rs
+++ b/src/gateway/core/freshness.rs
@@ -20,6 +20,11 @@
 /// queueing on the way. Added to the age of its proof.
 const MAX_HEARTBEAT_DELAY: Millis = Millis(100);
 
+/// Write intervals of servers that an outage has to last for the entry of a live
+/// one to lapse: the store removes entries after three without a write, of which
+/// one may have passed before.
+const MIN_LAPSE_WRITES: u64 = 2;
+
 /// What another instance says of its configuration.
 #[derive(Debug, Clone, Copy)]
 pub struct PeerProof {
@@ -59,6 +64,12 @@
     lost_at: Option<Millis>,
     /// When the store last became reachable again.
     regained_at: Option<Millis>,
+    /// Latest time at which the store is known to have answered an instance.
+    answered_at: Millis,
+    /// Shortest outage in which the entry of a live server can lapse.
+    min_lapse_time: Millis,
+    /// When the store last became reachable again after such an outage.
+    regained_after_lapse_at: Option<Millis>,
 }
 
 impl Freshness {
@@ -78,6 +89,9 @@
             is_unproven: false,
             lost_at: None,
             regained_at: None,
+            answered_at: Millis::ZERO,
+            min_lapse_time: bounds.server_write_interval * MIN_LAPSE_WRITES,
+            regained_after_lapse_at: None,
         }
     }
 
@@ -91,6 +105,7 @@
         }
         if restored {
             self.regained_at = Some(now);
+            self.regained_after_lapse_at = Some(now);
         }
     }
 
@@ -100,21 +115,43 @@
         self.settled_at.since(now)
     }
 
-    /// Records an answer of the store and the position that it shows.
+    /// Records an answer of the store and the position that it shows; `queried_at`
+    /// is the time of the query if it was for the operators' keys. Returns how long
+    /// the store was lost if this ends an outage.
     pub fn record_store_answer(
         &mut self,
         now: Millis,
-        is_for_operator_keys: bool,
+        queried_at: Option<Millis>,
         config_position: StorePosition,
-    ) {
+    ) -> Option<Millis> {
         self.config_position = self.config_position.max(config_position);
-        if !is_for_operator_keys {
-            return;
-        }
-        if let Some(lost_at) = self.lost_at.take() {
+        let queried_at = queried_at?;
+        let lost_at = self.lost_at.take();
+        if let Some(lost_at) = lost_at {
             log::info!(away_ms = now.since(lost_at).0; "store regained");
             self.regained_at = Some(now);
+            if self.may_lapse(queried_at) {
+                self.regained_after_lapse_at = Some(now);
+            }
         }
+        self.answered_at = self.answered_at.max(queried_at);
+        lost_at.map(|lost_at| now.since(lost_at))
+    }
+
+    /// Returns whether the entry of a live server can have lapsed if the store has
+    /// answered nobody from its latest known answer until `at`.
+    fn may_lapse(&self, at: Millis) -> bool {
+        at.since(self.answered_at) >= self.min_lapse_time
+    }
+
+    /// Returns whether an entry that is removed now may have lapsed in an outage
+    /// that lasted long enough and is in progress or ended less than `window` ago.
+    /// Otherwise its server has left, whatever the store answers from now on.
+    #[must_use]
+    pub fn may_have_lapsed(&self, now: Millis, window: Millis) -> bool {
+        let is_recent = |at: Millis| now.since(at) < window;
+        (self.lost_at.is_some() && self.may_lapse(now))
+            || self.regained_after_lapse_at.is_some_and(is_recent)
     }
 
     /// Records an answer to a query at `proved_at` as a proof if it shows the
@@ -157,10 +194,14 @@
         self.peer_version = self.peer_version.max(proof.version);
         let knows_newer_change =
             proof.position.era == self.config_position.era && proof.position > self.config_position;
+        // Whatever it proves, the store has answered.
+        let total = proof.age + MAX_HEARTBEAT_DELAY;
+        if total <= now && proof.position.era == self.era {
+            self.answered_at = self.answered_at.max(now - total);
+        }
         if in_force == 0 || proof.version != in_force || knows_newer_change {
             return;
         }
-        let total = proof.age + MAX_HEARTBEAT_DELAY;
         if total <= now {
             self.proved_at = self.proved_at.max(Some(now - total));
         }
--- a/src/gateway/tests/core.rs
+++ b/src/gateway/tests/core.rs
@@ -613,6 +613,58 @@
     assert_eq!(harness.receiving_servers("/once/1"), ["p0"]);
 }
 
+#[test]
+fn a_server_whose_removal_was_read_soon_after_a_cut_watch_is_dropped_while_the_store_is_down() {
+    let mut harness = Harness::new();
+    let _ = harness.handle(Input::StoreCallFailed);
+    harness.now += 50;
+    harness.apply_store_updates(Vec::new());
+    harness.now += 800;
+    harness.apply_store_updates(vec![StoreUpdate::ServerRemoved("p0".to_owned())]);
+    harness.now += 500;
+    let _ = harness.handle(Input::StoreCallFailed);
+    harness.now += 1_300;
+    assert_eq!(harness.receiving_servers("/once/1"), ["p1", "p2", "p3"]);
+}
+
+#[test]
+fn a_removal_that_another_instance_read_holds_where_the_store_does_not_answer() {
+    let mut harness = Harness::new();
+    let _ = harness.handle(Input::StoreCallFailed);
+    for _ in 0..8 {
+        harness.now += 500;
+        harness.hear_instance("other");
+    }
+    let _ = harness.handle(Input::StoreUpdates {
+        proved_at: None,
+        shown_version: Some(1),
+        config_position: position(5),
+        entries_digest: 0,
+        updates: vec![StoreUpdate::ServerRemoved("p0".to_owned())],
+    });
+    harness.now += 1_800;
+    assert_eq!(harness.receiving_servers("/once/1"), ["p1", "p2", "p3"]);
+}
+
+#[test]
+fn entries_that_lapse_in_an_outage_have_time_to_return_after_the_next_one() {
+    let mut harness = Harness::new();
+    let _ = harness.handle(Input::StoreCallFailed);
+    harness.now += 4_000;
+    let gone = |index: usize| StoreUpdate::ServerRemoved(format!("p{index}"));
+    harness.apply_store_updates((0..SERVERS).map(gone).collect());
+    harness.now += 500;
+    let _ = harness.handle(Input::StoreCallFailed);
+    harness.now += 4_000;
+    harness.apply_store_updates(Vec::new());
+    let _ = harness.handle(Input::Tick);
+    assert_eq!(harness.receiving_servers("/once/1").len(), SERVERS);
+    harness.now += 800;
+    harness.apply_store_updates(vec![StoreUpdate::Server(entry("p0", "plain"))]);
+    harness.now += 1_000;
+    assert_eq!(harness.receiving_servers("/once/1"), ["p0"]);
+}
+
 #[test]
 fn a_restarted_server_replaces_its_predecessor() {
     let mut harness = Harness::new();
