Quarantine the beginning of prompts that crash engines on the own path

A beginning now has a record of its own, under a fingerprint derived from its hash, for engines that end before they have sent a second token. Three crashes at different moments quarantine it; crashes within 250 ms of each other count once, as the engines of a failure domain may end together. Any answer that goes on or completes clears it on all instances. A crash is identified by its moment in the existing message, so that records of several instances still merge as sets and earlier releases read them.

New: quarantine::tests::three_crashes_at_different_moments_quarantine_a_beginning, an_answer_that_goes_on_clears_its_beginning, crashes_after_more_output_do_not_count_against_a_beginning.

--- a/src/control/attempts.rs
+++ b/src/control/attempts.rs
@@ -28,6 +28,8 @@
 use crate::metrics::Timing;
 use crate::quarantine::QUARANTINE_DURATION;
 use crate::quarantine::Restriction;
+use crate::quarantine::beginning;
+use crate::quarantine::has_continued;
 use crate::timeline::EventKind;
 use crate::timeline::Subject;
 use crate::verdict::Reason;
@@ -67,7 +69,14 @@
                     self.conditions.observe(cx, &self.fleet, backend, signal);
                 }
             }
-            AttemptEvent::Progress { offset } => running.offset = running.offset.max(offset),
+            AttemptEvent::Progress { offset } => {
+                let had_continued = has_continued(running.offset);
+                running.offset = running.offset.max(offset);
+                if has_continued(offset) && !had_continued {
+                    let prefix = in_flight.job.as_ref().map_or(0, |job| job.prefix);
+                    self.record_sound_beginning(cx, prefix);
+                }
+            }
             AttemptEvent::Answer { status, body } => {
                 in_flight.service_answer = Some((status, body))
             }
@@ -155,7 +164,7 @@
         let outcome = AttemptOutcome::from_end(&running, end);
         self.record_attempt_end(cx, &running, &outcome, end);
         let mut next = in_flight.next_step(&running, end, &outcome, &mut self.budgets, &job.model);
-        if outcome.crashed && self.record_crash(cx, &mut job, attempt) {
+        if outcome.crashed && self.record_crash(cx, &mut job, attempt, outcome.offset) {
             next = NextStep::Fail(Reason::Quarantined);
         }
         if running.migrating {
@@ -170,6 +179,7 @@
                 let fingerprint = job.fingerprint;
                 self.quarantine
                     .record_completion(cx, &self.other_serving_instances, fingerprint);
+                self.record_sound_beginning(cx, job.prefix);
                 if !in_flight.caller_detached {
                     let kind = &self.fleet.kind(job.kind).name;
                     cx.metrics
@@ -199,13 +209,32 @@
     /// Records a crash of a backend server that ran a request, and marks the
     /// request to run on an engine of its own; returns whether it is
     /// quarantined.
-    fn record_crash(&mut self, cx: &mut Cx<'_>, job: &mut Job, attempt: AttemptId) -> bool {
+    fn record_crash(
+        &mut self,
+        cx: &mut Cx<'_>,
+        job: &mut Job,
+        attempt: AttemptId,
+        tokens: u32,
+    ) -> bool {
         job.exclusive = true;
         let instances = &self.other_serving_instances;
-        let restriction = self
+        let of_request = self
             .quarantine
             .record_crash(cx, instances, job.fingerprint, attempt);
-        matches!(restriction, Restriction::Quarantined { .. })
+        let of_beginning =
+            self.quarantine
+                .record_beginning_crash(cx, instances, job.prefix, job.request, tokens);
+        [of_request, of_beginning]
+            .iter()
+            .any(|restriction| matches!(restriction, Restriction::Quarantined { .. }))
+    }
+
+    /// Records that an answer went on, which clears the beginning of its prompt.
+    fn record_sound_beginning(&mut self, cx: &mut Cx<'_>, prefix: u64) {
+        if let Some(beginning) = beginning(prefix) {
+            self.quarantine
+                .record_completion(cx, &self.other_serving_instances, beginning);
+        }
     }
 
     /// Reports the end of an attempt to the router, the conditions and the
--- a/src/control/request.rs
+++ b/src/control/request.rs
@@ -47,7 +47,10 @@
             Ok(job) => job,
             Err(refusal) => return self.refuse_unadmitted(cx, request, refusal),
         };
-        let job = match self.quarantine.restriction(cx.now, job.fingerprint) {
+        let restriction = self
+            .quarantine
+            .restriction_on(cx.now, job.fingerprint, job.prefix);
+        let job = match restriction {
             Restriction::None => job,
             Restriction::Suspect => Job {
                 exclusive: true,
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -10,6 +10,12 @@
 //! A crash is identified by the attempt that observed it. Records therefore
 //! merge by set union, and no crash is counted twice when two instances report
 //! it.
+//!
+//! Prompts that differ may crash engines by the beginning that they share. A
+//! beginning has a record of its own, under a fingerprint derived from its hash,
+//! for crashes of engines that had hardly begun to answer. Engines that end
+//! together, as those of a failure domain, count as one crash: such a crash is
+//! identified by its moment. Any answer that goes on clears the beginning.
 
 #[cfg(test)]
 mod tests;
@@ -20,12 +26,14 @@
 use rand::seq::IndexedRandom;
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Millis;
 use crate::control::Cx;
 use crate::control::Output;
 use crate::id::AttemptId;
 use crate::id::Fingerprint;
+use crate::id::RequestId;
 use crate::metrics::Count;
 use crate::once::Peer;
 use crate::peer::PeerMessage;
@@ -35,6 +43,17 @@
 /// Number of crashes, observed by different attempts, at which a fingerprint is
 /// quarantined.
 pub const CRASH_LIMIT: usize = 2;
+/// Number of crashes at different moments at which the beginning of prompts is
+/// quarantined.
+pub const BEGINNING_CRASH_LIMIT: usize = 3;
+/// Crashes within this time of each other count once against a beginning: the
+/// engines of a failure domain may end together, as seen by several instances.
+const SIMULTANEOUS_CRASHES: Millis = Millis(250);
+/// Output tokens up to which an engine has hardly begun to answer.
+const MAX_TOKENS_OF_BEGUN_ANSWER: u32 = 1;
+/// Attempt number in the ids of crashes that count against a beginning; attempts
+/// are numbered from 1.
+const MOMENT: u32 = 0;
 /// Time after the last crash of a fingerprint for which it stays suspect or
 /// quarantined.
 pub const QUARANTINE_DURATION: Millis = Millis(600_000);
@@ -97,9 +116,60 @@
     pub fn uncleared_crashes(&self) -> usize {
         self.crashes.difference(&self.cleared).count()
     }
+
+    /// Returns whether this is the record of a beginning.
+    fn is_of_beginning(&self) -> bool {
+        self.crashes.iter().any(|crash| crash.number == MOMENT)
+    }
+
+    /// Returns the number of moments with crashes that have not been cleared.
+    fn uncleared_moments(&self) -> usize {
+        let mut count = 0;
+        let mut last_counted = None;
+        for crash in self.crashes.difference(&self.cleared) {
+            let at = Millis(crash.request.0);
+            if last_counted.is_none_or(|last| at.since(last) > SIMULTANEOUS_CRASHES) {
+                last_counted = Some(at);
+                count += 1;
+            }
+        }
+        count
+    }
+}
+
+/// Returns whether an answer of so many tokens shows that the prompt's beginning
+/// crashes no engine.
+#[must_use]
+pub const fn has_continued(tokens: u32) -> bool {
+    tokens > MAX_TOKENS_OF_BEGUN_ANSWER
+}
+
+/// Returns the fingerprint of the beginning of prompts with this hash; `None` for
+/// requests without one.
+#[must_use]
+pub fn beginning(prefix: u64) -> Option<Fingerprint> {
+    let mut text = b"beginning/".to_vec();
+    text.extend(prefix.to_be_bytes());
+    (prefix != 0).then(|| Fingerprint(xxh3_64(&text)))
 }
 
 impl Quarantine {
+    /// Returns the restriction on requests with this fingerprint and this hash of
+    /// the beginning.
+    #[must_use]
+    pub fn restriction_on(
+        &self,
+        now: Millis,
+        fingerprint: Fingerprint,
+        prefix: u64,
+    ) -> Restriction {
+        let of_beginning = beginning(prefix).map(|beginning| self.restriction(now, beginning));
+        match of_beginning {
+            Some(quarantined @ Restriction::Quarantined { .. }) => quarantined,
+            _ => self.restriction(now, fingerprint),
+        }
+    }
+
     /// Returns the restriction on requests with this fingerprint.
     #[must_use]
     pub fn restriction(&self, now: Millis, fingerprint: Fingerprint) -> Restriction {
@@ -110,6 +180,14 @@
         if remaining == Millis::ZERO {
             return Restriction::None;
         }
+        if state.record.is_of_beginning() {
+            return match state.record.uncleared_moments() < BEGINNING_CRASH_LIMIT {
+                true => Restriction::None,
+                false => Restriction::Quarantined {
+                    retry_after: remaining,
+                },
+            };
+        }
         match state.record.uncleared_crashes() {
             0 => Restriction::None,
             crashes if crashes < CRASH_LIMIT => Restriction::Suspect,
@@ -127,25 +205,54 @@
         peers: &[Peer],
         fingerprint: Fingerprint,
         attempt: AttemptId,
+    ) -> Restriction {
+        self.add_crash(cx, peers, fingerprint, attempt, attempt.request)
+    }
+
+    /// Records a crash that a request saw.
+    fn add_crash(
+        &mut self,
+        cx: &mut Cx<'_>,
+        peers: &[Peer],
+        fingerprint: Fingerprint,
+        crash: AttemptId,
+        request: RequestId,
     ) -> Restriction {
         let state = self.records.entry(fingerprint).or_default();
-        state.record.crashes.insert(attempt);
+        state.record.crashes.insert(crash);
         state.last_crash_at = cx.now;
         self.evict_oldest();
         let restriction = self.restriction(cx.now, fingerprint);
         if matches!(restriction, Restriction::Quarantined { .. }) {
             cx.count(Count::Quarantined);
             let detail = format!("fingerprint {:016x} is quarantined", fingerprint.0);
-            cx.event(
-                EventKind::Quarantine,
-                Subject::request(attempt.request),
-                detail,
-            );
+            cx.event(EventKind::Quarantine, Subject::request(request), detail);
         }
         self.broadcast(cx, peers, fingerprint);
         restriction
     }
 
+    /// Records that an engine that had sent so many tokens died while it ran a
+    /// request whose prompt has this beginning, and returns the resulting
+    /// restriction.
+    pub fn record_beginning_crash(
+        &mut self,
+        cx: &mut Cx<'_>,
+        peers: &[Peer],
+        prefix: u64,
+        request: RequestId,
+        tokens: u32,
+    ) -> Restriction {
+        let Some(beginning) = beginning(prefix).filter(|_| !has_continued(tokens)) else {
+            return Restriction::None;
+        };
+        let moment = AttemptId {
+            request: RequestId((cx.me.unix_time_at_start + cx.now).0),
+            number: MOMENT,
+        };
+        self.add_crash(cx, peers, beginning, moment, request)
+    }
+
     /// Records that a request with this fingerprint completed, which clears its
     /// known crashes.
     pub fn record_completion(&mut self, cx: &mut Cx<'_>, peers: &[Peer], fingerprint: Fingerprint) {
--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -77,6 +77,58 @@
     );
 }
 
+const PREFIX: u64 = 7;
+
+/// Records a crash by a prompt with the beginning, and returns the restriction on
+/// others with it.
+fn crash_by_beginning(fixture: &mut Fixture, quarantine: &mut Quarantine, at: u64) -> Restriction {
+    fixture.now = Millis(at);
+    let request = RequestId(at);
+    quarantine.record_beginning_crash(&mut fixture.cx(), &[], PREFIX, request, 0);
+    quarantine.restriction_on(Millis(at), POISON, PREFIX)
+}
+
+#[test]
+fn three_crashes_at_different_moments_quarantine_a_beginning() {
+    let mut fixture = Fixture::new();
+    let mut quarantine = Quarantine::default();
+    let restrictions = [1_000, 1_100, 2_000, 3_000]
+        .map(|at| crash_by_beginning(&mut fixture, &mut quarantine, at));
+    let retry_after = QUARANTINE_DURATION;
+    assert_eq!(restrictions[..3], [Restriction::None; 3]);
+    assert_eq!(restrictions[3], Restriction::Quarantined { retry_after });
+    let other = quarantine.restriction_on(fixture.now, POISON, PREFIX + 1);
+    assert_eq!(other, Restriction::None);
+}
+
+#[test]
+fn an_answer_that_goes_on_clears_its_beginning() {
+    let mut fixture = Fixture::new();
+    let mut quarantine = Quarantine::default();
+    for at in [1_000, 2_000] {
+        crash_by_beginning(&mut fixture, &mut quarantine, at);
+    }
+    let sound = beginning(PREFIX).unwrap();
+    quarantine.record_completion(&mut fixture.cx(), &[], sound);
+    for at in [3_000, 4_000] {
+        let restriction = crash_by_beginning(&mut fixture, &mut quarantine, at);
+        assert_eq!(restriction, Restriction::None);
+    }
+}
+
+#[test]
+fn crashes_after_more_output_do_not_count_against_a_beginning() {
+    let mut fixture = Fixture::new();
+    let mut quarantine = Quarantine::default();
+    for at in [1_000, 2_000, 3_000] {
+        fixture.now = Millis(at);
+        let mut cx = fixture.cx();
+        quarantine.record_beginning_crash(&mut cx, &[], PREFIX, RequestId(at), 2);
+    }
+    let restriction = quarantine.restriction_on(fixture.now, POISON, PREFIX);
+    assert_eq!(restriction, Restriction::None);
+}
+
 proptest! {
     /// Records lead to the same restriction in any order and with duplicates.
     #[test]
