Hold reports of cold backend servers that rest on failed connections

A cold signal that is a failed connection is now held until any backend server answers this instance; if none does within 2 s, twice the interval of load reports, this instance's own link is taken to be at fault and the signal is dropped, as are later ones until the next answer. The instance itself still uses the cold limit while the report is held. There are no probes on this path: a cut that leaves open connections working is still taken for cold servers.

New: a_refused_connection_is_reported_once_a_backend_server_answers, connections_refused_while_no_backend_server_answers_are_not_reported_later.

--- a/src/capacity/lease.rs
+++ b/src/capacity/lease.rs
@@ -229,6 +229,7 @@
         mut coordinator_of: impl FnMut(BackendKey) -> Option<(String, Epoch)>,
     ) -> Vec<(String, LeaseRequest)> {
         self.urgent = false;
+        context.conditions.drop_unconfirmed(now);
         let mut requests: BTreeMap<String, LeaseRequest> = BTreeMap::new();
         let mut due_coordinators: Vec<String> = Vec::new();
         for (&key, state) in &mut self.backends {
@@ -248,7 +249,7 @@
             }
             let returns_lease = state.has_unneeded_lease(now);
             let requests_periodically = !state.is_idle(now) || returns_lease;
-            let has_cold_report = context.conditions.has_unreported_cold(key);
+            let has_cold_report = context.conditions.has_cold_report(key);
             let early =
                 state.check_early_request(now) || state.check_early_report(now, has_cold_report);
             let requests_now = early || (periodic && requests_periodically);
--- a/src/condition.rs
+++ b/src/condition.rs
@@ -25,6 +25,7 @@
 
 use crate::backend::AttemptEnd;
 use crate::backend::Rejection;
+use crate::clock::Millis;
 use crate::condition::state::State;
 use crate::control::Cx;
 use crate::declaration::LimitRule;
@@ -40,6 +41,11 @@
 use crate::timeline::EventKind;
 use crate::timeline::Subject;
 
+/// Time within which a backend server has to answer after another one could not be
+/// reached. Otherwise the link of this instance is at fault. Coordinators poll
+/// their backend servers twice in it.
+const LINK_DOUBT_LIMIT: Millis = Millis(2_000);
+
 /// Condition of one backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -105,6 +111,18 @@
     const fn implies_cold(self) -> bool {
         matches!(self, Signal::Refused | Signal::RejectedCold | Signal::Late)
     }
+
+    /// Returns whether the signal is an answer of the backend server.
+    const fn is_answer(self) -> bool {
+        match self {
+            Signal::Completed { .. }
+            | Signal::Rejected
+            | Signal::RejectedCold
+            | Signal::Late
+            | Signal::Reported { .. } => true,
+            Signal::Refused | Signal::Broken | Signal::Silent => false,
+        }
+    }
 }
 
 /// An instance's report to a backend server's coordinator about the condition
@@ -136,6 +154,10 @@
 pub struct Conditions {
     states: ArenaMap<BackendKey, State>,
     unreported: ArenaMap<BackendKey, ConditionReport>,
+    /// Backend servers whose unreported cold signal is a failed connection.
+    in_doubt: ArenaMap<BackendKey, ()>,
+    /// When the first connection failed since a backend server last answered.
+    unanswered_since: Option<Millis>,
     turned_cold: Vec<BackendKey>,
 }
 
@@ -143,8 +165,18 @@
     /// Applies a signal and records it for the report to the coordinator.
     pub fn observe(&mut self, cx: &mut Cx<'_>, fleet: &Fleet, backend: BackendKey, signal: Signal) {
         let implies_cold = self.apply(cx, fleet, backend, signal);
+        if signal.is_answer() {
+            self.drop_unconfirmed(cx.now);
+            self.in_doubt.clear();
+            self.unanswered_since = None;
+        }
+        let is_reported = self.has_cold_report(backend);
         let report = self.unreported.entry(backend).or_default();
         if implies_cold {
+            if !signal.is_answer() && !is_reported {
+                self.in_doubt.insert(backend, ());
+                self.unanswered_since.get_or_insert(cx.now);
+            }
             *report = ConditionReport {
                 in_time: 0,
                 cold: true,
@@ -156,9 +188,26 @@
         }
     }
 
+    /// Drops the cold signals that rest on failed connections if no backend server
+    /// has answered for long since.
+    pub fn drop_unconfirmed(&mut self, now: Millis) {
+        let is_lost = |since| now.since(since) > LINK_DOUBT_LIMIT;
+        if !self.unanswered_since.is_some_and(is_lost) {
+            return;
+        }
+        for (key, ()) in self.in_doubt.iter() {
+            self.unreported.remove(key);
+        }
+        self.in_doubt.clear();
+    }
+
     /// Removes and returns what this instance saw of a backend server since its
-    /// last report to the coordinator; `None` if there is nothing to report.
+    /// last report to the coordinator; `None` if there is nothing to report, or if
+    /// that is in doubt.
     pub fn take_report(&mut self, backend: BackendKey) -> Option<ConditionReport> {
+        if self.in_doubt.contains_idx(backend) {
+            return None;
+        }
         self.unreported
             .remove(backend)
             .filter(|report| *report != ConditionReport::default())
@@ -173,6 +222,12 @@
             .is_some_and(|report| report.cold)
     }
 
+    /// Returns whether there is such a signal that is not in doubt.
+    #[must_use]
+    pub fn has_cold_report(&self, backend: BackendKey) -> bool {
+        self.has_unreported_cold(backend) && !self.in_doubt.contains_idx(backend)
+    }
+
     /// Applies another instance's report on a backend server.
     pub fn merge_report(
         &mut self,
--- a/src/condition/tests.rs
+++ b/src/condition/tests.rs
@@ -262,3 +262,33 @@
         assert_eq!(coordinator.condition(&fleet, key), Condition::Warm);
     }
 }
+
+#[test]
+fn a_refused_connection_is_reported_once_a_backend_server_answers() {
+    let fleet = fleet(RULES, ENGINES);
+    let [a, b] = ["a", "b"].map(|name| fleet.backend_key(name).unwrap());
+    let mut fixture = Fixture::new();
+    let mut conditions = Conditions::default();
+    conditions.observe(&mut fixture.cx(), &fleet, a, Signal::Refused);
+    assert!(conditions.has_unreported_cold(a) && !conditions.has_cold_report(a));
+    fixture.now += LINK_DOUBT_LIMIT;
+    conditions.drop_unconfirmed(fixture.now);
+    conditions.observe(&mut fixture.cx(), &fleet, b, IN_TIME);
+    assert!(conditions.has_cold_report(a));
+    assert!(conditions.take_report(a).is_some_and(|report| report.cold));
+}
+
+#[test]
+fn connections_refused_while_no_backend_server_answers_are_not_reported_later() {
+    let fleet = fleet(RULES, ENGINES);
+    let [a, b] = ["a", "b"].map(|name| fleet.backend_key(name).unwrap());
+    let mut fixture = Fixture::new();
+    let mut conditions = Conditions::default();
+    conditions.observe(&mut fixture.cx(), &fleet, a, Signal::Refused);
+    fixture.now += LINK_DOUBT_LIMIT + Millis(1);
+    conditions.drop_unconfirmed(fixture.now);
+    assert!(!conditions.has_unreported_cold(a));
+    conditions.observe(&mut fixture.cx(), &fleet, a, Signal::Refused);
+    conditions.observe(&mut fixture.cx(), &fleet, b, IN_TIME);
+    assert_eq!(conditions.take_report(a), None);
+}
