Tell keepers of other failure domains of claims

A keeper now tells the keeper of each other failure domain which claims it has added and removed, with the version of its write. The other keeper adds them to its writes until it has read or written a document that holds them. Earlier releases drop the frame that holds it; components send again what else must arrive in it.

New: once::tests::a_claim_that_the_store_has_lost_is_known_in_another_failure_domain, a_claim_that_was_released_is_free_in_another_failure_domain.

--- a/src/control/components.rs
+++ b/src/control/components.rs
@@ -1,5 +1,6 @@
 //! The components of one instance and the dispatch of inputs to them.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 
 use super::AdminAnswer;
@@ -194,12 +195,28 @@
             })
             .collect();
         self.once.set_keeper_candidates(keepers);
+        self.once
+            .set_other_domains(self.other_domains(&cx.me.domain));
         let (serving, known) = self.other_instances();
         self.other_serving_instances = serving;
         self.once.set_known_instances(known);
         self.quarantine.tick(cx, &self.other_serving_instances);
     }
 
+    /// Returns the instances that serve in each failure domain except this one.
+    fn other_domains(&self, own: &str) -> Vec<Vec<Peer>> {
+        let mut domains: BTreeMap<&str, Vec<Peer>> = BTreeMap::new();
+        for (name, member) in self.members.members() {
+            if member.domain != own && member.state.serves() {
+                domains.entry(&member.domain).or_default().push(Peer {
+                    name: name.to_owned(),
+                    addr: member.addr.clone(),
+                });
+            }
+        }
+        domains.into_values().collect()
+    }
+
     /// Returns the other instances that serve (live or suspected ones), and all
     /// other instances that are known.
     fn other_instances(&self) -> (Vec<Peer>, Vec<Peer>) {
--- a/src/once.rs
+++ b/src/once.rs
@@ -13,12 +13,17 @@
 //! resolved by reading the document: the claim is granted if the document names
 //! its owner. A recorded result is returned again; a call whose claim has no
 //! result is never run again.
+//!
+//! The key-value service may return to older data. Keepers therefore tell those of
+//! the other failure domains what they have written, so that a claim that is lost
+//! is known wherever its call is sent again.
 
 mod keeper;
 mod message;
 #[cfg(test)]
 mod tests;
 
+pub use keeper::Claim;
 pub use keeper::Keeper;
 pub use message::Change;
 pub use message::ChangeKind;
@@ -26,6 +31,7 @@
 pub use message::Message;
 pub use message::Recorded;
 pub use message::Slot;
+pub use message::Written;
 
 use std::collections::BTreeMap;
 
@@ -79,6 +85,8 @@
     /// Known instances except this one, including draining ones; answers are
     /// sent to them.
     known_instances: Vec<Peer>,
+    /// Instances among which keepers are chosen in each other failure domain.
+    other_domains: Vec<Vec<Peer>>,
     keeper: Keeper,
     /// Unconfirmed changes.
     pending: BTreeMap<ChangeKey, PendingChange>,
@@ -110,6 +118,7 @@
         AtMostOnce {
             keeper_candidates: Vec::new(),
             known_instances: Vec::new(),
+            other_domains: Vec::new(),
             keeper: Keeper::new(unix_time_at_start),
             pending: BTreeMap::new(),
         }
@@ -128,6 +137,12 @@
         self.known_instances = instances;
     }
 
+    /// Sets the instances among which keepers are chosen in each other failure
+    /// domain.
+    pub fn set_other_domains(&mut self, domains: Vec<Vec<Peer>>) {
+        self.other_domains = domains;
+    }
+
     /// Claims a key for a request; `call_hash` is the hash of its service,
     /// operation and body.
     pub fn claim(
@@ -209,6 +224,7 @@
         result: StoreResult,
     ) -> Vec<ClaimOutcome> {
         let answers = self.keeper.on_store(cx, ticket, result);
+        self.tell_other_domains(cx);
         self.deliver(cx, answers)
     }
 
@@ -230,6 +246,26 @@
                 claim,
                 answer,
             } => self.on_answer(cx, request, claim, answer),
+            Message::Written(written) => {
+                self.keeper.on_written(cx.now, written);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Tells the keepers of other failure domains what was written.
+    fn tell_other_domains(&mut self, cx: &mut Cx<'_>) {
+        for written in self.keeper.take_written() {
+            for domain in &self.other_domains {
+                let Some(peer) = keeper_of(domain, written.shard) else {
+                    continue;
+                };
+                cx.out.push(Output::Peer {
+                    to: peer.name.clone(),
+                    addr: peer.addr.clone(),
+                    message: PeerMessage::Once(Message::Written(written.clone())),
+                });
+            }
         }
     }
 
--- a/src/once/keeper.rs
+++ b/src/once/keeper.rs
@@ -10,6 +10,7 @@
 use super::message::ClaimAnswer;
 use super::message::Recorded;
 use super::message::Slot;
+use super::message::Written;
 use crate::clock::Millis;
 use crate::control::Component;
 use crate::control::Cx;
@@ -34,6 +35,9 @@
 pub const MAX_DOCUMENT_BYTES: usize = 900_000;
 /// Maximum stored size of one claim, without its result.
 const MAX_CLAIM_BYTES: usize = 64;
+/// Maximum number of claims of other keepers that are remembered for a shard: as
+/// many as a document holds.
+const MAX_HEARD_CLAIMS: usize = MAX_DOCUMENT_BYTES / MAX_CLAIM_BYTES;
 
 /// The keeper's answer to a change, with its recipient.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -58,7 +62,7 @@
 /// One claim, as stored.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-struct Claim {
+pub struct Claim {
     owner: RequestId,
     /// Hash of the request body.
     body: u64,
@@ -72,6 +76,9 @@
 pub struct Keeper {
     unix_time_at_start: Millis,
     shards: BTreeMap<u16, Shard>,
+    /// Changes of claims that were written and that the keepers of other failure
+    /// domains have not been told of.
+    written: Vec<Written>,
 }
 
 /// State of one shard.
@@ -82,6 +89,12 @@
     /// Claims that the service has lost by returning to older data; written again
     /// with the next change.
     lost_claims: BTreeMap<Slot, Claim>,
+    /// Claims that keepers of other failure domains have written, up to the version
+    /// `heard_version`. No document of that version has been read since.
+    heard: BTreeMap<Slot, Claim>,
+    heard_version: KeyVersion,
+    /// Number of store calls started when the latest of them was heard of.
+    heard_after_calls: u64,
     /// Number of store calls started.
     calls: u64,
     /// Number of the last store call that returned or wrote the document, or
@@ -122,9 +135,23 @@
         Keeper {
             unix_time_at_start,
             shards: BTreeMap::new(),
+            written: Vec::new(),
         }
     }
 
+    /// Removes and returns what the keepers of other failure domains have to be
+    /// told.
+    pub fn take_written(&mut self) -> Vec<Written> {
+        std::mem::take(&mut self.written)
+    }
+
+    /// Records what a keeper of another failure domain has written.
+    pub fn on_written(&mut self, now: Millis, written: Written) {
+        let unix_now = self.unix_time_at_start + now;
+        let shard = self.shards.entry(written.shard).or_default();
+        shard.hear(written, unix_now);
+    }
+
     /// Queues a change of the instance `from`, unless it is queued already or
     /// the queue is full; the sender resends it.
     pub fn add(&mut self, change: Change, from: String) {
@@ -164,7 +191,7 @@
         let Some(shard) = self.shards.get_mut(&number) else {
             return Vec::new();
         };
-        let mut answers = shard.on_store(cx.now, number, result);
+        let mut answers = shard.on_store(cx.now, number, result, &mut self.written);
         answers.extend(shard.start_call(cx, number, unix_now));
         answers
     }
@@ -236,14 +263,24 @@
         cx.store(ticket(number), op);
     }
 
-    fn on_store(&mut self, now: Millis, number: u16, result: StoreResult) -> Vec<Answer> {
+    fn on_store(
+        &mut self,
+        now: Millis,
+        number: u16,
+        result: StoreResult,
+        written: &mut Vec<Written>,
+    ) -> Vec<Answer> {
         let Some(call) = self.call.take() else {
             return Vec::new();
         };
         match (call, result) {
             (Pending::Write { next, answers }, Ok(StoreAnswer::Written(version))) => {
+                written.extend(self.describe_changes(number, version, &next, &answers));
                 self.document = next;
                 self.lost_claims.clear();
+                let document = &self.document;
+                self.heard
+                    .retain(|slot, _| !document.claims.contains_key(slot));
                 self.version = version;
                 self.last_confirmed_by = Some(self.calls);
                 self.remove_answered(&answers);
@@ -295,12 +332,15 @@
     /// Keeps the known claims that a document lacks if its version shows that the
     /// service has returned to older data.
     fn keep_lost_claims(&mut self, number: u16, version: KeyVersion, stored: &ShardDocument) {
-        if version >= self.version {
+        let heard = self.keep_heard_claims(version);
+        if version >= self.version && !heard {
             return;
         }
-        for (slot, claim) in &self.document.claims {
-            if claim.is_lost(stored.claims.get(slot)) {
-                self.lost_claims.insert(*slot, claim.clone());
+        if version < self.version {
+            for (slot, claim) in &self.document.claims {
+                if claim.is_lost(stored.claims.get(slot)) {
+                    self.lost_claims.insert(*slot, claim.clone());
+                }
             }
         }
         log::warn!(
@@ -312,8 +352,72 @@
         );
     }
 
+    /// Keeps the claims that other keepers have written if a document is older than
+    /// theirs, and forgets them if it is not. Returns whether the service has
+    /// returned to older data: a reading may also have begun before they were
+    /// written.
+    fn keep_heard_claims(&mut self, version: KeyVersion) -> bool {
+        if version >= self.heard_version {
+            self.heard.clear();
+            return false;
+        }
+        if self.calls <= self.heard_after_calls {
+            return false;
+        }
+        self.lost_claims.append(&mut self.heard);
+        // Versions count on from the older one.
+        self.heard_version = KeyVersion(0);
+        true
+    }
+
+    /// Records what another keeper has written.
+    fn hear(&mut self, written: Written, unix_now: Millis) {
+        self.heard.retain(|_, claim| claim.expires > unix_now);
+        for (slot, claim) in written.claims {
+            match claim {
+                Some(claim) if self.heard.len() < MAX_HEARD_CLAIMS => {
+                    self.heard.insert(slot, claim);
+                }
+                Some(_) => {}
+                None => {
+                    self.heard.remove(&slot);
+                    self.lost_claims.remove(&slot);
+                }
+            }
+        }
+        self.heard_version = self.heard_version.max(written.version);
+        self.heard_after_calls = self.calls;
+        if self.version >= self.heard_version {
+            self.heard.clear();
+        }
+    }
+
+    /// Returns the claims that a write has added or removed.
+    fn describe_changes(
+        &self,
+        shard: u16,
+        version: KeyVersion,
+        next: &ShardDocument,
+        answers: &[Answer],
+    ) -> Option<Written> {
+        let mut claims = Vec::new();
+        for waiting in self.waiting.iter().filter(|waiting| waiting.is_in(answers)) {
+            let slot = waiting.change.slot;
+            let before = self.document.claims.get(&slot);
+            let after = next.claims.get(&slot);
+            if before.is_some() != after.is_some() {
+                claims.push((slot, after.cloned()));
+            }
+        }
+        (!claims.is_empty()).then_some(Written {
+            shard,
+            version,
+            claims,
+        })
+    }
+
     fn add_lost_claims(&self, document: &mut ShardDocument) {
-        for (slot, claim) in &self.lost_claims {
+        for (slot, claim) in self.lost_claims.iter().chain(&self.heard) {
             if claim.is_lost(document.claims.get(slot)) {
                 document.claims.insert(*slot, claim.clone());
             }
@@ -322,13 +426,18 @@
 
     /// Removes answered changes from the queue.
     fn remove_answered(&mut self, answers: &[Answer]) {
-        self.waiting.retain(|waiting| {
-            !answers.iter().any(|answer| {
-                answer.request == waiting.change.request
-                    && answer.is_claim == waiting.change.is_claim()
-                    && answer.to == waiting.from
-            })
-        });
+        self.waiting.retain(|waiting| !waiting.is_in(answers));
+    }
+}
+
+impl Waiting {
+    /// Returns whether one of the answers is to this change.
+    fn is_in(&self, answers: &[Answer]) -> bool {
+        answers.iter().any(|answer| {
+            answer.request == self.change.request
+                && answer.is_claim == self.change.is_claim()
+                && answer.to == self.from
+        })
     }
 }
 
--- a/src/once/message.rs
+++ b/src/once/message.rs
@@ -8,8 +8,10 @@
 use sha2::Sha256;
 
 use super::CLAIM_SHARDS;
+use super::Claim;
 use crate::clock::Millis;
 use crate::id::RequestId;
+use crate::store::KeyVersion;
 
 /// Identifier of a claim: the first 16 bytes of the SHA-256 of workspace name
 /// and idempotency key. Its first two bytes give the shard.
@@ -112,6 +114,18 @@
     }
 }
 
+/// Claims that a keeper has added to a shard's document, or removed from it.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Written {
+    /// The shard.
+    pub shard: u16,
+    /// Version of the document with the changes.
+    pub version: KeyVersion,
+    /// The claims, `None` for a removed one.
+    pub claims: Vec<(Slot, Option<Claim>)>,
+}
+
 /// A message between an instance and a keeper.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -125,4 +139,8 @@
         claim: bool,
         answer: ClaimAnswer,
     },
+    /// From a keeper to those of other failure domains, which keep the claims in
+    /// case the key-value service loses them. Earlier releases drop the frame that
+    /// holds it; components send again what must arrive.
+    Written(Written),
 }
--- a/src/once/tests.rs
+++ b/src/once/tests.rs
@@ -29,7 +29,7 @@
     LosesAnswers,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct FakeStore {
     entries: BTreeMap<String, StoreEntry>,
     version: u64,
@@ -332,6 +332,61 @@
     assert_eq!(simulation.instances[0].unconfirmed_count(), 0);
 }
 
+/// Returns two instances of different failure domains.
+fn two_domains() -> Simulation {
+    let mut simulation = Simulation::new(2);
+    for (index, once) in simulation.instances.iter_mut().enumerate() {
+        once.set_keeper_candidates(vec![peer(index)]);
+        once.set_other_domains(vec![vec![peer(1 - index)]]);
+    }
+    simulation
+}
+
+#[test]
+fn a_claim_that_the_store_has_lost_is_known_in_another_failure_domain() {
+    for has_read_before in [false, true] {
+        let mut simulation = two_domains();
+        if has_read_before {
+            simulation.claim(1, 1, "k");
+            simulation.step(Millis(300));
+            simulation.with_instance(1, |once, cx| {
+                once.release(cx, RequestId(1), Slot::of("w", "k"))
+            });
+            simulation.step(Millis(300));
+        }
+        let before = simulation.runs.get("k").copied().unwrap_or_default();
+        let older = simulation.store.clone();
+        simulation.claim(0, 2, "k");
+        simulation.step(Millis(300));
+        assert_eq!(simulation.runs["k"], before + 1);
+        simulation.store = older;
+        simulation.claim(1, 3, "k");
+        for _ in 0..5 {
+            simulation.step(Millis(300));
+        }
+        assert_eq!(simulation.runs["k"], before + 1, "{has_read_before}");
+        let answer = simulation.outcome_of(3).unwrap().answer.clone();
+        assert_eq!(answer, Some(ClaimAnswer::Unsettled), "{has_read_before}");
+    }
+}
+
+#[test]
+fn a_claim_that_was_released_is_free_in_another_failure_domain() {
+    let mut simulation = two_domains();
+    simulation.claim(0, 1, "k");
+    simulation.step(Millis(300));
+    simulation.with_instance(0, |once, cx| {
+        once.release(cx, RequestId(1), Slot::of("w", "k"))
+    });
+    simulation.step(Millis(300));
+    simulation.claim(1, 2, "k");
+    for _ in 0..5 {
+        simulation.step(Millis(300));
+    }
+    let answer = simulation.outcome_of(2).unwrap().answer.clone();
+    assert_eq!(answer, Some(ClaimAnswer::Granted));
+}
+
 #[test]
 fn the_same_key_in_another_workspace_is_another_claim() {
     assert_ne!(Slot::of("a", "bk"), Slot::of("ab", "k"));
