Print what servers did with a request that is not served

The stand-ins now keep the events of their connections (accepted, owner known, request read, answered) with times, and the fleet prints those since a request that was not served, beside the gateway's log of it. `time limit reached` has a new key `stage` while the response has not begun: what the attempt waited for, `memory`, `response_head` or `first_output`.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -5,6 +5,7 @@
 //! opened while the first one gives no output. The forwarder takes the one that
 //! answers first.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::future::poll_fn;
 use std::pin::Pin;
@@ -200,13 +201,37 @@
     );
 }
 
+/// What an attempt whose response has not begun waits for.
+#[derive(Debug, Clone, Copy)]
+enum OpeningStage {
+    /// Memory of engines.
+    Memory,
+    /// A connection, or the head of the response.
+    ResponseHead,
+    /// The first output.
+    FirstOutput,
+}
+
+impl OpeningStage {
+    fn as_str(self) -> &'static str {
+        match self {
+            OpeningStage::Memory => "memory",
+            OpeningStage::ResponseHead => "response_head",
+            OpeningStage::FirstOutput => "first_output",
+        }
+    }
+}
+
 async fn open(context: AttemptContext, plan: AttemptPlan, last_event: Option<String>) -> Opened {
     let due = context.traffic.to_instant(plan.first_output_deadline);
     let request_id = context.request_id();
+    let stage = Cell::new(OpeningStage::Memory);
     let opening = async {
         let memory = MemoryReservations::new(&context.traffic, request_id);
         let memory = memory.reserve(&plan.reservations).await?;
-        context.send(&plan, last_event.as_deref(), memory).await
+        stage.set(OpeningStage::ResponseHead);
+        let last_event = last_event.as_deref();
+        context.send(&plan, last_event, memory, &stage).await
     };
     tokio::select! {
         opened = opening => opened,
@@ -215,10 +240,18 @@
                 true => log::info!(
                     request = request_id,
                     attempt = plan.attempt.0,
-                    limit = "unused_memory";
+                    limit = "unused_memory",
+                    stage = stage.get().as_str();
+                    "time limit reached"
+                ),
+                false => log::info!(
+                    request = request_id,
+                    attempt = plan.attempt.0,
+                    limit = plan.time_limit.as_str(),
+                    config_version = plan.time_limit.config_version(),
+                    stage = stage.get().as_str();
                     "time limit reached"
                 ),
-                false => log_time_limit(request_id, plan.attempt, plan.time_limit),
             }
             Err(AttemptEnd::Silent.into())
         }
@@ -235,6 +268,7 @@
         plan: &AttemptPlan,
         last_event: Option<&str>,
         memory: HeldMemory,
+        stage: &Cell<OpeningStage>,
     ) -> Opened {
         let request = match self.build_request(plan, last_event) {
             Ok(request) => request,
@@ -252,7 +286,9 @@
         let sent_at = self.traffic.clock.now();
         let upstream = &self.traffic.upstream;
         let sent = upstream.send(&plan.addr, request, reuse, plan.max_connections);
-        match sent.await {
+        let sent = sent.await;
+        stage.set(OpeningStage::FirstOutput);
+        match sent {
             Err(CallError::NotSent(cause)) => {
                 log::info!(request = self.request_id(), server = plan.server_id.as_str(), cause = cause.as_str(); "not sent");
                 Err(AttemptEnd::NotSent.into())
--- a/tests/gateway/backend.rs
+++ b/tests/gateway/backend.rs
@@ -2,6 +2,8 @@
 //! fail in the ways that the platform documents.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::fmt;
 use std::io;
 use std::io::BufRead;
 use std::io::BufReader;
@@ -28,9 +30,24 @@
 use crate::links::Links;
 use crate::platform::Store;
 
-/// What backend servers ran, by request id.
+/// What backend servers ran, by request id, and what happened on their connections.
 #[derive(Clone, Default)]
-pub struct Runs(Arc<Mutex<HashMap<String, Vec<Run>>>>);
+pub struct Runs {
+    runs: Arc<Mutex<HashMap<String, Vec<Run>>>>,
+    events: Arc<Mutex<VecDeque<Event>>>,
+}
+
+/// Something that happened on a connection to a backend server.
+struct Event {
+    at: Instant,
+    server: String,
+    /// Address of the connection's other end.
+    caller: SocketAddr,
+    text: String,
+}
+
+/// Maximum number of events that are kept.
+const MAX_EVENTS: usize = 20_000;
 
 /// One run of a request.
 #[derive(Debug, Clone, Copy)]
@@ -52,13 +69,44 @@
 }
 
 impl Runs {
+    fn log(&self, server: &str, caller: SocketAddr, event: fmt::Arguments<'_>) {
+        let mut events = self.events.lock().unwrap();
+        if events.len() == MAX_EVENTS {
+            events.pop_front();
+        }
+        events.push_back(Event {
+            at: Instant::now(),
+            server: server.to_owned(),
+            caller,
+            text: event.to_string(),
+        });
+    }
+
+    /// Prints what has happened on connections since a time.
+    pub fn print_events_since(&self, since: Instant) {
+        for event in self.events.lock().unwrap().iter() {
+            if let Some(after) = event.at.checked_duration_since(since) {
+                let (server, caller, text) = (&event.server, event.caller, &event.text);
+                println!(
+                    "  after {} us: {server}, {caller}: {text}",
+                    after.as_micros()
+                );
+            }
+        }
+    }
+
     pub fn of(&self, id: &str) -> u32 {
         u32::try_from(self.all_of(id).len()).unwrap()
     }
 
     /// Returns all runs of a request.
     pub fn all_of(&self, id: &str) -> Vec<Run> {
-        self.0.lock().unwrap().get(id).cloned().unwrap_or_default()
+        self.runs
+            .lock()
+            .unwrap()
+            .get(id)
+            .cloned()
+            .unwrap_or_default()
     }
 
     fn begin(&self, id: &str) -> OpenRun {
@@ -66,7 +114,7 @@
             began_at: Instant::now(),
             end: None,
         };
-        let mut runs = self.0.lock().unwrap();
+        let mut runs = self.runs.lock().unwrap();
         let runs = runs.entry(id.to_owned()).or_default();
         runs.push(run);
         OpenRun {
@@ -88,7 +136,7 @@
 
 impl Drop for OpenRun {
     fn drop(&mut self) {
-        let mut runs = self.runs.0.lock().unwrap();
+        let mut runs = self.runs.runs.lock().unwrap();
         if let Some(run) = runs
             .get_mut(&self.id)
             .and_then(|runs| runs.get_mut(self.at))
@@ -356,7 +404,10 @@
 fn serve(stream: TcpStream, name: &str, runs: &Runs, faults: &Faults) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let caller = stream.peer_addr()?;
+    let log = |event: fmt::Arguments<'_>| runs.log(name, caller, event);
+    log(format_args!("connection accepted"));
     let process = faults.links.owner(caller, stream.local_addr()?);
+    log(format_args!("connection of process {process:?}"));
     let cut = process.and_then(|process| faults.links.cut_of(process));
     if let Some(Cut::Reset | Cut::RefuseNew) = cut {
         return SockRef::from(&stream).set_linger(Some(Duration::ZERO));
@@ -374,12 +425,19 @@
     let after = loop {
         let request = match Request::read(&mut reader) {
             Ok(request) => request,
-            Err(_) => break After::Close,
+            Err(error) => {
+                log(format_args!("no further request: {error}"));
+                break After::Close;
+            }
         };
+        let id = request.header("x-skylarkhook-request-id");
+        log(format_args!("read {} {id}", request.path));
         if process.is_some_and(|process| faults.links.wait_while_silent(process)) {
             break After::Reset;
         }
-        match answer(name, runs, faults, &request, reader.get_mut()) {
+        let answered = answer(name, runs, faults, &request, reader.get_mut());
+        log(format_args!("answered {id}: {:?}", answered.as_ref().err()));
+        match answered {
             Ok(After::KeepAlive) => {}
             Ok(after) => break after,
             Err(_) => break After::Close,
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 use std::path::PathBuf;
+use std::time::Instant;
 
 use nix::sys::signal::Signal;
 use tempfile::TempDir;
@@ -119,6 +120,7 @@
                     ("Authorization", "Token k1"),
                 ];
                 let path = PATHS[n % PATHS.len()];
+                let sent_at = Instant::now();
                 let answer = call(gateway.callers, "POST", path, &headers, &id).unwrap();
                 match answer.status == 200 && answer.whole {
                     true => served[at] += 1,
@@ -128,6 +130,7 @@
                         for line in log.filter(|line| line.contains(&format!("\"{id}\""))) {
                             println!("  {line}");
                         }
+                        self.runs.print_events_since(sent_at);
                     }
                 }
                 let ran = self.runs.of(&id);
