--- a/src/gateway/tests/simulation.rs
+++ b/src/gateway/tests/simulation.rs
@@ -1254,12 +1254,6 @@
         self.longest_gap > patience_ms as f64
     }
 
-    /// Returns whether an answer that had begun in time paused longer than its
-    /// target gap.
-    pub fn has_long_pause(&self) -> bool {
-        self.longest_gap > self.profile.gap_ms as f64
-    }
-
     /// Returns the utility that the caller receives if it disconnects when its
     /// patience ends.
     pub fn received_utility(&self) -> f64 {
