Probe a server that breaks an answer off before its crash is counted

Nothing asked whether the server had ended; other servers that answered proved the link only.

The server itself is now probed on a new connection sent after the break. Its crash is recorded if it does not answer, if its address answers with the id of another server, or if the registry lists it no longer or as started again; it is dropped if the server answers. Meanwhile it is held and stops further attempts of the same request, as crashes of a link in doubt were before. A failed probe of that server says nothing about the link. The stand-in names its id in answers to health checks, as the platform's servers do.

New: crashes_of_servers_that_are_listed_no_longer_count_though_their_addresses_answer.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -118,6 +118,9 @@
     /// Reports of failed servers, held back until it is known whether the servers
     /// or the link to them failed.
     held_reports: Vec<HeldReport>,
+    /// Servers that are probed because they broke an answer off, by id, and since
+    /// when.
+    crash_probes: BTreeMap<String, Millis>,
     instances: Instances,
     budgets: RetryBudgets,
     cold_shares: ColdShares,
@@ -171,6 +174,7 @@
             crashes: Crashes::default(),
             links: ServerLinks::default(),
             held_reports: Vec::new(),
+            crash_probes: BTreeMap::new(),
             instances: Instances::default(),
             budgets,
             cold_shares: ColdShares::default(),
--- a/src/gateway/core/endings.rs
+++ b/src/gateway/core/endings.rs
@@ -205,8 +205,7 @@
             AttemptEnd::Silent if self.is_caller_behind(ticket) => return,
             AttemptEnd::Broken => {
                 let crash = self.describe_crash(now, ticket, attempt);
-                self.held_reports
-                    .push(HeldReport::Crashed { server, crash });
+                self.hold_crash(now, server, crash, out);
             }
             AttemptEnd::Refused => {
                 self.record_alive(attempt.sent_at, server);
--- a/src/gateway/core/links.rs
+++ b/src/gateway/core/links.rs
@@ -5,6 +5,11 @@
 //! server if it reaches no other one either. Crashes, and reports to the other
 //! instances, are therefore held back until a probe has shown that the link works,
 //! and are dropped if the link is lost.
+//!
+//! A sound server may break an answer off, too. A crash is therefore recorded only
+//! once the server is known to have ended: it answers no probe that was sent after
+//! the break, another server answers at its address, or the registry lists it no
+//! longer or as started again.
 
 use std::collections::BTreeMap;
 
@@ -38,6 +43,8 @@
         server: ServerKey,
         /// What is known of the crash.
         crash: ObservedCrash,
+        /// Whether the server is known to have ended.
+        has_ended: bool,
     },
 }
 
@@ -86,14 +93,88 @@
         end: ProbeEnd,
         out: &mut Vec<Output>,
     ) {
-        let Some(server) = self.server_table.find_by_id(server_id) else {
+        let crash_probe = self.crash_probes.remove(server_id);
+        if let Some(sent_at) = crash_probe {
+            self.settle_crashes(server_id, sent_at, end);
+        }
+        if let Some(server) = self.server_table.find_by_id(server_id) {
+            let service = self.server_table.get(server).entry.service.clone();
+            // The server that failed says nothing about the link if it is not
+            // reached.
+            if crash_probe.is_none() || matches!(end, ProbeEnd::Answered | ProbeEnd::Replaced) {
+                let servers = self.servers_of(&service).len();
+                let change = self.links.record_probe(now, &service, server, end, servers);
+                self.apply_link_change(now, &service, change, out);
+                self.probe(now, &service, out);
+            }
+            if self.links.is_up(&service) {
+                self.send_held_reports(now, &service, out);
+            }
+        }
+        self.probe_crashed(now, server_id, out);
+    }
+
+    /// Holds a crash back until it is known whether the server has ended.
+    pub(super) fn hold_crash(
+        &mut self,
+        now: Millis,
+        server: ServerKey,
+        crash: ObservedCrash,
+        out: &mut Vec<Output>,
+    ) {
+        self.held_reports.push(HeldReport::Crashed {
+            server,
+            crash,
+            has_ended: !self.server_table.get(server).listed,
+        });
+        let server_id = self.server_table.get(server).entry.id.clone();
+        self.probe_crashed(now, &server_id, out);
+    }
+
+    /// Probes a server of which it is open whether it has ended. The end of a probe
+    /// that was sent before says nothing.
+    fn probe_crashed(&mut self, now: Millis, server_id: &str, out: &mut Vec<Output>) {
+        let is_open = |report: &HeldReport| match report {
+            HeldReport::Crashed {
+                server, has_ended, ..
+            } => !has_ended && self.server_table.get(*server).entry.id == server_id,
+            HeldReport::Avoided { .. } => false,
+        };
+        let Some(report) = self.held_reports.iter().find(|report| is_open(report)) else {
             return;
         };
+        let server = report.server();
         let service = self.server_table.get(server).entry.service.clone();
-        let servers = self.servers_of(&service).len();
-        let change = self.links.record_probe(now, &service, server, end, servers);
-        self.apply_link_change(now, &service, change, out);
-        self.probe(now, &service, out);
+        let is_probed = self.links.is_probing(&service, server);
+        if is_probed || self.crash_probes.contains_key(server_id) {
+            return;
+        }
+        self.crash_probes.insert(server_id.to_owned(), now);
+        self.send_probe(now, server, out);
+    }
+
+    /// Decides about the crashes of a server before a probe that has ended.
+    fn settle_crashes(&mut self, server_id: &str, sent_at: Millis, end: ProbeEnd) {
+        let server_table = &self.server_table;
+        self.held_reports.retain_mut(|report| {
+            let HeldReport::Crashed {
+                server,
+                crash,
+                has_ended,
+            } = report
+            else {
+                return true;
+            };
+            let server = server_table.get(*server);
+            if *has_ended || server.entry.id != server_id || crash.at > sent_at {
+                return true;
+            }
+            *has_ended = !server.listed || end != ProbeEnd::Answered;
+            if !*has_ended {
+                crash.log_disproved(server_id);
+            }
+            *has_ended
+        });
     }
 
     /// Puts links in doubt whose servers have been silent, and probes those that
@@ -123,7 +204,7 @@
     /// Lists the crashes that are not recorded yet, with their servers.
     pub(super) fn held_crashes(&self) -> impl Iterator<Item = (ServerKey, &ObservedCrash)> {
         self.held_reports.iter().filter_map(|report| match report {
-            HeldReport::Crashed { server, crash } => Some((*server, crash)),
+            HeldReport::Crashed { server, crash, .. } => Some((*server, crash)),
             HeldReport::Avoided { .. } => None,
         })
     }
@@ -132,21 +213,29 @@
     /// sent at this time.
     pub(super) fn drop_disproved_crashes(&mut self, sent_at: Millis, server: ServerKey) {
         self.held_reports.retain(|report| match report {
-            HeldReport::Crashed { server: of, crash } => *of != server || crash.at >= sent_at,
+            HeldReport::Crashed {
+                server: of, crash, ..
+            } => *of != server || crash.at >= sent_at,
             HeldReport::Avoided { .. } => true,
         });
     }
 
-    /// Sends the held reports about the servers of a service.
+    /// Sends the held reports about the servers of a service, except crashes of
+    /// servers of which it is open whether they have ended.
     fn send_held_reports(&mut self, now: Millis, service: &str, out: &mut Vec<Output>) {
         for report in self.take_held_reports(service) {
             match report {
                 HeldReport::Avoided { server, until } => {
                     self.broadcast_avoided(server, until.since(now), out);
                 }
-                HeldReport::Crashed { server, crash } => {
-                    self.record_crash(now, server, &crash, out);
+                HeldReport::Crashed {
+                    server,
+                    ref crash,
+                    has_ended,
+                } if has_ended || !self.server_table.get(server).listed => {
+                    self.record_crash(now, server, crash, out);
                 }
+                HeldReport::Crashed { .. } => self.held_reports.push(report),
             }
         }
     }
@@ -232,23 +321,31 @@
     }
 
     fn probe(&mut self, now: Millis, service: &str, out: &mut Vec<Output>) {
-        let servers = self.servers_of(service);
+        let mut servers = self.servers_of(service);
+        servers.retain(|server| {
+            let id = &self.server_table.get(*server).entry.id;
+            !self.crash_probes.contains_key(id)
+        });
         for key in self.links.take_probes(now, service, &servers) {
-            let entry = &self.server_table.get(key).entry;
-            // A server that asked for a pause is sent nothing.
-            let path = match self.pause_left(now, key) {
-                Millis::ZERO => self.probe_path(service),
-                _ => None,
-            };
-            self.count(Count::LinkProbes);
-            out.push(Output::Probe {
-                server_id: entry.id.clone(),
-                addr: entry.addr.clone(),
-                path,
-            });
+            self.send_probe(now, key, out);
         }
     }
 
+    fn send_probe(&self, now: Millis, server: ServerKey, out: &mut Vec<Output>) {
+        let entry = &self.server_table.get(server).entry;
+        // A server that asked for a pause is sent nothing.
+        let path = match self.pause_left(now, server) {
+            Millis::ZERO => self.probe_path(&entry.service),
+            _ => None,
+        };
+        self.count(Count::LinkProbes);
+        out.push(Output::Probe {
+            server_id: entry.id.clone(),
+            addr: entry.addr.clone(),
+            path,
+        });
+    }
+
     fn probe_path(&self, service: &str) -> Option<String> {
         let service = self.routes.as_ref()?.services.get(service)?;
         Some(service.probe_path.clone())
--- a/src/gateway/core/quarantine.rs
+++ b/src/gateway/core/quarantine.rs
@@ -45,6 +45,18 @@
     suspects: Vec<CrashSuspect>,
 }
 
+impl ObservedCrash {
+    /// Logs that the server has not ended.
+    pub(super) fn log_disproved(&self, server_id: &str) {
+        log::info!(
+            request = self.request_id.as_str(),
+            server = server_id,
+            fingerprint = format!("{:016x}", self.fingerprint).as_str();
+            "answer broken off by a server that has not ended: no crash"
+        );
+    }
+}
+
 impl Core {
     /// Returns what a request is quarantined for and how long still, or `None`
     /// if it may be sent.
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -33,6 +33,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::adapter::headers;
 use crate::clock::Clock;
 use crate::clock::Millis;
 use crate::config::Settings;
@@ -410,7 +411,10 @@
         log::debug!(server = server_id.as_str(), error:% = error; "backend server probed without success");
     }
     let end = match probed {
-        Ok(()) => ProbeEnd::Answered,
+        Ok(head) => match headers::decode_server_id(&head) {
+            Some(id) if id != server_id => ProbeEnd::Replaced,
+            _ => ProbeEnd::Answered,
+        },
         Err(CallError::TimedOut) => ProbeEnd::Unanswered,
         Err(CallError::NotSent(_) | CallError::Unreachable(_) | CallError::Broken(_)) => {
             ProbeEnd::Unreachable
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -150,6 +150,8 @@
     /// The server answered, with whatever status; or the connection stayed open,
     /// if nothing was to be sent.
     Answered,
+    /// Another server answered at its address.
+    Replaced,
     /// No connection could be opened, or it broke before an answer.
     Unreachable,
     /// The connection stayed open without an answer.
--- a/src/gateway/server_links.rs
+++ b/src/gateway/server_links.rs
@@ -144,7 +144,7 @@
         let link = self.link(service);
         let probed_at = link.probing.remove(&server).unwrap_or(now);
         let is_reached = match end {
-            ProbeEnd::Answered => true,
+            ProbeEnd::Answered | ProbeEnd::Replaced => true,
             ProbeEnd::Unreachable => false,
             // While other requests are answered, the server is only slow.
             ProbeEnd::Unanswered => link.last_output > probed_at,
@@ -163,6 +163,20 @@
         }
     }
 
+    /// Returns whether the link is neither in doubt nor lost.
+    #[must_use]
+    pub fn is_up(&self, service: &str) -> bool {
+        let link = self.services.get(service);
+        link.is_none_or(|link| matches!(link.state, LinkState::Up))
+    }
+
+    /// Returns whether a server is being probed because the link was in doubt.
+    #[must_use]
+    pub fn is_probing(&self, service: &str, server: ServerKey) -> bool {
+        let link = self.services.get(service);
+        link.is_some_and(|link| link.probing.contains_key(&server))
+    }
+
     /// Records that a server of the service gave output.
     pub fn record_output(&mut self, now: Millis, service: &str) {
         self.link(service).last_output = now;
--- a/src/gateway/tests/links.rs
+++ b/src/gateway/tests/links.rs
@@ -17,6 +17,7 @@
 use crate::gateway::message::Input;
 use crate::gateway::message::Output;
 use crate::gateway::message::ProbeEnd;
+use crate::gateway::message::StoreUpdate;
 use crate::verdict::Reason;
 
 /// Returns a harness whose core knows another instance.
@@ -143,6 +144,20 @@
     assert!(!is_quarantined(&mut harness));
 }
 
+#[test]
+fn crashes_of_servers_that_are_listed_no_longer_count_though_their_addresses_answer() {
+    let mut harness = harness_with_peer();
+    harness.answers_probes = false;
+    let [servers, probed] = break_off_on_three_servers(&mut harness);
+    let gone = servers.into_iter().map(StoreUpdate::ServerRemoved);
+    harness.apply_store_updates(gone.collect());
+    for server_id in probed {
+        let end = ProbeEnd::Answered;
+        let _ = harness.handle(Input::ProbeEnded { server_id, end });
+    }
+    assert!(is_quarantined(&mut harness));
+}
+
 #[test]
 fn a_crash_that_a_later_answer_disproves_is_not_recorded_once_the_link_is_confirmed() {
     let mut harness = harness_with_peer();
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -15,6 +15,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::header;
@@ -267,17 +268,18 @@
     }
 
     /// Probes a server on a new connection, which is kept for later requests: sends
-    /// a request for `path` and waits for its response, whatever its status. If
-    /// there is no path, the connection has to stay open for a short time.
+    /// a request for `path` and waits for its response, whatever its status; returns
+    /// its headers. If there is no path, the connection has to stay open for a short
+    /// time.
     ///
     /// # Errors
     ///
     /// Returns an error if no connection can be opened, if it is closed at once,
     /// as by a proxy in front of a server that cannot be reached, or if there is no
     /// response within the time limit.
-    pub async fn probe(&self, addr: &str, path: Option<&str>) -> Result<(), CallError> {
+    pub async fn probe(&self, addr: &str, path: Option<&str>) -> Result<HeaderMap, CallError> {
         let Some(path) = path else {
-            return self.probe_connection(addr).await;
+            return self.probe_connection(addr).await.map(|()| HeaderMap::new());
         };
         let request = Request::get(path)
             .header(header::HOST, addr)
@@ -286,12 +288,13 @@
         let call = async {
             let sent = self.send(addr, request, Reuse::NewOnly, usize::MAX).await;
             let (response, connection) = sent?;
-            let body = Limited::new(response.into_body(), MAX_BUFFERED_RESPONSE_BYTES);
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES);
             // The head has shown that the server is reached.
             if body.collect().await.is_ok() {
                 connection.return_to_pool(None);
             }
-            Ok(())
+            Ok(head.headers)
         };
         timeout(PROBE_TIMEOUT, call)
             .await
--- a/tests/gateway/backend.rs
+++ b/tests/gateway/backend.rs
@@ -458,12 +458,16 @@
     request: &Request,
     writer: &mut TcpStream,
 ) -> io::Result<After> {
+    let current_id = faults.current_id(name);
     if request.path == HEALTH_PATH {
-        writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")?;
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nX-Skylarkhook-Instance-Id: {current_id}\r\n\
+             Content-Length: 0\r\n\r\n"
+        );
+        writer.write_all(head.as_bytes())?;
         return Ok(After::KeepAlive);
     }
     let id = request.header("x-skylarkhook-request-id");
-    let current_id = faults.current_id(name);
     if request.header("x-skylarkhook-expect-instance") != current_id {
         writer.write_all(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")?;
         return Ok(After::KeepAlive);
