--- a/src/config/table.rs
+++ b/src/config/table.rs
@@ -133,6 +133,12 @@
         "Time after which memory reserved on an engine has to be free when nobody uses it";
     "gateway" "server_write_interval" gateway_server_write_interval: Millis = Some("1200 ms"), span(span(0, YEAR)),
         "Interval at which backend servers write their entries to the platform's store";
+    "gateway" "memory_limit" gateway_memory_limit: u64 = Some("256 MiB"),
+        size(Allowed::Size { min: 32 * MIB, max: 1024 * 1024 * MIB }),
+        "Memory of the machine, over which the platform ends a gateway; what callers and servers make it hold is kept below";
+    "gateway" "max_descriptors" gateway_max_descriptors: u64 = Some("4096"),
+        number(Allowed::Number { min: 512, max: 10_000_000 }),
+        "File descriptors that a gateway may have open";
     "shutdown" "time_limit" shutdown_time_limit: Millis = Some("10 min"), span(span(0, YEAR)),
         "Time after which a graceful shutdown gives up waiting for admitted requests";
     "control" "tick" tick: Millis = Some("20 ms"), span(span(1, SECOND)),
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -9,7 +9,10 @@
 
 pub mod answer_times;
 pub mod attempt;
+pub mod body;
+pub mod body_reads;
 pub mod connection;
+pub mod connection_table;
 pub mod core;
 pub mod daemon;
 pub mod datagram;
@@ -21,6 +24,7 @@
 pub mod instances;
 pub mod lanes;
 pub mod memory;
+pub mod memory_budget;
 pub mod message;
 pub mod peers;
 pub mod placement;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -22,7 +22,6 @@
 use http_body::Frame;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
@@ -31,11 +30,16 @@
 use crate::adapter::headers;
 use crate::adapter::headers::AddedHeaders;
 use crate::clock::Millis;
+use crate::gateway::body::AnswerError;
+use crate::gateway::body::discard_whole;
+use crate::gateway::body::read_answer;
 use crate::gateway::events::EventSplitter;
 use crate::gateway::events::Events;
 use crate::gateway::forward::Traffic;
 use crate::gateway::memory::HeldMemory;
 use crate::gateway::memory::MemoryReservations;
+use crate::gateway::memory_budget::Holder;
+use crate::gateway::memory_budget::Lease;
 use crate::gateway::message::AttemptEnd;
 use crate::gateway::message::AttemptNumber;
 use crate::gateway::message::AttemptPlan;
@@ -100,6 +104,8 @@
     pub first_events: Option<Events>,
     /// Splits the rest of the body.
     pub splitter: EventSplitter,
+    /// Budget of what the splitter buffers.
+    pub splitter_lease: Lease,
     /// Rest of the body.
     pub body: Incoming,
     /// The connection that the body arrives on.
@@ -226,6 +232,10 @@
 }
 
 impl AttemptContext {
+    async fn read_body(&self, body: Incoming, limit: usize) -> Result<Bytes, AnswerError> {
+        read_answer(&self.traffic.bodies.budget, body, limit).await
+    }
+
     fn request_id(&self) -> &str {
         &self.caller_request.head.request_id
     }
@@ -331,11 +341,11 @@
                 .await;
         }
         let retry_after = headers::decode_retry_after(&parts.headers);
-        let Ok(body) = Limited::new(body, MAX_FAILURE_BYTES).collect().await else {
+        let Ok(body) = self.read_body(body, MAX_FAILURE_BYTES).await else {
             return Err(AttemptEnd::Broken.into());
         };
         connection.return_to_pool(idle_timeout);
-        Err(relay::decode_error(&body.to_bytes(), retry_after).into())
+        Err(relay::decode_error(&body, retry_after).into())
     }
 
     /// Checks that a response belongs to this request. One without a request id
@@ -425,6 +435,7 @@
                     parts,
                     first_events: None,
                     splitter: EventSplitter::default(),
+                    splitter_lease: self.traffic.bodies.budget.lease(Holder::Answers),
                     body,
                     connection,
                     idle_timeout,
@@ -434,16 +445,16 @@
                 }))
                 .await;
         }
-        match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
+        match self.read_body(body, MAX_RESPONSE_BYTES).await {
             Ok(body) => {
                 connection.return_to_pool(idle_timeout);
-                let mut response = Response::new(body.to_bytes());
+                let mut response = Response::new(body);
                 *response.status_mut() = parts.status;
                 *response.headers_mut() = headers::response_headers(&parts.headers);
                 Ok(OpenAttempt::Complete(response))
             }
             Err(error) => {
-                log::info!(request = self.request_id(), cause:% = error; "answer broke off");
+                log::info!(request = self.request_id(), cause:? = error; "answer broke off");
                 Err(AttemptEnd::Broken.into())
             }
         }
@@ -468,6 +479,10 @@
                 return Err(AttemptEnd::Broken.into());
             };
             stream.first_events = events;
+            if !keep_buffered(&mut stream.splitter_lease, stream.splitter.buffered()) {
+                log::warn!(request = self.request_id(); "stream broken off: no memory for an event");
+                return Err(AttemptEnd::Broken.into());
+            }
         }
         if stream.first_events.is_none() && stream.splitter.has_partial() {
             log::info!(request = self.request_id(); "stream ended inside an event");
@@ -492,7 +507,7 @@
         idle_timeout: Option<Millis>,
     ) -> OpenError {
         log::info!(request = self.request_id(), server = plan.server_id.as_str(), status = parts.status.as_u16(); "failure by backend server");
-        let Ok(body) = Limited::new(body, MAX_FAILURE_BYTES).collect().await else {
+        let Ok(body) = self.read_body(body, MAX_FAILURE_BYTES).await else {
             return AttemptEnd::Broken.into();
         };
         connection.return_to_pool(idle_timeout);
@@ -501,7 +516,7 @@
         if promises_not_run(parts.status.as_u16()) {
             return AttemptEnd::Broken.into();
         }
-        let mut failure = Response::from_parts(parts, body.to_bytes());
+        let mut failure = Response::from_parts(parts, body);
         *failure.headers_mut() = headers::response_headers(failure.headers());
         OpenError {
             end: AttemptEnd::Failed,
@@ -520,15 +535,29 @@
     }
 }
 
+/// Adapts the lease of a splitter to what it buffers; returns whether the budget
+/// allows it.
+pub fn keep_buffered(lease: &mut Lease, buffered: usize) -> bool {
+    lease.shrink_to(buffered);
+    lease.grow_to(buffered).is_ok()
+}
+
 /// Returns whether a response states where its body ends.
 fn has_framing(headers: &HeaderMap) -> bool {
     headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
 }
 
 /// Reads the rest of a refusal, so that its connection can be reused.
-async fn drain_refusal(body: Incoming, connection: PooledConnection, idle_timeout: Option<Millis>) {
-    let body = Limited::new(body, MAX_FAILURE_BYTES).collect();
-    if let Ok(Ok(_)) = timeout(REFUSAL_DRAIN_TIMEOUT, body).await {
+async fn drain_refusal(
+    mut body: Incoming,
+    connection: PooledConnection,
+    idle_timeout: Option<Millis>,
+) {
+    let rest = timeout(
+        REFUSAL_DRAIN_TIMEOUT,
+        discard_whole(&mut body, MAX_FAILURE_BYTES),
+    );
+    if rest.await == Ok(true) {
         connection.return_to_pool(idle_timeout);
     }
 }
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -24,6 +24,7 @@
 use tokio::time::Instant;
 
 use crate::gateway::framing::HeadScanner;
+use crate::gateway::memory_budget::Lease;
 use crate::gateway::response::ResponseBody;
 
 /// What a connection is used for.
@@ -33,6 +34,8 @@
     Idle,
     /// Receiving a request head.
     Head,
+    /// Receiving a request body.
+    Body,
     /// Serving a request whose response has not begun.
     Request,
     /// Sending a response.
@@ -50,6 +53,7 @@
         match self {
             Activity::Idle => "idle",
             Activity::Head => "head",
+            Activity::Body => "body",
             Activity::Request => "request",
             Activity::Response => "response",
             Activity::Flushing => "flushing",
@@ -60,35 +64,75 @@
 
 /// The state of one connection, shared by all that change it.
 #[derive(Debug, Clone)]
-pub struct ConnectionState(Rc<Cell<(Activity, Instant)>>);
+pub struct ConnectionState(Rc<Shared>);
+
+#[derive(Debug)]
+struct Shared {
+    activity: Cell<(Activity, Instant)>,
+    has_answered: Cell<bool>,
+    /// Since when the caller has taken nothing of what is being written.
+    blocked_since: Cell<Option<Instant>>,
+}
 
 impl ConnectionState {
     /// Returns the state of a new connection.
     #[must_use]
     pub fn new() -> ConnectionState {
-        ConnectionState(Rc::new(Cell::new((Activity::Idle, Instant::now()))))
+        ConnectionState(Rc::new(Shared {
+            activity: Cell::new((Activity::Idle, Instant::now())),
+            has_answered: Cell::new(false),
+            blocked_since: Cell::new(None),
+        }))
     }
 
     /// Returns the current activity.
     #[must_use]
     pub fn activity(&self) -> Activity {
-        self.0.get().0
+        self.0.activity.get().0
     }
 
     /// Returns the duration of the current activity; that of the response if it
     /// was aborted.
     #[must_use]
     pub fn elapsed(&self) -> Duration {
-        self.0.get().1.elapsed()
+        self.0.activity.get().1.elapsed()
+    }
+
+    /// Returns whether a response has been written.
+    #[must_use]
+    pub fn has_answered(&self) -> bool {
+        self.0.has_answered.get()
+    }
+
+    /// Returns for how long the caller has taken nothing of what is being written.
+    #[must_use]
+    pub fn blocked(&self) -> Option<Duration> {
+        self.0.blocked_since.get().map(|since| since.elapsed())
     }
 
     /// Begins an activity.
     pub fn begin(&self, activity: Activity) {
-        self.0.set((activity, Instant::now()));
+        self.0.activity.set((activity, Instant::now()));
+    }
+
+    /// Records that a response has been written.
+    fn end_response(&self, next: Activity) {
+        self.0.has_answered.set(true);
+        self.begin(next);
     }
 
     fn abort_response(&self) {
-        self.0.set((Activity::Aborted, self.0.get().1));
+        let since = self.0.activity.get().1;
+        self.0.activity.set((Activity::Aborted, since));
+    }
+
+    fn record_write<T>(&self, written: &Poll<T>) {
+        let since = &self.0.blocked_since;
+        match written {
+            Poll::Ready(_) => since.set(None),
+            Poll::Pending if since.get().is_none() => since.set(Some(Instant::now())),
+            Poll::Pending => {}
+        }
     }
 }
 
@@ -178,13 +222,16 @@
     }
 }
 
-/// A connection that records when a request head begins to arrive and when a
-/// response has been written, and scans the heads.
+/// A connection that records when a request head begins to arrive, when a
+/// response has been written and whether its caller reads, and scans the heads. A
+/// long head takes from the memory budget until its response has been written.
 #[derive(Debug)]
 pub struct MonitoredStream {
     stream: TcpStream,
     state: ConnectionState,
     heads: Rc<RefCell<HeadScanner>>,
+    head_bytes: usize,
+    head_lease: Lease,
 }
 
 impl MonitoredStream {
@@ -194,13 +241,31 @@
         stream: TcpStream,
         state: ConnectionState,
         heads: Rc<RefCell<HeadScanner>>,
+        head_lease: Lease,
     ) -> MonitoredStream {
         MonitoredStream {
             stream,
             state,
             heads,
+            head_bytes: 0,
+            head_lease,
         }
     }
+
+    fn scan(&mut self, read: &[u8]) -> io::Result<()> {
+        if self.state.activity() == Activity::Idle {
+            self.state.begin(Activity::Head);
+        }
+        let mut heads = self.heads.borrow_mut();
+        heads.scan(read);
+        if !heads.is_inside_head() {
+            return Ok(());
+        }
+        self.head_bytes += read.len();
+        self.head_lease
+            .grow_to(self.head_bytes)
+            .map_err(|_| io::Error::other("no memory for the request head"))
+    }
 }
 
 impl AsyncRead for MonitoredStream {
@@ -213,11 +278,10 @@
         let before = buf.filled().len();
         let polled = Pin::new(&mut this.stream).poll_read(cx, buf);
         let read = &buf.filled()[before..];
-        if !read.is_empty() {
-            if this.state.activity() == Activity::Idle {
-                this.state.begin(Activity::Head);
-            }
-            this.heads.borrow_mut().scan(read);
+        if !read.is_empty()
+            && let Err(error) = this.scan(read)
+        {
+            return Poll::Ready(Err(error));
         }
         polled
     }
@@ -229,7 +293,10 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.stream).poll_write(cx, buf);
+        this.state.record_write(&written);
+        written
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -237,11 +304,13 @@
         // hyper flushes the stream only when its own write buffer is empty.
         if this.state.activity() == Activity::Flushing {
             // The next head may have begun to arrive during the response.
-            this.state
-                .begin(match this.heads.borrow().is_inside_head() {
-                    true => Activity::Head,
-                    false => Activity::Idle,
-                });
+            let next = match this.heads.borrow().is_inside_head() {
+                true => Activity::Head,
+                false => Activity::Idle,
+            };
+            this.state.end_response(next);
+            this.head_bytes = 0;
+            this.head_lease.shrink_to(0);
         }
         Pin::new(&mut this.stream).poll_flush(cx)
     }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -198,6 +198,9 @@
         let mut out = Vec::new();
         match input {
             Input::Submit(ticket, submission) => self.submit(now, ticket, submission, &mut out),
+            Input::CheckHead(ticket, submission) => {
+                self.check_head(now, ticket, submission, &mut out);
+            }
             Input::FirstOutput(ticket, attempt) => {
                 self.on_first_output(now, ticket, attempt, &mut out);
             }
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -170,22 +170,10 @@
         out: &mut Vec<Output>,
     ) {
         self.count(Count::Submitted);
-        let request = match self.validate(now, submission) {
+        let request = match self.check(now, submission) {
             Ok(request) => request,
-            Err((id, refusal)) => {
-                self.log_refusal(&id, &refusal, "check");
-                self.count(Count::RefusedNotRun);
-                out.push(Output::Refuse(ticket, refusal));
-                return;
-            }
+            Err((id, refusal)) => return self.refuse_unsubmitted(ticket, &id, refusal, out),
         };
-        if let Some(refusal) = self.refusal_during_shutdown(now, &request) {
-            let id = &request.submission.head.request_id;
-            self.log_refusal(id, &refusal, "check");
-            self.count(Count::RefusedNotRun);
-            out.push(Output::Refuse(ticket, refusal));
-            return;
-        }
         match &request.submission.relay {
             Some(terms) => self.log_relayed_request(&request, terms),
             // Only the first instance earns retries with the request.
@@ -195,6 +183,44 @@
         self.place_request(now, ticket, out);
     }
 
+    /// Checks a request whose body has not been read.
+    pub(super) fn check_head(
+        &mut self,
+        now: Millis,
+        ticket: Ticket,
+        submission: Submission,
+        out: &mut Vec<Output>,
+    ) {
+        match self.check(now, submission) {
+            Ok(_) => out.push(Output::ReadBody(ticket)),
+            Err((id, refusal)) => {
+                self.count(Count::Submitted);
+                self.refuse_unsubmitted(ticket, &id, refusal, out);
+            }
+        }
+    }
+
+    fn refuse_unsubmitted(
+        &self,
+        ticket: Ticket,
+        id: &str,
+        refusal: Refusal,
+        out: &mut Vec<Output>,
+    ) {
+        self.log_refusal(id, &refusal, "check");
+        self.count(Count::RefusedNotRun);
+        out.push(Output::Refuse(ticket, refusal));
+    }
+
+    /// Returns the request, unless it is refused before it is placed.
+    fn check(&self, now: Millis, submission: Submission) -> Result<Request, (String, Refusal)> {
+        let request = self.validate(now, submission)?;
+        match self.refusal_during_shutdown(now, &request) {
+            Some(refusal) => Err((request.submission.head.request_id, refusal)),
+            None => Ok(request),
+        }
+    }
+
     /// Validates a request against the configuration.
     fn validate(&self, now: Millis, submission: Submission) -> Result<Request, (String, Refusal)> {
         let id = submission.head.request_id.clone();
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -19,6 +19,7 @@
 use flume::Receiver;
 use flume::RecvTimeoutError;
 use flume::Sender;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::signal::unix::SignalKind;
@@ -36,7 +37,10 @@
 use crate::clock::Clock;
 use crate::clock::Millis;
 use crate::config::Settings;
+use crate::gateway::body::BodyContext;
+use crate::gateway::body_reads::BodyReads;
 use crate::gateway::connection::ConnectionCount;
+use crate::gateway::connection_table::ConnectionTable;
 use crate::gateway::core::Core;
 use crate::gateway::core::LocalInstance;
 use crate::gateway::datagram::Formats;
@@ -47,6 +51,10 @@
 use crate::gateway::instances::Member;
 use crate::gateway::instances::PeerMessage;
 use crate::gateway::instances::Recipient;
+use crate::gateway::memory_budget::MemoryBudget;
+use crate::gateway::memory_budget::MemoryPlan;
+use crate::gateway::memory_budget::RECEIVE_BUFFER_BYTES;
+use crate::gateway::memory_budget::SEND_BUFFER_BYTES;
 use crate::gateway::message::Input;
 use crate::gateway::message::Output;
 use crate::gateway::message::ProbeEnd;
@@ -57,6 +65,7 @@
 use crate::gateway::server;
 use crate::gateway::server::ServerContext;
 use crate::gateway::server::ShutdownPhase;
+use crate::gateway::server::StatusContext;
 use crate::gateway::settings::Bounds;
 use crate::gateway::upstream::CallError;
 use crate::gateway::upstream::Upstream;
@@ -205,12 +214,28 @@
         "gateway listens"
     );
     let upstream = Upstream::default();
+    let plan = MemoryPlan::new(cfg.gateway_memory_limit, cfg.gateway_max_descriptors);
+    log::info!(
+        memory_limit = cfg.gateway_memory_limit,
+        max_descriptors = cfg.gateway_max_descriptors,
+        content_bytes = plan.content_bytes,
+        caller_connections = plan.caller_connections,
+        relay_connections = plan.relay_connections;
+        "memory divided"
+    );
+    let budget = MemoryBudget::new(plan.content_bytes);
     let traffic = Rc::new(Traffic {
         upstream: upstream.clone(),
         inputs: inputs.clone(),
         deferred_inputs: deferred_inputs.clone(),
         clock,
         metrics: Arc::clone(&metrics),
+        bodies: BodyContext {
+            budget: budget.clone(),
+            reads: BodyReads::default(),
+            clock,
+            discards: ConnectionCount::default(),
+        },
         outputs: RefCell::new(HashMap::new()),
         next_ticket: Cell::new(0),
     });
@@ -224,20 +249,27 @@
         sender: RequestSender::Caller,
         phase,
         connections: connections.clone(),
+        table: ConnectionTable::new(plan.caller_connections),
     };
     let relay_context = ServerContext {
         sender: RequestSender::Instance,
+        table: ConnectionTable::new(plan.relay_connections),
         ..context.clone()
     };
     spawn_local(server::accept(caller_listener, context));
     let relay_listener = TcpListener::from_std(peer_sockets.relays)?;
     spawn_local(server::accept(relay_listener, relay_context));
+    let status_context = StatusContext {
+        ready,
+        metrics,
+        budget,
+        connections: connections.clone(),
+    };
     for listener in [Some(status_listener), metrics_listener]
         .into_iter()
         .flatten()
     {
-        let (ready, metrics) = (ready.clone(), Arc::clone(&metrics));
-        spawn_local(server::serve_status(listener, ready, metrics));
+        spawn_local(server::serve_status(listener, status_context.clone()));
     }
     let revisions = RevisionTracker::new(inputs.clone());
     spawn_local(
@@ -397,6 +429,7 @@
             }
             Output::Send(ticket, _)
             | Output::Refuse(ticket, _)
+            | Output::ReadBody(ticket)
             | Output::ForwardFailure(ticket) => {
                 traffic.dispatch(ticket, output);
             }
@@ -440,6 +473,7 @@
     let bind = || {
         let datagrams = UdpSocket::bind(addr)?;
         let relays = std::net::TcpListener::bind(datagrams.local_addr()?)?;
+        limit_kernel_buffers(&SockRef::from(&relays));
         relays.set_nonblocking(true)?;
         Ok(PeerSockets { datagrams, relays })
     };
@@ -456,10 +490,22 @@
 fn listen(addr: &str) -> io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
+    limit_kernel_buffers(&SockRef::from(&socket));
     socket.bind(socket_addr(addr)?)?;
     socket.listen(LISTEN_BACKLOG)
 }
 
+/// Sets the kernel's buffers of all connections that a listener accepts; the bytes
+/// in them count as the process's memory.
+fn limit_kernel_buffers(listener: &SockRef<'_>) {
+    let limited = listener
+        .set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
+        .and_then(|()| listener.set_send_buffer_size(SEND_BUFFER_BYTES));
+    if let Err(error) = limited {
+        log::warn!(error:% = error; "cannot set the size of socket buffers");
+    }
+}
+
 fn socket_addr(text: &str) -> io::Result<SocketAddr> {
     text.parse().map_err(|_| {
         let message = format!("{text} is not a valid address; expected ip:port");
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -92,6 +92,12 @@
         self.last_id = self.last_id.take().or(other.last_id);
     }
 
+    /// Returns the number of buffered bytes.
+    #[must_use]
+    pub fn buffered(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Returns whether an incomplete event is buffered.
     #[must_use]
     pub fn has_partial(&self) -> bool {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -22,6 +22,7 @@
 use http::Response;
 use http::header;
 use http::request::Parts;
+use http_body::Body;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -42,10 +43,16 @@
 use crate::gateway::attempt::OpenStream;
 use crate::gateway::attempt::Opened;
 use crate::gateway::attempt::OpeningAttempts;
+use crate::gateway::attempt::keep_buffered;
 use crate::gateway::attempt::log_time_limit;
+use crate::gateway::body::BodyContext;
+use crate::gateway::body::BodyError;
+use crate::gateway::connection::Activity;
+use crate::gateway::connection::ConnectionState;
 use crate::gateway::events::EventSplitter;
 use crate::gateway::events::EventTooLarge;
 use crate::gateway::events::Events;
+use crate::gateway::memory_budget::Holder;
 use crate::gateway::message::AttemptEnd;
 use crate::gateway::message::AttemptNumber;
 use crate::gateway::message::Input;
@@ -63,12 +70,17 @@
 use crate::gateway::response::stream_response;
 use crate::gateway::response::with_connection_close;
 use crate::gateway::upstream::Upstream;
+use crate::metrics::Count;
 use crate::metrics::Metrics;
 use crate::verdict::Reason;
 use crate::verdict::Refusal;
 
 /// Maximum number of response chunks that are queued for a slow caller.
 const BODY_QUEUE_CHUNKS: usize = 16;
+/// Retry-After of a request for whose body there is no memory: other instances may
+/// have it at once.
+const RETRY_AFTER_NO_MEMORY: Millis = Millis(500);
+
 /// State shared by all requests of the process.
 #[derive(Debug)]
 pub struct Traffic {
@@ -83,6 +95,8 @@
     pub clock: Clock,
     /// Metrics of the process.
     pub metrics: std::sync::Arc<Metrics>,
+    /// Reading of bodies.
+    pub bodies: BodyContext,
     /// Channels for the core's outputs, by request.
     pub outputs: RefCell<HashMap<Ticket, mpsc::UnboundedSender<Output>>>,
     /// Next ticket to assign.
@@ -118,12 +132,13 @@
 pub async fn forward(
     traffic: Rc<Traffic>,
     request: Request<Incoming>,
+    state: &ConnectionState,
     sender: RequestSender,
     body_limit: usize,
     body_timeout: Duration,
 ) -> Result<Response<ResponseBody>, Aborted> {
     let arrived = traffic.clock.now();
-    let (mut parts, body) = request.into_parts();
+    let (mut parts, mut body) = request.into_parts();
     let head = headers::decode_request_head(&parts.headers);
     let relay = match sender {
         RequestSender::Caller => None,
@@ -138,32 +153,33 @@
     if has_ambiguous_length(&parts.headers) {
         return Ok(ambiguous_length_response());
     }
-    let body = match timeout(body_timeout, read_body(body, body_limit)).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(BodyError::TooLarge)) => {
-            let refusal = Refusal::not_run(Reason::TooLarge, "the body is too large");
-            return Ok(with_connection_close(refusal_response(
-                &head.request_id,
-                &refusal,
-            )));
-        }
-        Ok(Err(BodyError::Broken)) => return Err(Aborted),
-        Err(_) => {
-            let refusal = Refusal::not_run(Reason::SlowRequest, "the body did not arrive in time");
-            return Ok(with_connection_close(refusal_response(
-                &head.request_id,
-                &refusal,
-            )));
-        }
-    };
     let submission = Submission {
         host: host(&parts),
         path: parts.uri.path().to_owned(),
         arrived: arrived - relay.map_or(Millis::ZERO, |terms| terms.waited),
         relay,
-        fingerprint: fingerprint(&parts, &head, &body),
+        fingerprint: 0,
         head: head.clone(),
     };
+    if !body.is_end_stream() {
+        state.begin(Activity::Body);
+    }
+    let read = {
+        let check = traffic.check_head(&submission);
+        let read = traffic.bodies.read_request(&mut body, body_limit, check);
+        timeout(body_timeout, read).await
+    };
+    let body = match read {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyError::Broken)) => return Err(Aborted),
+        Ok(Err(error)) => return Ok(traffic.refuse_body(&head, Some(error), body)),
+        Err(_) => return Ok(traffic.refuse_body(&head, None, body)),
+    };
+    state.begin(Activity::Request);
+    let submission = Submission {
+        fingerprint: fingerprint(&parts, &head, &body),
+        ..submission
+    };
     let (response_tx, response_rx) = oneshot::channel();
     let caller_request = Rc::new(CallerRequest { parts, head, body });
     tokio::task::spawn_local(run_request(
@@ -175,19 +191,6 @@
     response_rx.await.map_err(|_| Aborted)
 }
 
-enum BodyError {
-    TooLarge,
-    Broken,
-}
-
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
-    match http_body_util::Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLarge),
-        Err(_) => Err(BodyError::Broken),
-    }
-}
-
 /// Returns whether the length of the body is ambiguous: several
 /// `Content-Length` headers, or one together with `Transfer-Encoding`.
 fn has_ambiguous_length(headers: &HeaderMap) -> bool {
@@ -225,10 +228,7 @@
     submission: Submission,
     response_tx: oneshot::Sender<Response<ResponseBody>>,
 ) {
-    let ticket = Ticket(traffic.next_ticket.get());
-    traffic.next_ticket.set(ticket.0 + 1);
-    let (tx, mut outputs) = mpsc::unbounded_channel();
-    traffic.outputs.borrow_mut().insert(ticket, tx);
+    let (ticket, mut outputs) = traffic.open_ticket();
     traffic.send_input(Input::Submit(ticket, submission));
     let context = AttemptContext {
         traffic: Rc::clone(&traffic),
@@ -277,7 +277,75 @@
     traffic.outputs.borrow_mut().remove(&ticket);
 }
 
+/// A ticket whose outputs are received until this is dropped.
+struct OpenTicket<'a>(&'a Traffic, Ticket);
+
+impl Drop for OpenTicket<'_> {
+    fn drop(&mut self) {
+        self.0.outputs.borrow_mut().remove(&self.1);
+    }
+}
+
 impl Traffic {
+    /// Assigns a ticket and returns what the core puts out for it.
+    fn open_ticket(&self) -> (Ticket, mpsc::UnboundedReceiver<Output>) {
+        let ticket = Ticket(self.next_ticket.get());
+        self.next_ticket.set(ticket.0 + 1);
+        let (tx, outputs) = mpsc::unbounded_channel();
+        self.outputs.borrow_mut().insert(ticket, tx);
+        (ticket, outputs)
+    }
+
+    /// Asks the core whether the body of a request may be read.
+    async fn check_head(&self, submission: &Submission) -> Result<(), Refusal> {
+        let (ticket, mut outputs) = self.open_ticket();
+        let _open = OpenTicket(self, ticket);
+        self.send_input(Input::CheckHead(ticket, submission.clone()));
+        match outputs.recv().await {
+            Some(Output::Refuse(_, refusal)) => Err(refusal),
+            _ => Ok(()),
+        }
+    }
+
+    /// Refuses a request whose body was not read; `None` if it took too long. The
+    /// rest of the body is read without being kept, so that the caller sees the
+    /// refusal.
+    fn refuse_body(
+        &self,
+        head: &RequestHead,
+        error: Option<BodyError>,
+        rest: Incoming,
+    ) -> Response<ResponseBody> {
+        let (count, refusal) = match error {
+            Some(BodyError::Refused(refusal)) => (Count::BodiesUnadmitted, refusal),
+            Some(BodyError::TooLarge) => {
+                let refusal = Refusal::not_run(Reason::TooLarge, "the body is too large");
+                (Count::BodiesTooLarge, refusal)
+            }
+            Some(BodyError::NoMemory | BodyError::Broken) => {
+                let message = "this instance has no memory for the body";
+                let refusal = Refusal::not_run(Reason::Unavailable, message);
+                let refusal = refusal.retry_after(RETRY_AFTER_NO_MEMORY);
+                (Count::BodiesNoMemory, refusal)
+            }
+            None => {
+                let message = "the body did not arrive in time";
+                let refusal = Refusal::not_run(Reason::SlowRequest, message);
+                (Count::BodiesSlow, refusal)
+            }
+        };
+        self.metrics.add(count, 1);
+        log::info!(
+            request = head.request_id.as_str(),
+            reason = refusal.reason.code(),
+            cause = refusal.message.as_str(),
+            bodies_bytes = self.bodies.budget.used(Holder::Bodies);
+            "body not read"
+        );
+        self.bodies.discard(rest);
+        with_connection_close(refusal_response(&head.request_id, &refusal))
+    }
+
     /// Sends an input to the control thread.
     pub fn send_input(&self, input: Input) {
         // Sending fails only during process exit.
@@ -313,7 +381,8 @@
         forwarded
     }
 
-    /// Returns the number of requests without a complete response.
+    /// Returns the number of requests without a complete response, with those whose
+    /// heads are being checked.
     #[must_use]
     pub fn open_requests(&self) -> usize {
         self.outputs.borrow().len()
@@ -417,6 +486,7 @@
             parts,
             mut first_events,
             splitter,
+            mut splitter_lease,
             mut body,
             connection,
             idle_timeout,
@@ -434,7 +504,14 @@
                     biased;
                     frame = body.frame() => match frame {
                         Some(Ok(frame)) => match frame.into_data() {
-                            Ok(data) => self.events.push(&data),
+                            Ok(data) => {
+                                let events = self.events.push(&data);
+                                if !keep_buffered(&mut splitter_lease, self.events.buffered()) {
+                                    log::warn!(request = self.request_id(); "stream broken off: no memory for an event");
+                                    return StreamEnd::Ended(AttemptEnd::Broken);
+                                }
+                                events
+                            }
                             Err(_) => continue,
                         },
                         Some(Err(error)) => {
@@ -551,6 +628,7 @@
         let ResponseState::Streaming(tx) = &mut self.response else {
             return false;
         };
+        let events = self.traffic.bodies.budget.lease_chunk(events).await;
         tx.send(events).await
     }
 
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -439,6 +439,9 @@
 pub enum Input {
     /// A caller's request arrived.
     Submit(Ticket, Submission),
+    /// The head of a caller's request arrived, whose body is too large to be read
+    /// unasked.
+    CheckHead(Ticket, Submission),
     /// The first output of an attempt arrived.
     FirstOutput(Ticket, AttemptNumber),
     /// A further event of a stream arrived at this time.
@@ -518,6 +521,8 @@
     /// End a request with the gateway's own error response, whether or not
     /// attempts were made.
     Refuse(Ticket, Refusal),
+    /// The body of a request whose head was checked may be read.
+    ReadBody(Ticket),
     /// Forward the buffered failure response of the backend server.
     ForwardFailure(Ticket),
     /// Send a message to these instances.
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -1,8 +1,10 @@
 //! Responses to callers: forwarded ones and those that the gateway makes
 //! itself.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 
@@ -19,6 +21,7 @@
 use http_body_util::channel::Channel;
 use http_body_util::channel::Sender as BodySender;
 use serde::Serialize;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
 use crate::adapter::headers;
@@ -28,10 +31,22 @@
 /// A response body: complete, or a stream of chunks.
 pub type ResponseBody = Either<Full<Bytes>, StreamBody>;
 
+/// Maximum size of the chunks that wait in a stream's queue, in bytes; a single one
+/// may be larger.
+const MAX_QUEUED_BYTES: usize = 16 * 1024;
+
+/// The chunks of a stream that wait for its caller.
+#[derive(Debug, Default)]
+struct Queue {
+    bytes: Cell<usize>,
+    taken: Notify,
+}
+
 /// A body of chunks that an error aborts.
 #[derive(Debug)]
 pub struct StreamBody {
     chunks: Channel<Bytes, Aborted>,
+    queue: Rc<Queue>,
     /// Its drop tells the sender that the body is no longer read.
     _open: oneshot::Receiver<Infallible>,
 }
@@ -40,6 +55,7 @@
 #[derive(Debug)]
 pub struct StreamSender {
     chunks: BodySender<Bytes, Aborted>,
+    queue: Rc<Queue>,
     open: oneshot::Sender<Infallible>,
 }
 
@@ -50,12 +66,15 @@
     pub fn new(queue_chunks: usize) -> (StreamSender, StreamBody) {
         let (chunks_tx, chunks) = Channel::new(queue_chunks);
         let (open_tx, open) = oneshot::channel();
+        let queue = Rc::<Queue>::default();
         let sender = StreamSender {
             chunks: chunks_tx,
+            queue: Rc::clone(&queue),
             open: open_tx,
         };
         let body = StreamBody {
             chunks,
+            queue,
             _open: open,
         };
         (sender, body)
@@ -70,13 +89,30 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
-        Pin::new(&mut self.get_mut().chunks).poll_frame(cx)
+        let this = self.get_mut();
+        let polled = Pin::new(&mut this.chunks).poll_frame(cx);
+        if let Poll::Ready(Some(Ok(frame))) = &polled
+            && let Some(chunk) = frame.data_ref()
+        {
+            let left = this.queue.bytes.get().saturating_sub(chunk.len());
+            this.queue.bytes.set(left);
+            this.queue.taken.notify_one();
+        }
+        polled
     }
 }
 
 impl StreamSender {
     /// Sends a chunk; returns whether the body is still read.
     pub async fn send(&mut self, chunk: Bytes) -> bool {
+        while self.queue.bytes.get() > 0 && self.queue.bytes.get() + chunk.len() > MAX_QUEUED_BYTES
+        {
+            tokio::select! {
+                () = self.queue.taken.notified() => {}
+                () = self.open.closed() => return false,
+            }
+        }
+        self.queue.bytes.set(self.queue.bytes.get() + chunk.len());
         self.chunks.send_data(chunk).await.is_ok()
     }
 
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -4,7 +4,9 @@
 //! Each connection has its own task. A connection that is idle for too long, or
 //! whose request head takes too long to arrive, is closed; one with a request
 //! in progress is not. While the instance drains, connections are closed after
-//! their next response.
+//! their next response. There are at most as many connections as the memory
+//! budget and the descriptors allow; a further one takes the place of the one that
+//! is of least use.
 
 use std::cell::RefCell;
 use std::convert::Infallible;
@@ -36,17 +38,23 @@
 use crate::gateway::connection::ConnectionState;
 use crate::gateway::connection::MonitoredStream;
 use crate::gateway::connection::TrackedBody;
+use crate::gateway::connection_table::ConnectionTable;
+use crate::gateway::connection_table::Place;
 use crate::gateway::forward;
 use crate::gateway::forward::RequestSender;
 use crate::gateway::forward::Traffic;
 use crate::gateway::framing::BodyLength;
 use crate::gateway::framing::HeadScanner;
+use crate::gateway::memory_budget::Holder;
+use crate::gateway::memory_budget::MemoryBudget;
 use crate::gateway::relay::MAX_TERMS_BYTES;
 use crate::gateway::response;
 use crate::gateway::response::Aborted;
 use crate::gateway::response::ResponseBody;
 use crate::gateway::route::CallerLimits;
 use crate::gateway::upstream::set_socket_options;
+use crate::metrics::Count;
+use crate::metrics::Level;
 use crate::metrics::Metrics;
 
 /// Path of the metrics.
@@ -57,6 +65,17 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Interval at which a connection's idle and head timeouts are checked.
 const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after which a caller that takes nothing of its response is given up.
+const READ_STALL_LIMIT: Duration = Duration::from_secs(15);
+/// Maximum number of connections of a status listener.
+const MAX_STATUS_CONNECTIONS: usize = 64;
+/// Interval at which the timeouts of a status connection are checked.
+const STATUS_CHECK_INTERVAL: Duration = Duration::from_secs(5);
+/// Time after which a status connection without progress is closed.
+const STATUS_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time limit for a request head, or for reading the answer, on a status
+/// connection.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Progress of the instance's shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -82,6 +101,21 @@
     pub phase: watch::Receiver<ShutdownPhase>,
     /// Number of callers' open connections.
     pub connections: ConnectionCount,
+    /// Open connections of this listener.
+    pub table: ConnectionTable,
+}
+
+/// What the status shows, and what its connections may use.
+#[derive(Debug, Clone)]
+pub struct StatusContext {
+    /// Whether the instance takes callers.
+    pub ready: watch::Receiver<bool>,
+    /// Metrics of the process.
+    pub metrics: Arc<Metrics>,
+    /// The memory budget.
+    pub budget: MemoryBudget,
+    /// Number of callers' open connections.
+    pub connections: ConnectionCount,
 }
 
 /// Accepts callers' connections until the shutdown reaches its closing phase.
@@ -94,11 +128,15 @@
         };
         match accepted {
             Ok((stream, caller)) => {
+                let state = ConnectionState::new();
+                let Some(place) = admit(&context, &state, caller) else {
+                    continue;
+                };
                 set_socket_options(&stream);
                 let counted = context.connections.count_connection();
                 let context = context.clone();
                 spawn_local(async move {
-                    serve_connection(stream, caller, context).await;
+                    serve_connection(stream, caller, state, place, context).await;
                     drop(counted);
                 });
             }
@@ -110,11 +148,27 @@
     }
 }
 
+/// Gives a new connection its place; `None` if there is none.
+fn admit(context: &ServerContext, state: &ConnectionState, caller: SocketAddr) -> Option<Place> {
+    let metrics = &context.traffic.metrics;
+    let Some((place, closed)) = context.table.admit(state) else {
+        metrics.add(Count::ConnectionsRefused, 1);
+        log::info!(caller:% = caller, open = context.table.len(); "connection refused: too many are open");
+        return None;
+    };
+    if closed.is_some() {
+        metrics.add(Count::ConnectionsCrowdedOut, 1);
+    }
+    Some(place)
+}
+
 /// Why the gateway closes a caller's connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum CloseCause {
     IdleTimeout,
     HeadTimeout,
+    ReadStalled,
+    CrowdedOut,
     Draining,
     ResponseAborted,
 }
@@ -124,16 +178,24 @@
         match self {
             CloseCause::IdleTimeout => "idle_timeout",
             CloseCause::HeadTimeout => "head_timeout",
+            CloseCause::ReadStalled => "read_stalled",
+            CloseCause::CrowdedOut => "crowded_out",
             CloseCause::Draining => "draining",
             CloseCause::ResponseAborted => "response_aborted",
         }
     }
 }
 
-async fn serve_connection(stream: TcpStream, caller: SocketAddr, context: ServerContext) {
-    let state = ConnectionState::new();
+async fn serve_connection(
+    stream: TcpStream,
+    caller: SocketAddr,
+    state: ConnectionState,
+    place: Place,
+    context: ServerContext,
+) {
     let heads = Rc::new(RefCell::new(HeadScanner::new()));
-    let io = MonitoredStream::new(stream, state.clone(), Rc::clone(&heads));
+    let head_lease = context.traffic.bodies.budget.lease(Holder::Heads);
+    let io = MonitoredStream::new(stream, state.clone(), Rc::clone(&heads), head_lease);
     let limits = *context.limits.borrow();
     let service = {
         let (context, state) = (context.clone(), state.clone());
@@ -144,7 +206,7 @@
             async move {
                 let response = match body_length {
                     BodyLength::Ambiguous => response::ambiguous_length_response(),
-                    BodyLength::Clear => forward_request(&context, request).await?,
+                    BodyLength::Clear => forward_request(&context, &state, request).await?,
                 };
                 let response = match *context.phase.borrow() {
                     ShutdownPhase::Serving => response,
@@ -184,11 +246,16 @@
                     return;
                 }
             }
+            () = place.closed() => {
+                log_close(caller, CloseCause::CrowdedOut, &state, &context);
+                return;
+            }
             () = sleep(TIMEOUT_CHECK_INTERVAL) => {}
         }
         match close_cause(&context, &state) {
-            // hyper would wait for the rest of a connection's first head.
-            Some(cause @ CloseCause::HeadTimeout) => {
+            // hyper would wait for the rest of a connection's first head, and for
+            // the caller to read.
+            Some(cause @ (CloseCause::HeadTimeout | CloseCause::ReadStalled)) => {
                 log_close(caller, cause, &state, &context);
                 return;
             }
@@ -204,6 +271,7 @@
 
 async fn forward_request(
     context: &ServerContext,
+    state: &ConnectionState,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Aborted> {
     let limits = *context.limits.borrow();
@@ -213,6 +281,7 @@
     forward::forward(
         traffic,
         request,
+        state,
         context.sender,
         max_body_bytes,
         body_timeout,
@@ -228,6 +297,13 @@
         (_, Activity::Head) if state.elapsed() >= limits.head_timeout.as_duration() => {
             Some(CloseCause::HeadTimeout)
         }
+        _ if state
+            .blocked()
+            .is_some_and(|blocked| blocked >= READ_STALL_LIMIT) =>
+        {
+            context.traffic.metrics.add(Count::CallersNotReading, 1);
+            Some(CloseCause::ReadStalled)
+        }
         (ShutdownPhase::Closing, _) => Some(CloseCause::Draining),
         (_, Activity::Idle) if state.elapsed() >= limits.idle_timeout.as_duration() => {
             Some(CloseCause::IdleTimeout)
@@ -244,7 +320,7 @@
 ) {
     let limits = *context.limits.borrow();
     let level = match state.activity() {
-        Activity::Idle | Activity::Head | Activity::Request => log::Level::Debug,
+        Activity::Idle | Activity::Head | Activity::Body | Activity::Request => log::Level::Debug,
         Activity::Response | Activity::Flushing | Activity::Aborted => log::Level::Info,
     };
     log::log!(
@@ -259,12 +335,10 @@
     );
 }
 
-/// Serves readiness checks and metrics until the process ends.
-pub async fn serve_status(
-    listener: TcpListener,
-    ready: watch::Receiver<bool>,
-    metrics: Arc<Metrics>,
-) {
+/// Serves readiness checks and metrics until the process ends. Nothing of a
+/// request but its head is read.
+pub async fn serve_status(listener: TcpListener, context: StatusContext) {
+    let table = ConnectionTable::new(MAX_STATUS_CONNECTIONS);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -274,35 +348,96 @@
                 continue;
             }
         };
-        let (ready, metrics) = (ready.clone(), Arc::clone(&metrics));
-        spawn_local(async move {
-            let service = service_fn(move |request: Request<Incoming>| {
-                let response = status_response(&request, *ready.borrow(), &metrics);
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                log::debug!(error:% = error; "status connection ended");
+        let state = ConnectionState::new();
+        let Some((place, _)) = table.admit(&state) else {
+            log::info!("status connection refused: too many are open");
+            continue;
+        };
+        spawn_local(serve_status_connection(
+            stream,
+            state,
+            place,
+            context.clone(),
+        ));
+    }
+}
+
+async fn serve_status_connection(
+    stream: TcpStream,
+    state: ConnectionState,
+    place: Place,
+    context: StatusContext,
+) {
+    let heads = Rc::new(RefCell::new(HeadScanner::new()));
+    let head_lease = context.budget.lease(Holder::Heads);
+    let io = MonitoredStream::new(stream, state.clone(), Rc::clone(&heads), head_lease);
+    let service = {
+        let state = state.clone();
+        service_fn(move |request: Request<Incoming>| {
+            state.begin(Activity::Request);
+            heads.borrow_mut().take_head();
+            let response = status_response(&request, &context)
+                .map(|body| TrackedBody::new(ResponseBody::Left(body), state.clone()));
+            async move { Ok::<_, Infallible>(response) }
+        })
+    };
+    let connection = http1::Builder::new()
+        .max_buf_size(MIN_HEAD_BYTES)
+        .serve_connection(TokioIo::new(io), service);
+    let mut connection = pin!(connection);
+    loop {
+        tokio::select! {
+            biased;
+            result = connection.as_mut() => {
+                if let Err(error) = result {
+                    log::debug!(error:% = error; "status connection ended");
+                }
+                return;
             }
-        });
+            () = place.closed() => return,
+            () = sleep(STATUS_CHECK_INTERVAL) => {}
+        }
+        let limit = match state.activity() {
+            Activity::Idle if state.has_answered() => STATUS_IDLE_TIMEOUT,
+            _ => STATUS_TIMEOUT,
+        };
+        if state.elapsed() >= limit {
+            return;
+        }
     }
 }
 
-fn status_response(
-    request: &Request<Incoming>,
-    ready: bool,
-    metrics: &Metrics,
-) -> Response<Full<Bytes>> {
+fn status_response(request: &Request<Incoming>, context: &StatusContext) -> Response<Full<Bytes>> {
+    let ready = *context.ready.borrow();
     let (status, text) = match request.uri().path() {
         READY_PATH if ready => (StatusCode::OK, "ready\n".to_owned()),
         READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
-        METRICS_PATH => match metrics.encode() {
-            Ok(text) => (StatusCode::OK, text),
-            Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
-        },
+        METRICS_PATH => {
+            context.update_gauges();
+            match context.metrics.encode() {
+                Ok(text) => (StatusCode::OK, text),
+                Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+            }
+        }
         _ => (StatusCode::NOT_FOUND, "no such page\n".to_owned()),
     };
     let mut response = Response::new(Full::new(Bytes::from(text)));
     *response.status_mut() = status;
     response
 }
+
+impl StatusContext {
+    fn update_gauges(&self) {
+        let level = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
+        for holder in Holder::ALL {
+            let gauge = match holder {
+                Holder::Heads => Level::MemoryHeads,
+                Holder::Bodies => Level::MemoryBodies,
+                Holder::Answers => Level::MemoryAnswers,
+            };
+            self.metrics.set(gauge, level(self.budget.used(holder)));
+        }
+        self.metrics
+            .set(Level::Connections, level(self.connections.get()));
+    }
+}
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -12,6 +12,7 @@
 mod links;
 mod load;
 mod memory;
+mod memory_budget;
 mod notices;
 mod rate_limits;
 mod relays;
--- a/src/gateway/tests/simulation.rs
+++ b/src/gateway/tests/simulation.rs
@@ -604,7 +604,8 @@
                 Output::Probe {
                     server_id, addr, ..
                 } => self.probe(core, server_id, &addr),
-                Output::ForwardFailure(_)
+                Output::ReadBody(_)
+                | Output::ForwardFailure(_)
                 | Output::Ready(_)
                 | Output::Limits(_)
                 | Output::Watch(_) => {}
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -34,6 +34,7 @@
 use tokio::time::timeout;
 
 use crate::clock::Millis;
+use crate::gateway::memory_budget::SERVER_RECEIVE_BUFFER_BYTES;
 
 /// Time limit for connecting: many times the delay between failure domains, and
 /// short enough to try another server in time.
@@ -451,6 +452,10 @@
         Err(_) => return Err(CallError::Unreachable("connect timed out".to_owned())),
     };
     set_socket_options(&stream);
+    let socket = SockRef::from(&stream);
+    if let Err(error) = socket.set_recv_buffer_size(SERVER_RECEIVE_BUFFER_BYTES) {
+        log::debug!(error:% = error; "cannot set the size of the receive buffer");
+    }
     limit_acknowledgement_time(&stream);
     Ok(stream)
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -64,6 +64,13 @@
     PeerMessagesUnknown = "peer_messages_unknown", "Messages of other instances that were skipped, as this release does not know their kind";
     PeerFramesLost = "peer_frames_lost", "Frames to other instances that were lost: a full queue, a failed connection, no answer";
     PeerConnections = "peer_connections", "Connections opened to other instances";
+    BodiesNoMemory = "bodies_refused_no_memory", "Requests refused before their body was read, or inside it, as the memory budget was used up";
+    BodiesUnadmitted = "bodies_refused_unread", "Requests with a large body that were refused by their head: no route, unknown key, not ready";
+    BodiesTooLarge = "bodies_refused_too_large", "Requests refused as their body is over the limit";
+    BodiesSlow = "bodies_refused_slow", "Requests refused as their body did not arrive in time";
+    ConnectionsRefused = "connections_refused", "Callers' connections closed at once, as too many were open and none could be closed for them";
+    ConnectionsCrowdedOut = "connections_crowded_out", "Callers' connections closed for newer ones, as too many were open";
+    CallersNotReading = "callers_not_reading", "Callers' connections closed as nothing of a response was read for too long";
     BadRequests = "requests_bad", "Requests refused before they reached the control core";
     ConditionChanges = "condition_changes", "Changes of a backend server's condition as this instance sees it";
     Gangs = "gangs_started", "Prompts over one engine's memory that began on several engines";
@@ -96,6 +103,10 @@
     MembersLive = "members_live", "Other instances that are known and not suspected, leaving or gone";
     MembersEarlierFormat = "members_earlier_format", "Live instances that read only the datagrams of earlier releases";
     ConfigAge = "config_proof_age_ms", "Age of the newest proof that the operators' configuration is current, in ms";
+    MemoryHeads = "memory_heads_bytes", "Memory budget in use by long request heads, in bytes";
+    MemoryBodies = "memory_bodies_bytes", "Memory budget in use by request bodies, in bytes";
+    MemoryAnswers = "memory_answers_bytes", "Memory budget in use by answers and events that callers have not read, in bytes";
+    Connections = "connections_open", "Open connections of callers and other instances";
     Ready = "ready", "1 when the instance takes callers, else 0";
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,12 +1,16 @@
 //! The gateway as a process, between stand-ins of the users' platform.
 
 mod backend;
+mod bodies;
 mod connections;
 mod fleet;
+mod fuzz;
+mod hostile;
 mod keeper;
 mod late_answers;
 mod ledger;
 mod links;
+mod memory;
 mod partition;
 mod path;
 mod platform;
--- a/tests/gateway/process.rs
+++ b/tests/gateway/process.rs
@@ -37,6 +37,8 @@
     child: Child,
     pub callers: SocketAddr,
     pub status: SocketAddr,
+    /// Address for other instances.
+    pub peers: SocketAddr,
     lines: Arc<Mutex<Vec<String>>>,
 }
 
@@ -52,11 +54,22 @@
 
     /// Starts a program of another build, too.
     pub fn start_program(program: &Path, dir: &Path, name: &str, store: SocketAddr) -> Gateway {
+        Gateway::start_with(program, dir, name, store, "")
+    }
+
+    /// Starts a program with further settings of the gateway.
+    pub fn start_with(
+        program: &Path,
+        dir: &Path,
+        name: &str,
+        store: SocketAddr,
+        further: &str,
+    ) -> Gateway {
         let file = dir.join(format!("{name}.ini"));
         let settings = format!(
             "[instance]\nname = {name}\ndomain = a\n[gateway]\nlisten = 127.0.0.1:0\n\
              status_listen = 127.0.0.1:0\npeer_listen = 127.0.0.1:0\nstore = {store}\n\
-             [shutdown]\ntime_limit = 8 s\n[log]\nformat = json\n"
+             {further}[shutdown]\ntime_limit = 8 s\n[log]\nformat = json\n"
         );
         fs::write(&file, settings).unwrap();
         let mut child = Command::new(program)
@@ -83,11 +96,13 @@
             child,
             callers: ([127, 0, 0, 1], 0).into(),
             status: ([127, 0, 0, 1], 0).into(),
+            peers: ([127, 0, 0, 1], 0).into(),
             lines,
         };
         let listens = gateway.wait_line("gateway listens");
         gateway.callers = listens["callers"].as_str().unwrap().parse().unwrap();
         gateway.status = listens["status"].as_str().unwrap().parse().unwrap();
+        gateway.peers = listens["peers"].as_str().unwrap().parse().unwrap();
         gateway
     }
 
@@ -171,8 +186,17 @@
 
     /// Returns the most memory that the process has used.
     pub fn peak_memory_bytes(&self) -> u64 {
+        self.memory_bytes("VmHWM:")
+    }
+
+    /// Returns the memory that the process uses now.
+    pub fn resident_bytes(&self) -> u64 {
+        self.memory_bytes("VmRSS:")
+    }
+
+    fn memory_bytes(&self, field: &str) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let line = status.lines().find_map(|line| line.strip_prefix(field));
         let kilobytes = line.and_then(|line| line.trim().split(' ').next()?.parse().ok());
         kilobytes.map(|kilobytes: u64| kilobytes * 1024).unwrap()
     }
