--- a/src/config/allowed.rs
+++ b/src/config/allowed.rs
@@ -9,6 +9,8 @@
 
 use super::Secret;
 use crate::clock::Millis;
+use crate::gateway::settings::CallPlacement;
+use crate::gateway::settings::OutputLengthSource;
 
 /// Longest name of an instance or a failure domain, in bytes.
 const MAX_NAME_BYTES: usize = 63;
@@ -71,6 +73,10 @@
     Limit { min: u64, max: u64 },
     /// A ratio, with up to three decimals; kept in thousandths, rounded down.
     Ratio,
+    /// `fewest_calls`, `least_outstanding`, `two_choices` or `learned_cost`.
+    CallPlacement,
+    /// `caller` or `learned`.
+    OutputLengthSource,
     /// `text` or `json`.
     LogFormat,
     /// `off`, `error`, `warn`, `info`, `debug` or `trace`, also by module.
@@ -108,6 +114,10 @@
                 write!(f, "{min} to {max}")
             }
             Allowed::Ratio => write!(f, "0 to {MAX_RATIO}, such as 0.2"),
+            Allowed::CallPlacement => {
+                f.write_str("fewest_calls, least_outstanding, two_choices or learned_cost")
+            }
+            Allowed::OutputLengthSource => f.write_str("caller or learned"),
             Allowed::LogFormat => f.write_str("text or json"),
             Allowed::LogFilter => {
                 f.write_str("off, error, warn, info, debug or trace, or a list such as info,skylarkhook::peer=debug")
@@ -186,6 +196,24 @@
         Ok((value * 1000.0 + RATIO_TOLERANCE) as u64)
     }
 
+    pub(super) fn call_placement(self, text: &str) -> Result<CallPlacement, String> {
+        match text {
+            "fewest_calls" => Ok(CallPlacement::FewestCalls),
+            "least_outstanding" => Ok(CallPlacement::LeastOutstanding),
+            "two_choices" => Ok(CallPlacement::TwoChoices),
+            "learned_cost" => Ok(CallPlacement::LearnedCost),
+            _ => Err("it is no way of choosing".to_owned()),
+        }
+    }
+
+    pub(super) fn output_lengths(self, text: &str) -> Result<OutputLengthSource, String> {
+        match text {
+            "caller" => Ok(OutputLengthSource::Caller),
+            "learned" => Ok(OutputLengthSource::Learned),
+            _ => Err("it is no source".to_owned()),
+        }
+    }
+
     pub(super) fn log_format(self, text: &str) -> Result<LogFormat, String> {
         match text {
             "text" => Ok(LogFormat::Text),
--- a/src/config/table.rs
+++ b/src/config/table.rs
@@ -4,6 +4,8 @@
 use super::LogFormat;
 use super::Secret;
 use crate::clock::Millis;
+use crate::gateway::settings::CallPlacement;
+use crate::gateway::settings::OutputLengthSource;
 
 /// One line of the table.
 #[derive(Debug, Clone, Copy)]
@@ -133,6 +135,12 @@
         "Time after which memory reserved on an engine has to be free when nobody uses it";
     "gateway" "server_write_interval" gateway_server_write_interval: Millis = Some("1200 ms"), span(span(0, YEAR)),
         "Interval at which backend servers write their entries to the platform's store";
+    "gateway" "call_placement" gateway_call_placement: CallPlacement = Some("fewest_calls"),
+        call_placement(Allowed::CallPlacement),
+        "How the server of a call to a plain service is chosen";
+    "gateway" "output_lengths" gateway_output_lengths: OutputLengthSource = Some("caller"),
+        output_lengths(Allowed::OutputLengthSource),
+        "Where the expected length of a prompt's output comes from: the caller, or the caller corrected by what was learned";
     "shutdown" "time_limit" shutdown_time_limit: Millis = Some("10 min"), span(span(0, YEAR)),
         "Time after which a graceful shutdown gives up waiting for admitted requests";
     "control" "tick" tick: Millis = Some("20 ms"), span(span(1, SECOND)),
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,6 +11,7 @@
 pub mod attempt;
 pub mod connection;
 pub mod core;
+pub mod cost;
 pub mod daemon;
 pub mod datagram;
 pub mod engine;
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -4,6 +4,7 @@
 //! holds the configuration, the backend servers, the load that all instances
 //! report for each server, and the requests of its own callers.
 
+mod calls;
 mod choose;
 pub(super) mod crashes;
 mod endings;
@@ -36,6 +37,8 @@
 use crate::attempt::RetryBudgets;
 use crate::clock::Millis;
 use crate::gateway::answer_times::AnswerTimes;
+use crate::gateway::cost::CostModel;
+use crate::gateway::cost::lengths::OutputLengths;
 use crate::gateway::instances::CrashSuspect;
 use crate::gateway::instances::Instances;
 use crate::gateway::instances::MIN_HEARTBEAT_PERIOD;
@@ -129,6 +132,8 @@
     paused_servers: HashMap<ServerKey, Millis>,
     requests: BTreeMap<Ticket, Request>,
     answer_times: AnswerTimes,
+    cost: CostModel,
+    output_lengths: OutputLengths,
     watching: Watching,
     /// Times of the shutdown; `None` unless it has begun.
     shutdown: Option<Shutdown>,
@@ -179,6 +184,8 @@
             paused_servers: HashMap::new(),
             requests: BTreeMap::new(),
             answer_times: AnswerTimes::default(),
+            cost: CostModel::default(),
+            output_lengths: OutputLengths::default(),
             watching: Watching::Loosely,
             shutdown: None,
             ready: false,
--- a/src/gateway/core/choose.rs
+++ b/src/gateway/core/choose.rs
@@ -115,7 +115,7 @@
 
     /// Returns whether a backend server serves the request's service and is
     /// eligible.
-    fn is_usable(&self, now: Millis, request: &Request, key: ServerKey) -> bool {
+    pub(super) fn is_usable(&self, now: Millis, request: &Request, key: ServerKey) -> bool {
         self.server_table.get(key).entry.service == request.service
             && self.exclusion(now, request, key).is_none()
     }
@@ -137,7 +137,7 @@
 
     /// Returns whether this instance's share of a cold server's rate limit
     /// allows one more request. Warm servers have no such limit.
-    fn has_cold_capacity(&self, now: Millis, routes: &RouteTable, key: ServerKey) -> bool {
+    pub(super) fn has_cold_capacity(&self, now: Millis, routes: &RouteTable, key: ServerKey) -> bool {
         let server = self.server_table.get(key);
         let rate = routes
             .services
@@ -196,30 +196,4 @@
             candidate.short_prompts_per_ms = rate;
         }
     }
-
-    /// Chooses the plain server with the fewest calls relative to its slots,
-    /// and among equals one in the same failure domain.
-    pub(super) fn choose_server(
-        &self,
-        now: Millis,
-        routes: &RouteTable,
-        request: &Request,
-    ) -> Option<ServerKey> {
-        let sort_key = |key: ServerKey| {
-            let server = self.server_table.get(key);
-            let cross_domain = server.entry.domain != self.local.domain;
-            let calls = self.fleet_load.calls(key) as f64 / f64::from(server.entry.slots.max(1));
-            (calls, cross_domain)
-        };
-        self.server_table
-            .listed()
-            .map(|(key, _)| key)
-            .filter(|&key| self.is_usable(now, request, key))
-            .filter(|&key| self.has_cold_capacity(now, routes, key))
-            .min_by(|&a, &b| {
-                sort_key(a)
-                    .partial_cmp(&sort_key(b))
-                    .unwrap_or(std::cmp::Ordering::Equal)
-            })
-    }
 }
--- a/src/gateway/core/endings.rs
+++ b/src/gateway/core/endings.rs
@@ -145,6 +145,7 @@
             after_ms = now.since(attempt.sent_at).0;
             "send ended"
         );
+        self.record_call_end(now, &attempt, end);
         self.release_attempt(now, &attempt, out);
         self.update_server_health(now, ticket, &attempt, end, out);
     }
@@ -210,7 +211,8 @@
             }
             AttemptEnd::Refused => {
                 self.record_alive(attempt.sent_at, server);
-                if self.pause_left(now, server) > Millis::ZERO {
+                // By learned cost, a server that sheds gets less, not nothing.
+                if self.pause_left(now, server) > Millis::ZERO || self.places_by_cost(server) {
                     return;
                 }
             }
--- a/src/gateway/core/facts.rs
+++ b/src/gateway/core/facts.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 
 use super::Core;
+use super::calls::plain_routes;
 use crate::clock::Millis;
 use crate::gateway::message::Output;
 use crate::gateway::message::StoreUpdate;
@@ -100,6 +101,10 @@
             .map(|route| route.name.as_str())
             .collect();
         self.answer_times.retain(|name| names.contains(name));
+        self.output_lengths.retain(|name| names.contains(name));
+        if self.learns_costs() {
+            self.cost.set_routes(plain_routes(&routes));
+        }
         self.routes = Some(routes);
     }
 
@@ -231,7 +236,8 @@
     }
 
     fn drop_server(&mut self, id: &str, cause: &str) {
-        if self.server_table.remove(id).is_some() {
+        if let Some(key) = self.server_table.remove(id) {
+            self.cost.forget_server(key);
             log::info!(server = id, cause = cause; "backend server gone");
         }
     }
--- a/src/gateway/core/fleet_load.rs
+++ b/src/gateway/core/fleet_load.rs
@@ -80,6 +80,12 @@
         self.calls.get(&key).map_or(0, BTreeMap::len)
     }
 
+    /// Returns the calls in flight on a plain server, with their start times.
+    pub fn call_starts(&self, key: ServerKey) -> impl Iterator<Item = (JobKey, Millis)> {
+        let calls = self.calls.get(&key).into_iter().flatten();
+        calls.map(|(job, since)| (*job, *since))
+    }
+
     /// Simulates all engines up to `now` and drops expired calls.
     pub fn advance(&mut self, now: Millis) {
         for load in self.engines.values_mut() {
--- a/src/gateway/core/heartbeats.rs
+++ b/src/gateway/core/heartbeats.rs
@@ -6,6 +6,7 @@
 use super::RETRY_LIMIT_SHARE;
 use super::freshness::PeerProof;
 use crate::clock::Millis;
+use crate::gateway::cost::CallReport;
 use crate::gateway::datagram::Formats;
 use crate::gateway::instances::Heartbeat;
 use crate::gateway::instances::MAX_HEARTBEAT_PERIOD;
@@ -27,7 +28,8 @@
             false => heartbeat_period(self.instances.known_count()),
         };
         self.next_heartbeat = now + period;
-        self.broadcast(out, self.heartbeat(now, period));
+        let calls = self.cost.take_reports(now);
+        self.broadcast(out, self.heartbeat(now, period, calls));
         if self.shutdown.is_some() || !self.links.lost_services().is_empty() {
             self.broadcast_relay_state(out);
         }
@@ -37,7 +39,7 @@
             .set_max_saved((self.bounds.retry_extra * RETRY_LIMIT_SHARE / instances).max(1.0));
     }
 
-    fn heartbeat(&self, now: Millis, period: Millis) -> PeerMessage {
+    fn heartbeat(&self, now: Millis, period: Millis, calls: Vec<CallReport>) -> PeerMessage {
         let watch_closely = self.watching == Watching::Closely;
         PeerMessage::Alive(Heartbeat {
             member: Member {
@@ -52,6 +54,7 @@
             period_ms: period.0,
             store_era: Some(self.freshness.era()),
             config_version: self.config_version(),
+            calls,
         })
     }
 
@@ -84,9 +87,10 @@
             );
             // It may just have started, and need a proof to serve.
             let recipient = Recipient::from(&member);
-            let heartbeat = self.heartbeat(now, MAX_HEARTBEAT_PERIOD);
+            let heartbeat = self.heartbeat(now, MAX_HEARTBEAT_PERIOD, Vec::new());
             out.push(Output::Broadcast(Arc::new(vec![recipient]), heartbeat));
         }
+        self.record_call_reports(now, arrived_after, &heartbeat.calls);
         let proof = PeerProof {
             position: StorePosition {
                 era: heartbeat.store_era.unwrap_or_default(),
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -7,6 +7,7 @@
 use super::fleet_load::utility_of_prompt;
 use super::relays::ActiveRelay;
 use crate::clock::Millis;
+use crate::gateway::cost::forecast::Forecast;
 use crate::gateway::engine::JobKey;
 use crate::gateway::instances::CrashSuspect;
 use crate::gateway::instances::PeerMessage;
@@ -117,6 +118,8 @@
     pub(super) prompt: Option<Prompt>,
     pub(super) job: JobKey,
     pub(super) routes: Arc<RouteTable>,
+    /// What is expected of a call placed by learned cost.
+    pub(super) forecast: Option<Forecast>,
 }
 
 /// An attempt in progress.
@@ -325,6 +328,7 @@
             .services
             .get(&request.service)
             .is_some_and(|service| service.engine.is_some());
+        let mut forecast = None;
         let (placement, prompt) = match request.submission.head.prompt {
             Some(shape) if is_engine => {
                 let prompt = self.build_prompt(now, &routes, request, job, shape);
@@ -332,13 +336,16 @@
                 (placement, Some(prompt))
             }
             _ => {
+                let chosen = self.choose_server(now, &routes, request, job)?;
+                forecast = chosen.forecast;
                 let placement = Placement {
-                    primary: self.choose_server(now, &routes, request)?,
+                    primary: chosen.server,
                     helpers: Vec::new(),
                     primary_reserved: 0,
-                    first_token_at: now.0 as f64,
+                    first_token_at: now.0 as f64
+                        + forecast.map_or(0.0, |forecast| forecast.answer_ms),
                     parts_ready_at: 0.0,
-                    cost: 0.0,
+                    cost: forecast.map_or(0.0, |forecast| forecast.loss),
                 };
                 (placement, None)
             }
@@ -348,6 +355,7 @@
             prompt,
             job,
             routes,
+            forecast,
         })
     }
 
@@ -408,6 +416,7 @@
             prompt,
             job,
             routes,
+            forecast,
         } = chosen;
         let (job, prompt) = (*job, prompt.as_ref());
         let plan = self.build_plan(now, routes, ticket, job, placement, prompt);
@@ -416,11 +425,17 @@
             self.cold_shares.record(now, placement.primary);
         }
         self.record_sent(now, placement.primary);
-        let load = self.fleet_load.describe(placement.primary);
+        let mut load = self.fleet_load.describe(placement.primary);
+        if let Some(forecast) = forecast {
+            load += &self.describe_forecast(now, placement.primary, forecast);
+        }
         let service = self.requests[&ticket].service.clone();
         match prompt {
             Some(prompt) => self.fleet_load.add_prompt(now, &service, prompt, placement),
-            None => self.fleet_load.add_call(now, placement.primary, job),
+            None => {
+                self.fleet_load.add_call(now, placement.primary, job);
+                self.record_call(now, ticket, placement.primary, job);
+            }
         }
         let parts = self.describe_helpers(&placement.helpers);
         let predicted_ms = placement.first_token_at - now.0 as f64;
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -132,6 +132,8 @@
         retry_extra: cfg.gateway_retry_extra as f64,
         reservation_leak_limit: cfg.gateway_memory_free_limit,
         server_write_interval: cfg.gateway_server_write_interval,
+        call_placement: cfg.gateway_call_placement,
+        output_lengths: cfg.gateway_output_lengths,
         ..Bounds::default()
     }
 }
--- a/src/gateway/datagram/positional.rs
+++ b/src/gateway/datagram/positional.rs
@@ -274,6 +274,7 @@
                 period_ms,
                 store_era: Some(StoreEra(store_era)),
                 config_version,
+                calls: Vec::new(),
             }),
             Message::Crashed {
                 fingerprint,
--- a/src/gateway/datagram/tagged.rs
+++ b/src/gateway/datagram/tagged.rs
@@ -11,6 +11,8 @@
 use super::Decoded;
 use super::Formats;
 use crate::clock::Millis;
+use crate::gateway::cost::CallEnd;
+use crate::gateway::cost::CallReport;
 use crate::gateway::instances::Crash;
 use crate::gateway::instances::CrashRecord;
 use crate::gateway::instances::CrashSuspect;
@@ -107,8 +109,35 @@
     /// Formats of datagrams that the sender reads.
     #[prost(uint32, repeated, tag = "10")]
     formats: Vec<u32>,
+    /// Missing: the sender does not tell of its calls.
+    #[prost(message, repeated, tag = "15")]
+    calls: Vec<WireCall>,
 }
 
+/// How a call to a plain server ended.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+struct WireCall {
+    #[prost(fixed64, tag = "1")]
+    server: u64,
+    #[prost(fixed64, tag = "2")]
+    route: u64,
+    #[prost(uint64, tag = "3")]
+    took_ms: u64,
+    /// One of the `END_` constants; a call with another one is left out.
+    #[prost(uint32, tag = "4")]
+    end: u32,
+    /// Missing: it stands for itself only.
+    #[prost(uint32, optional, tag = "5")]
+    count: Option<u32>,
+}
+
+const END_ANSWERED: u32 = 0;
+const END_FAILED: u32 = 1;
+const END_REFUSED: u32 = 2;
+const END_LOST: u32 = 3;
+const END_OPEN: u32 = 4;
+
 #[derive(Clone, PartialEq)]
 #[derive(prost::Message)]
 struct WireItem {
@@ -374,6 +403,7 @@
             store_era: heartbeat.store_era.map(|era| era.0),
             config_version: heartbeat.config_version,
             formats: heartbeat.member.formats.numbers(),
+            calls: heartbeat.calls.into_iter().map(WireCall::from).collect(),
         }
     }
 }
@@ -393,10 +423,53 @@
             period_ms: wire.period_ms,
             store_era: wire.store_era.map(StoreEra),
             config_version: wire.config_version,
+            calls: wire
+                .calls
+                .into_iter()
+                .filter_map(WireCall::into_report)
+                .collect(),
         }
     }
 }
 
+impl From<CallReport> for WireCall {
+    fn from(report: CallReport) -> WireCall {
+        WireCall {
+            server: report.server,
+            route: report.route,
+            took_ms: report.took.0,
+            end: match report.end {
+                CallEnd::Answered => END_ANSWERED,
+                CallEnd::Failed => END_FAILED,
+                CallEnd::Refused => END_REFUSED,
+                CallEnd::Lost => END_LOST,
+                CallEnd::Open => END_OPEN,
+            },
+            count: (report.count != 1).then_some(report.count),
+        }
+    }
+}
+
+impl WireCall {
+    fn into_report(self) -> Option<CallReport> {
+        let end = match self.end {
+            END_ANSWERED => CallEnd::Answered,
+            END_FAILED => CallEnd::Failed,
+            END_REFUSED => CallEnd::Refused,
+            END_LOST => CallEnd::Lost,
+            END_OPEN => CallEnd::Open,
+            _ => return None,
+        };
+        Some(CallReport {
+            server: self.server,
+            route: self.route,
+            took: Millis(self.took_ms),
+            end,
+            count: self.count.unwrap_or(1),
+        })
+    }
+}
+
 impl From<Item> for WireItem {
     fn from(item: Item) -> WireItem {
         WireItem {
--- a/src/gateway/instances.rs
+++ b/src/gateway/instances.rs
@@ -14,6 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Millis;
+use crate::gateway::cost::CallReport;
 use crate::gateway::datagram::Format;
 use crate::gateway::datagram::Formats;
 use crate::gateway::message::PromptPart;
@@ -91,6 +92,9 @@
     /// Version of the configuration in force at the sender; 0 if none is. A sender
     /// that does not state it proves nothing.
     pub config_version: u64,
+    /// How some of the sender's calls to plain servers ended since its last
+    /// heartbeat; none unless it places calls by learned cost.
+    pub calls: Vec<CallReport>,
 }
 
 /// A message between instances; [`crate::gateway::datagram`] encodes it.
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -2,7 +2,9 @@
 //! servers, on a virtual clock.
 
 mod answer_times;
+mod calls;
 mod core;
+mod cost;
 mod crashes;
 mod datagrams;
 mod engine;
--- a/src/gateway/tests/core.rs
+++ b/src/gateway/tests/core.rs
@@ -245,6 +245,7 @@
             period_ms: 2_000,
             store_era: Some(StoreEra::default()),
             config_version: 1,
+            calls: Vec::new(),
         })));
     }
 
@@ -432,6 +433,7 @@
             period_ms: 500,
             store_era: Some(StoreEra::default()),
             config_version: 1,
+            calls: Vec::new(),
         }))
     };
     // The peer knows a newer operator change than this instance.
@@ -458,6 +460,7 @@
         period_ms: 500,
         store_era: Some(StoreEra::default()),
         config_version: 1,
+        calls: Vec::new(),
     }));
     if let Input::Peer {
         arrived_after: after,
@@ -483,6 +486,7 @@
         period_ms: 500,
         store_era: Some(StoreEra::default()),
         config_version: 1,
+        calls: Vec::new(),
     })));
     let _ = harness.handle(Input::StoreUpdates {
         proved_at: None,
@@ -518,6 +522,7 @@
             period_ms: 500,
             store_era: Some(StoreEra::default()),
             config_version: 1,
+            calls: Vec::new(),
         }))
     };
     let watching_after_store_loss = |store_answers: bool| {
@@ -935,6 +940,7 @@
         period_ms: 500,
         store_era: Some(StoreEra::default()),
         config_version: 1,
+        calls: Vec::new(),
     })));
     let mut announce = |rate_limit, advance: u64| {
         harness.now += advance;
--- a/src/gateway/tests/datagrams.rs
+++ b/src/gateway/tests/datagrams.rs
@@ -55,6 +55,7 @@
         period_ms: 500,
         store_era: Some(StoreEra(2)),
         config_version: 21,
+        calls: Vec::new(),
     };
     let item = |value: Option<&[u8]>| {
         PeerMessage::Item(Item {
--- a/src/gateway/tests/restored.rs
+++ b/src/gateway/tests/restored.rs
@@ -155,6 +155,7 @@
         period_ms: 500,
         store_era: Some(StoreEra(era)),
         config_version,
+        calls: Vec::new(),
     }))
 }
 
@@ -314,6 +315,7 @@
                 period_ms: 2_000,
                 store_era,
                 config_version: 1,
+                calls: Vec::new(),
             })));
         }
         for output in harness.tick_until(harness.now + 300) {
--- a/src/gateway/tests/watching.rs
+++ b/src/gateway/tests/watching.rs
@@ -27,6 +27,7 @@
                 period_ms: 2_000,
                 store_era: Some(StoreEra::default()),
                 config_version: 0,
+                calls: Vec::new(),
             })));
         }
         for _ in 0..20 {
