--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -14,6 +14,7 @@
 mod freshness;
 mod health;
 mod heartbeats;
+mod lengths;
 mod links;
 mod notices;
 mod quarantine;
--- a/src/gateway/core/calls.rs
+++ b/src/gateway/core/calls.rs
@@ -10,6 +10,7 @@
 use crate::clock::Millis;
 use crate::gateway::cost::CallEnd;
 use crate::gateway::cost::CallReport;
+use crate::gateway::cost::forecast;
 use crate::gateway::cost::forecast::CallTerms;
 use crate::gateway::cost::forecast::Forecast;
 use crate::gateway::cost::forecast::ServerView;
@@ -44,7 +45,12 @@
         .hosts
         .values()
         .flatten()
-        .filter(move |route| route.weighted_services.iter().any(|(name, _)| is_plain(name)))
+        .filter(move |route| {
+            route
+                .weighted_services
+                .iter()
+                .any(|(name, _)| is_plain(name))
+        })
         .map(|route| (id_hash(&route.name), route.target_latency))
 }
 
@@ -87,11 +93,10 @@
             CallPlacement::LeastOutstanding => {
                 self.least_busy(candidates, |key| self.draw(job, key))
             }
-            CallPlacement::FewestCalls | CallPlacement::LearnedCost => {
-                self.least_busy(candidates, |key| {
+            CallPlacement::FewestCalls | CallPlacement::LearnedCost => self
+                .least_busy(candidates, |key| {
                     u64::from(self.server_table.get(key).entry.domain != self.local.domain)
-                })
-            }
+                }),
         };
         let forecast = None;
         server.map(|server| ChosenServer { server, forecast })
@@ -141,12 +146,26 @@
         candidates: &[ServerKey],
     ) -> Option<ChosenServer> {
         let terms = call_terms(now, request, Some(job.0));
-        let forecasts = candidates.iter().map(|&server| ChosenServer {
-            server,
-            forecast: Some(self.forecast_call(now, &terms, server)),
-        });
-        let loss = |chosen: &ChosenServer| chosen.forecast.map_or(0.0, |forecast| forecast.loss);
-        forecasts.min_by(|a, b| loss(a).total_cmp(&loss(b)))
+        let forecasts: Vec<Forecast> = candidates
+            .iter()
+            .map(|&server| self.forecast_call(now, &terms, server))
+            .collect();
+        let index = forecast::choose(&forecasts, |number| {
+            xxh3_64_with_seed(&job.0.to_le_bytes(), number) as f64 / u64::MAX as f64
+        })?;
+        Some(ChosenServer {
+            server: candidates[index],
+            forecast: Some(forecasts[index]),
+        })
+    }
+
+    fn server_view(&self, server: ServerKey) -> ServerView {
+        let entry = &self.server_table.get(server).entry;
+        ServerView {
+            hash: id_hash(&entry.id),
+            slots: entry.slots,
+            is_cross_domain: entry.domain != self.local.domain,
+        }
     }
 
     /// Forecasts a call on a server.
@@ -156,12 +175,7 @@
         terms: &CallTerms,
         server: ServerKey,
     ) -> Forecast {
-        let entry = &self.server_table.get(server).entry;
-        let view = ServerView {
-            hash: id_hash(&entry.id),
-            slots: entry.slots,
-            is_cross_domain: entry.domain != self.local.domain,
-        };
+        let view = self.server_view(server);
         let told: Option<Vec<Millis>> = self.is_load_broadcast(server).then(|| {
             let calls = self.fleet_load.call_starts(server);
             calls
@@ -186,13 +200,18 @@
         };
         if self.learns_costs() {
             let route = id_hash(&request.route.name);
-            let hash = id_hash(&self.server_table.get(server).entry.id);
-            self.cost.open(now, job, server, hash, route);
+            let view = self.server_view(server);
+            self.cost.open(now, job, server, view, route);
         }
     }
 
     /// Records how a call ended.
-    pub(super) fn record_call_end(&mut self, now: Millis, attempt: &ActiveAttempt, end: AttemptEnd) {
+    pub(super) fn record_call_end(
+        &mut self,
+        now: Millis,
+        attempt: &ActiveAttempt,
+        end: AttemptEnd,
+    ) {
         let end = match end {
             AttemptEnd::Whole => Some(CallEnd::Answered),
             AttemptEnd::Failed => Some(CallEnd::Failed),
@@ -226,7 +245,8 @@
         for report in reports {
             let server = self.server_table.find_by_id_hash(report.server);
             if let Some(server) = server.filter(|&server| self.places_by_cost(server)) {
-                self.cost.record_report(now, server, report);
+                let slots = self.server_table.get(server).entry.slots;
+                self.cost.record_report(now, server, slots, report);
             }
         }
     }
--- a/src/gateway/core/choose.rs
+++ b/src/gateway/core/choose.rs
@@ -137,7 +137,12 @@
 
     /// Returns whether this instance's share of a cold server's rate limit
     /// allows one more request. Warm servers have no such limit.
-    pub(super) fn has_cold_capacity(&self, now: Millis, routes: &RouteTable, key: ServerKey) -> bool {
+    pub(super) fn has_cold_capacity(
+        &self,
+        now: Millis,
+        routes: &RouteTable,
+        key: ServerKey,
+    ) -> bool {
         let server = self.server_table.get(key);
         let rate = routes
             .services
--- a/src/gateway/core/endings.rs
+++ b/src/gateway/core/endings.rs
@@ -146,6 +146,9 @@
             "send ended"
         );
         self.record_call_end(now, &attempt, end);
+        if end == AttemptEnd::Whole {
+            self.record_output_length(ticket, &attempt);
+        }
         self.release_attempt(now, &attempt, out);
         self.update_server_health(now, ticket, &attempt, end, out);
     }
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -138,6 +138,8 @@
     pub(super) first_output_seen: bool,
     /// Whether further output followed the first.
     pub(super) output_continued: bool,
+    /// Events of a stream that were observed.
+    pub(super) events: u64,
     /// When another server was last sought because the attempt is stalled;
     /// `None` if it has not been stalled.
     pub(super) stall_checked_at: Option<Millis>,
@@ -371,22 +373,18 @@
             .services
             .get(&request.service)
             .and_then(|service| service.engine);
-        let default_output_tokens = engine.map_or(0, |engine| engine.mean_output_tokens);
         let prompt_tokens = shape.prompt_tokens as f64;
         let lane = engine.map_or(Lane::Short, |engine| {
             self.fleet_load
                 .lane(&request.service, &engine, prompt_tokens)
         });
-        let output_tokens = shape
-            .expected_output_tokens
-            .unwrap_or(default_output_tokens)
-            .min(shape.max_output_tokens);
+        let output_tokens = self.likely_output_tokens(request, engine, shape);
         let target = request.route.target_latency;
         let due = (request.submission.arrived + target).max(now + Millis(1));
         Prompt {
             key: job,
             prompt_tokens,
-            output_tokens: output_tokens as f64,
+            output_tokens,
             due_at: due.0 as f64,
             deadline_at: request.response_deadline.0 as f64,
             target_ms: target.0 as f64,
@@ -456,6 +454,7 @@
                 .then_some(plan.first_output_deadline),
             first_output_seen: false,
             output_continued: false,
+            events: 0,
             stall_checked_at: None,
             last_output: now,
             longest_gap: Millis::ZERO,
@@ -622,6 +621,7 @@
             return;
         };
         attempt.first_output_seen = true;
+        attempt.events += 1;
         attempt.stall_checked_at = None;
         attempt.last_output = now;
         let attempt = attempt.clone();
@@ -673,6 +673,7 @@
         self.links.record_output(at, &request.service);
         attempt.longest_gap = attempt.longest_gap.max(at.since(attempt.last_output));
         attempt.last_output = at;
+        attempt.events += 1;
         attempt.stall_checked_at = None;
         let is_second = !std::mem::replace(&mut attempt.output_continued, true);
         self.fleet_load
--- a/src/gateway/cost.rs
+++ b/src/gateway/cost.rs
@@ -36,6 +36,9 @@
 /// Times the usual duration after which an open call tells that its server is
 /// slow.
 const OVERDUE_FACTOR: f64 = 2.0;
+/// Part of a server's slots that calls of usual work keep busy from which on the
+/// time of its calls tells of its queue rather than of its speed.
+const QUEUEING_UTILIZATION: f64 = 0.6;
 /// Calls that a route's share of failures is learned from.
 const FAILURE_MEMORY: f64 = 50.0;
 /// Share of failures of a route of which nothing is known, and the calls that it
@@ -97,6 +100,7 @@
 #[derive(Debug, Clone, Copy)]
 struct OpenCall {
     server: ServerKey,
+    slots: u32,
     server_hash: u64,
     route: u64,
     sent_at: Millis,
@@ -147,12 +151,13 @@
         now: Millis,
         job: JobKey,
         server: ServerKey,
-        server_hash: u64,
+        view: ServerView,
         route: u64,
     ) {
         let call = OpenCall {
             server,
-            server_hash,
+            slots: view.slots,
+            server_hash: view.hash,
             route,
             sent_at: now,
         };
@@ -171,7 +176,7 @@
             end,
             count: 1,
         };
-        self.record(now, call.server, &report);
+        self.record(now, call.server, call.slots, &report);
         // A connection that broke may be this instance's own fault; failures of
         // that kind are told once another server is reached.
         if end != CallEnd::Lost {
@@ -222,24 +227,34 @@
     }
 
     /// Records a call of another instance.
-    pub fn record_report(&mut self, now: Millis, server: ServerKey, report: &CallReport) {
-        self.record(now, server, report);
+    pub fn record_report(
+        &mut self,
+        now: Millis,
+        server: ServerKey,
+        slots: u32,
+        report: &CallReport,
+    ) {
+        self.record(now, server, slots, report);
         let weight = f64::from(report.count.min(MAX_REPORT_COUNT));
         let facts = self.servers.entry(server).or_default();
         facts.record_told_work(now, report.took.0 as f64, weight);
     }
 
-    fn record(&mut self, now: Millis, server: ServerKey, report: &CallReport) {
+    fn record(&mut self, now: Millis, server: ServerKey, slots: u32, report: &CallReport) {
         let Some(costs) = self.routes.get_mut(&report.route) else {
             return;
         };
         let facts = self.servers.entry(server).or_default();
         let weight = f64::from(report.count.min(MAX_REPORT_COUNT));
         let took_ms = report.took.0.max(1) as f64;
+        if report.end != CallEnd::Refused && report.end != CallEnd::Open {
+            facts.record_work(now, weight * costs.work.mean_ms());
+        }
         match report.end {
             CallEnd::Answered => {
                 let slowness = facts.estimate(now).slowness.mean;
-                facts.record_answer(now, took_ms / costs.work.mean_ms(), weight);
+                let idle = idle_share(facts, now, slots);
+                facts.record_answer(now, took_ms / costs.work.mean_ms(), weight * idle);
                 facts.record_failure(now, -costs.failure_share(), weight);
                 costs.record_failed(false, weight);
                 costs.work.record(took_ms / slowness, weight);
@@ -254,7 +269,8 @@
             CallEnd::Open => {
                 let ratio = took_ms / costs.work.mean_ms();
                 if ratio > OVERDUE_FACTOR {
-                    facts.record_answer(now, ratio, weight);
+                    let idle = idle_share(facts, now, slots);
+                    facts.record_answer(now, ratio, weight * idle);
                 }
             }
         }
@@ -290,7 +306,8 @@
         for call in own.iter().filter(|call| self.is_overdue(now, call)) {
             if let Some(costs) = self.routes.get(&call.route) {
                 let age = now.since(call.sent_at).0 as f64;
-                facts.record_answer(now, age / costs.work.mean_ms(), 1.0);
+                let idle = idle_share(&facts, now, view.slots);
+                facts.record_answer(now, age / costs.work.mean_ms(), idle);
             }
         }
         let estimate = facts.estimate(now);
@@ -331,3 +348,9 @@
         self.open.contains_key(&job)
     }
 }
+
+/// Returns how far the time of a server's calls tells of its speed, from 0 to 1.
+fn idle_share(facts: &ServerFacts, now: Millis, slots: u32) -> f64 {
+    let queueing_slots = QUEUEING_UTILIZATION * f64::from(slots.max(1));
+    (1.0 - facts.estimate(now).busy_slots / queueing_slots).clamp(0.0, 1.0)
+}
--- a/src/gateway/cost/forecast.rs
+++ b/src/gateway/cost/forecast.rs
@@ -20,10 +20,13 @@
 const REFUSAL_LOSS: f64 = 0.3;
 /// Loss of an answer that takes as long as the target, without being late.
 const WAIT_LOSS: f64 = 0.1;
-/// Loss of going to another failure domain.
-const CROSS_DOMAIN_LOSS: f64 = 0.01;
 /// Share of the ends of other instances' calls that is assumed not to be heard.
 const TOLD_LOSS: f64 = 0.1;
+/// Difference between losses that does not matter for a call.
+const NEGLIGIBLE_LOSS: f64 = 0.03;
+/// Share of the servers' slots that may be busy without calls that wait, also if
+/// half of the other instances' calls are not heard of.
+const EASY_UTILIZATION: f64 = 0.4;
 /// Least factor by which a server may be drawn to be faster than usual.
 const MIN_SLOWNESS: f64 = 0.1;
 
@@ -104,12 +107,18 @@
     pub work_left_ms: f64,
     /// Standard deviation of that, in ms.
     pub work_left_deviation_ms: f64,
+    /// Part of the work left that is this instance's, of which only it knows.
+    pub own_left_ms: f64,
     /// Time until the call begins to run, in ms.
     pub wait_ms: f64,
     /// Time until the answer, in ms.
     pub answer_ms: f64,
     /// Share of such calls that are answered after the target.
     pub late_share: f64,
+    /// Calls of usual work that the server can run at a time.
+    pub capacity: f64,
+    /// Whether the server is in another failure domain.
+    pub is_cross_domain: bool,
     /// Condition of the server.
     pub estimate: Estimate,
 }
@@ -160,22 +169,70 @@
         false => 1.0,
     };
     let sent_loss = failures * failure_loss + (1.0 - failures) * answer_loss;
-    let domain_loss = match view.is_cross_domain {
-        true => CROSS_DOMAIN_LOSS,
-        false => 0.0,
-    };
     Forecast {
-        loss: refusals * REFUSAL_LOSS + (1.0 - refusals) * sent_loss + domain_loss,
+        loss: refusals * REFUSAL_LOSS + (1.0 - refusals) * sent_loss,
         work_ms,
         work_left_ms,
         work_left_deviation_ms: count.deviation * mean_left_ms,
+        own_left_ms,
         wait_ms,
         answer_ms,
         late_share,
+        is_cross_domain: view.is_cross_domain,
+        capacity: slots / estimate.slowness.mean * (1.0 - estimate.refusals.mean),
         estimate: *estimate,
     }
 }
 
+/// Chooses one of the servers by its forecast; returns its index. `draw` gives the
+/// chance of an index for a number, from 0 to 1.
+///
+/// All instances know about the same and act alike until the news of what they did
+/// has come round. The server with the least loss would therefore be flooded by
+/// them all; instead the call goes to the better of two drawn by their capacity from
+/// as many good servers as bear the load easily, and among equals to the one in the
+/// own failure domain.
+#[must_use]
+pub fn choose(forecasts: &[Forecast], draw: impl Fn(u64) -> f64) -> Option<usize> {
+    let mut order: Vec<usize> = (0..forecasts.len()).collect();
+    order.sort_by(|&a, &b| forecasts[a].loss.total_cmp(&forecasts[b].loss));
+    let best = forecasts[*order.first()?].loss;
+    let busy_slots: f64 = forecasts.iter().map(|one| one.estimate.busy_slots).sum();
+    let mut capacity = 0.0;
+    order.retain(|&index| {
+        let is_needed = capacity * EASY_UTILIZATION < busy_slots;
+        let is_good = forecasts[index].loss <= best + NEGLIGIBLE_LOSS;
+        if is_needed || is_good {
+            capacity += forecasts[index].capacity;
+        }
+        is_needed || is_good
+    });
+    let pick = |number: u64| {
+        let mut left = draw(number) * capacity;
+        let found = order.iter().find(|&&index| {
+            left -= forecasts[index].capacity;
+            left <= 0.0
+        });
+        found.or(order.last()).copied()
+    };
+    let (first, second) = (pick(0)?, pick(1)?);
+    let (a, b) = (&forecasts[first], &forecasts[second]);
+    // The fuller the servers, the more harm is done by many that act alike on what
+    // they all know.
+    let total_capacity: f64 = forecasts.iter().map(|one| one.capacity).sum();
+    let is_compared = draw(2) * total_capacity >= busy_slots;
+    let is_equal = (a.loss - b.loss).abs() <= NEGLIGIBLE_LOSS;
+    let is_better = match (is_compared, is_equal) {
+        (true, false) => b.loss < a.loss,
+        (false, _) if a.own_left_ms != b.own_left_ms => b.own_left_ms < a.own_left_ms,
+        _ => a.is_cross_domain && !b.is_cross_domain,
+    };
+    match is_better {
+        true => Some(second),
+        false => Some(first),
+    }
+}
+
 /// Returns a random number with mean 0 and variance 1, evenly distributed, or 0
 /// without a draw.
 fn draw_deviation(draw: Option<u64>, server: u64, quantity: u64) -> f64 {
--- a/src/gateway/cost/servers.rs
+++ b/src/gateway/cost/servers.rs
@@ -7,7 +7,7 @@
 use crate::clock::Millis;
 
 /// Time in which the weight of a fact falls to a third.
-const MEMORY_MS: f64 = 5_000.0;
+const MEMORY_MS: f64 = 3_000.0;
 /// Number of calls that the assumption of a sound server of usual speed counts
 /// as.
 const PRIOR_CALLS: f64 = 2.0;
@@ -41,6 +41,8 @@
     pub failures: Uncertain,
     /// Calls of other instances that it runs or queues, on average.
     pub told_in_flight: f64,
+    /// Slots that its calls would keep busy if it had the usual speed.
+    pub busy_slots: f64,
 }
 
 /// Decaying sums over the latest calls on a server.
@@ -58,6 +60,8 @@
     /// Failures beyond the usual share of the calls' routes.
     excess_failures: f64,
     told_work_ms: f64,
+    /// Usual work of the calls that it ran, of all instances.
+    usual_work_ms: f64,
 }
 
 impl ServerFacts {
@@ -71,6 +75,7 @@
             &mut self.refused,
             &mut self.excess_failures,
             &mut self.told_work_ms,
+            &mut self.usual_work_ms,
         ] {
             *sum *= factor;
         }
@@ -101,6 +106,12 @@
         self.last_fact_at = Some(now);
     }
 
+    /// Records the usual work of calls that the server ran.
+    pub fn record_work(&mut self, now: Millis, work_ms: f64) {
+        self.decay(now);
+        self.usual_work_ms += work_ms;
+    }
+
     /// Records the time that calls of other instances spent on the server.
     pub fn record_told_work(&mut self, now: Millis, took_ms: f64, weight: f64) {
         self.decay(now);
@@ -132,6 +143,7 @@
             failures: share(facts.excess_failures.max(0.0)),
             // Little's law: work per time is calls in flight.
             told_in_flight: facts.told_work_ms / MEMORY_MS,
+            busy_slots: facts.usual_work_ms / MEMORY_MS,
         }
     }
 }
--- a/src/gateway/tests/datagrams.rs
+++ b/src/gateway/tests/datagrams.rs
@@ -7,6 +7,8 @@
 
 use crate::adapter::store;
 use crate::clock::Millis;
+use crate::gateway::cost::CallEnd;
+use crate::gateway::cost::CallReport;
 use crate::gateway::datagram;
 use crate::gateway::datagram::Format;
 use crate::gateway::datagram::Formats;
@@ -186,6 +188,64 @@
     }
 }
 
+/// Returns a heartbeat that tells of one call for each way in which it can end.
+fn heartbeat_with_calls() -> Heartbeat {
+    let (_, message) = recorded_messages().remove(3);
+    let PeerMessage::Alive(heartbeat) = message else {
+        unreachable!("the fourth message is a heartbeat");
+    };
+    let ends = [
+        CallEnd::Answered,
+        CallEnd::Failed,
+        CallEnd::Refused,
+        CallEnd::Lost,
+        CallEnd::Open,
+    ];
+    let calls = ends.into_iter().zip(1..).map(|(end, count)| CallReport {
+        server: u64::MAX,
+        route: 7,
+        took: Millis(640),
+        end,
+        count,
+    });
+    Heartbeat {
+        calls: calls.collect(),
+        ..heartbeat
+    }
+}
+
+#[test]
+fn heartbeats_tell_of_calls_to_releases_that_know_them() {
+    let heartbeat = heartbeat_with_calls();
+    let message = PeerMessage::Alive(heartbeat.clone());
+    let sent = datagram::encode(&message, Format::Tagged).unwrap();
+    assert_eq!(decode(&sent), message);
+    let without_calls = PeerMessage::Alive(Heartbeat {
+        calls: Vec::new(),
+        ..heartbeat
+    });
+    let size = datagram::encode(&without_calls, Format::Tagged)
+        .unwrap()
+        .len();
+    // Five calls; heartbeats carry six at most.
+    assert!(sent.len() - size <= 5 * 30, "{} and {size}", sent.len());
+    let to_earlier = datagram::encode(&message, Format::Positional).unwrap();
+    assert_eq!(decode(&to_earlier), without_calls);
+}
+
+#[test]
+fn a_call_that_ended_in_a_later_way_is_left_out() {
+    let mut heartbeat = heartbeat_with_calls();
+    heartbeat.calls.truncate(2);
+    let sent = datagram::encode(&PeerMessage::Alive(heartbeat.clone()), Format::Tagged).unwrap();
+    // The second call is the one that has an end other than the first constant.
+    let at = sent.windows(2).rposition(|pair| pair == [0x20, 1]).unwrap();
+    let mut later = sent;
+    later[at + 1] = 99;
+    heartbeat.calls.truncate(1);
+    assert_eq!(decode(&later), PeerMessage::Alive(heartbeat));
+}
+
 #[test]
 fn tagged_datagrams_carry_every_message() {
     for (name, message) in recorded_messages() {
