Learned cost: the queue of a full server does not count as slowness

A call that waited, or is overdue in a queue, made its server look slow to all instances, which left it until the next heartbeats came round: the fleet swung. Times teach less of a server's speed the fuller it is, overdue calls included; what all instances know is compared only up to 0.6 of the capacity, beyond that each goes by its own calls. Loads are taken over the time that is known, not over the whole memory.

--- a/src/gateway/cost.rs
+++ b/src/gateway/cost.rs
@@ -36,9 +36,6 @@
 /// Times the usual duration after which an open call tells that its server is
 /// slow.
 const OVERDUE_FACTOR: f64 = 2.0;
-/// Part of a server's slots that calls of usual work keep busy from which on the
-/// time of its calls tells of its queue rather than of its speed.
-const QUEUEING_UTILIZATION: f64 = 0.6;
 /// Calls that a route's share of failures is learned from.
 const FAILURE_MEMORY: f64 = 50.0;
 /// Share of failures of a route of which nothing is known, and the calls that it
@@ -351,6 +348,6 @@
 
 /// Returns how far the time of a server's calls tells of its speed, from 0 to 1.
 fn idle_share(facts: &ServerFacts, now: Millis, slots: u32) -> f64 {
-    let queueing_slots = QUEUEING_UTILIZATION * f64::from(slots.max(1));
+    let queueing_slots = forecast::QUEUEING_UTILIZATION * f64::from(slots.max(1));
     (1.0 - facts.estimate(now).busy_slots / queueing_slots).clamp(0.0, 1.0)
 }
--- a/src/gateway/cost/forecast.rs
+++ b/src/gateway/cost/forecast.rs
@@ -27,6 +27,9 @@
 /// Share of the servers' slots that may be busy without calls that wait, also if
 /// half of the other instances' calls are not heard of.
 const EASY_UTILIZATION: f64 = 0.4;
+/// Part of a server's slots that calls of usual work keep busy from which on the
+/// time of its calls tells of its queue rather than of its speed.
+pub(super) const QUEUEING_UTILIZATION: f64 = 0.6;
 /// Least factor by which a server may be drawn to be faster than usual.
 const MIN_SLOWNESS: f64 = 0.1;
 
@@ -220,7 +223,7 @@
     // The fuller the servers, the more harm is done by many that act alike on what
     // they all know.
     let total_capacity: f64 = forecasts.iter().map(|one| one.capacity).sum();
-    let is_compared = draw(2) * total_capacity >= busy_slots;
+    let is_compared = draw(2) * total_capacity * QUEUEING_UTILIZATION >= busy_slots;
     let is_equal = (a.loss - b.loss).abs() <= NEGLIGIBLE_LOSS;
     let is_better = match (is_compared, is_equal) {
         (true, false) => b.loss < a.loss,
--- a/src/gateway/cost/servers.rs
+++ b/src/gateway/cost/servers.rs
@@ -8,6 +8,8 @@
 
 /// Time in which the weight of a fact falls to a third.
 const MEMORY_MS: f64 = 3_000.0;
+/// Least time from which the load of a server is taken.
+const MIN_LOAD_MS: f64 = 1_000.0;
 /// Number of calls that the assumption of a sound server of usual speed counts
 /// as.
 const PRIOR_CALLS: f64 = 2.0;
@@ -50,6 +52,8 @@
 pub struct ServerFacts {
     /// Until when the sums have decayed.
     decayed_at: Millis,
+    /// When the first call was recorded that its load is taken from.
+    load_since: Option<Millis>,
     /// When the newest fact was learned.
     pub last_fact_at: Option<Millis>,
     ratios: f64,
@@ -109,6 +113,7 @@
     /// Records the usual work of calls that the server ran.
     pub fn record_work(&mut self, now: Millis, work_ms: f64) {
         self.decay(now);
+        self.load_since.get_or_insert(now);
         self.usual_work_ms += work_ms;
     }
 
@@ -123,6 +128,9 @@
     pub fn estimate(&self, now: Millis) -> Estimate {
         let mut facts = self.clone();
         facts.decay(now);
+        // The sums cover less than the whole memory at first.
+        let known_ms = facts.load_since.map_or(0.0, |at| now.since(at).0 as f64);
+        let covered_ms = MEMORY_MS * (1.0 - (-known_ms.max(MIN_LOAD_MS) / MEMORY_MS).exp());
         let ratios = facts.ratios + PRIOR_CALLS;
         let slowness = (facts.ratio_sum + PRIOR_CALLS) / ratios;
         let calls = facts.calls + PRIOR_CALLS;
@@ -142,8 +150,8 @@
             refusals: share(facts.refused),
             failures: share(facts.excess_failures.max(0.0)),
             // Little's law: work per time is calls in flight.
-            told_in_flight: facts.told_work_ms / MEMORY_MS,
-            busy_slots: facts.usual_work_ms / MEMORY_MS,
+            told_in_flight: facts.told_work_ms / covered_ms,
+            busy_slots: facts.usual_work_ms / covered_ms,
         }
     }
 }
