--- a/src/config/table.rs
+++ b/src/config/table.rs
@@ -4,6 +4,8 @@
 use super::LogFormat;
 use super::Secret;
 use crate::clock::Millis;
+use crate::gateway::settings::CallPlacement;
+use crate::gateway::settings::OutputLengthSource;
 
 /// One line of the table.
 #[derive(Debug, Clone, Copy)]
@@ -139,6 +141,12 @@
     "gateway" "max_descriptors" gateway_max_descriptors: u64 = Some("4096"),
         number(Allowed::Number { min: 512, max: 10_000_000 }),
         "File descriptors that a gateway may have open";
+    "gateway" "call_placement" gateway_call_placement: CallPlacement = Some("fewest_calls"),
+        call_placement(Allowed::CallPlacement),
+        "How the server of a call to a plain service is chosen";
+    "gateway" "output_lengths" gateway_output_lengths: OutputLengthSource = Some("caller"),
+        output_lengths(Allowed::OutputLengthSource),
+        "Where the expected length of a prompt's output comes from: the caller, or the caller corrected by what was learned";
     "shutdown" "time_limit" shutdown_time_limit: Millis = Some("10 min"), span(span(0, YEAR)),
         "Time after which a graceful shutdown gives up waiting for admitted requests";
     "control" "tick" tick: Millis = Some("20 ms"), span(span(1, SECOND)),
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -14,6 +14,7 @@
 pub mod connection;
 pub mod connection_table;
 pub mod core;
+pub mod cost;
 pub mod daemon;
 pub mod datagram;
 pub mod engine;
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -4,6 +4,7 @@
 //! holds the configuration, the backend servers, the load that all instances
 //! report for each server, and the requests of its own callers.
 
+mod calls;
 mod choose;
 pub(super) mod crashes;
 mod endings;
@@ -13,6 +14,7 @@
 mod freshness;
 mod health;
 mod heartbeats;
+mod lengths;
 mod links;
 mod notices;
 mod quarantine;
@@ -37,6 +39,8 @@
 use crate::attempt::RetryBudgets;
 use crate::clock::Millis;
 use crate::gateway::answer_times::AnswerTimes;
+use crate::gateway::cost::CostModel;
+use crate::gateway::cost::lengths::OutputLengths;
 use crate::gateway::instances::CrashSuspect;
 use crate::gateway::instances::Instances;
 use crate::gateway::instances::MIN_HEARTBEAT_PERIOD;
@@ -132,6 +136,8 @@
     paused_servers: HashMap<ServerKey, Millis>,
     requests: BTreeMap<Ticket, Request>,
     answer_times: AnswerTimes,
+    cost: CostModel,
+    output_lengths: OutputLengths,
     watching: Watching,
     /// Times of the shutdown; `None` unless it has begun.
     shutdown: Option<Shutdown>,
@@ -183,6 +189,8 @@
             paused_servers: HashMap::new(),
             requests: BTreeMap::new(),
             answer_times: AnswerTimes::default(),
+            cost: CostModel::default(),
+            output_lengths: OutputLengths::default(),
             watching: Watching::Loosely,
             shutdown: None,
             ready: false,
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -7,6 +7,7 @@
 use super::fleet_load::utility_of_prompt;
 use super::relays::ActiveRelay;
 use crate::clock::Millis;
+use crate::gateway::cost::forecast::Forecast;
 use crate::gateway::engine::JobKey;
 use crate::gateway::instances::CrashSuspect;
 use crate::gateway::instances::PeerMessage;
@@ -120,6 +121,8 @@
     pub(super) prompt: Option<Prompt>,
     pub(super) job: JobKey,
     pub(super) routes: Arc<RouteTable>,
+    /// What is expected of a call placed by learned cost.
+    pub(super) forecast: Option<Forecast>,
 }
 
 /// An attempt in progress.
@@ -138,6 +141,8 @@
     pub(super) first_output_seen: bool,
     /// Whether further output followed the first.
     pub(super) output_continued: bool,
+    /// Events of a stream that were observed.
+    pub(super) events: u64,
     /// When another server was last sought because the attempt is stalled;
     /// `None` if it has not been stalled.
     pub(super) stall_checked_at: Option<Millis>,
@@ -376,6 +381,7 @@
             .services
             .get(&request.service)
             .is_some_and(|service| service.engine.is_some());
+        let mut forecast = None;
         let (placement, prompt) = match request.submission.head.prompt {
             Some(shape) if is_engine => {
                 let prompt = self.build_prompt(now, &routes, request, job, shape);
@@ -383,13 +389,16 @@
                 (placement, Some(prompt))
             }
             _ => {
+                let chosen = self.choose_server(now, &routes, request, job)?;
+                forecast = chosen.forecast;
                 let placement = Placement {
-                    primary: self.choose_server(now, &routes, request)?,
+                    primary: chosen.server,
                     helpers: Vec::new(),
                     primary_reserved: 0,
-                    first_token_at: now.0 as f64,
+                    first_token_at: now.0 as f64
+                        + forecast.map_or(0.0, |forecast| forecast.answer_ms),
                     parts_ready_at: 0.0,
-                    cost: 0.0,
+                    cost: forecast.map_or(0.0, |forecast| forecast.loss),
                     cost_to_others: 0.0,
                 };
                 (placement, None)
@@ -400,6 +409,7 @@
             prompt,
             job,
             routes,
+            forecast,
         })
     }
 
@@ -415,22 +425,18 @@
             .services
             .get(&request.service)
             .and_then(|service| service.engine);
-        let default_output_tokens = engine.map_or(0, |engine| engine.mean_output_tokens);
         let prompt_tokens = shape.prompt_tokens as f64;
         let lane = engine.map_or(Lane::Short, |engine| {
             self.fleet_load
                 .lane(&request.service, &engine, prompt_tokens)
         });
-        let output_tokens = shape
-            .expected_output_tokens
-            .unwrap_or(default_output_tokens)
-            .min(shape.max_output_tokens);
+        let output_tokens = self.likely_output_tokens(request, engine, shape);
         let target = request.route.target_latency;
         let due = (request.submission.arrived + target).max(now + Millis(1));
         Prompt {
             key: job,
             prompt_tokens,
-            output_tokens: output_tokens as f64,
+            output_tokens,
             due_at: due.0 as f64,
             deadline_at: request.response_deadline.0 as f64,
             target_ms: target.0 as f64,
@@ -460,6 +466,7 @@
             prompt,
             job,
             routes,
+            forecast,
         } = chosen;
         let (job, prompt) = (*job, prompt.as_ref());
         let plan = self.build_plan(now, routes, ticket, job, placement, prompt);
@@ -468,11 +475,17 @@
             self.cold_shares.record(now, placement.primary);
         }
         self.record_sent(now, placement.primary);
-        let load = self.fleet_load.describe(placement.primary);
+        let mut load = self.fleet_load.describe(placement.primary);
+        if let Some(forecast) = forecast {
+            load += &self.describe_forecast(now, placement.primary, forecast);
+        }
         let service = self.requests[&ticket].service.clone();
         match prompt {
             Some(prompt) => self.fleet_load.add_prompt(now, &service, prompt, placement),
-            None => self.fleet_load.add_call(now, placement.primary, job),
+            None => {
+                self.fleet_load.add_call(now, placement.primary, job);
+                self.record_call(now, ticket, placement.primary, job);
+            }
         }
         let parts = self.describe_helpers(&placement.helpers);
         let predicted_ms = placement.first_token_at - now.0 as f64;
@@ -494,6 +507,7 @@
                 .then_some(plan.first_output_deadline),
             first_output_seen: false,
             output_continued: false,
+            events: 0,
             stall_checked_at: None,
             last_output: now,
             longest_gap: Millis::ZERO,
@@ -660,6 +674,7 @@
             return;
         };
         attempt.first_output_seen = true;
+        attempt.events += 1;
         attempt.stall_checked_at = None;
         attempt.last_output = now;
         let attempt = attempt.clone();
@@ -711,6 +726,7 @@
         self.links.record_output(at, &request.service);
         attempt.longest_gap = attempt.longest_gap.max(at.since(attempt.last_output));
         attempt.last_output = at;
+        attempt.events += 1;
         attempt.stall_checked_at = None;
         let is_second = !std::mem::replace(&mut attempt.output_continued, true);
         self.fleet_load
