Other instances take over when those that watch the store end together

Two instances watch the servers' entries and tell the others. Killed together, they counted as watchers for 2.5 s more, or again as soon as they were back, although they watch only 1.5 s after their start; a server that drained meanwhile got requests for longer than drainMs.

Now a watcher is who states it: the digest in its heartbeat, sent once it has read the entries, counts for 1.1 s. While nobody states one, others take over in an order of their own, in groups that double in size, 75 ms apart, and go on until two before them watch.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -80,6 +80,16 @@
 /// Time by which the first heartbeats of other instances have arrived. The
 /// clock starts at zero with the process.
 const STARTUP_HEARTBEAT_WAIT: Millis = Millis(1_500);
+/// Time after the start by which others that started with it state that they watch
+/// the store; a server that drains meanwhile is read by then.
+const STARTUP_WATCH_WAIT: Millis = Millis(2_000);
+/// Time by which each further group of instances waits longer before it watches the
+/// store because nobody else does: the groups double in size, so that few watch at
+/// once, and the last ones wait half a second. Longer than a read and the heartbeat
+/// after it take.
+const TAKEOVER_STEP: Millis = Millis(75);
+/// Seed of the order in which instances take over.
+const TAKEOVER_ORDER_SEED: u64 = 1;
 
 /// Identity of this instance.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -130,6 +140,10 @@
     requests: BTreeMap<Ticket, Request>,
     answer_times: AnswerTimes,
     watching: Watching,
+    /// When that last changed.
+    watching_since: Millis,
+    /// Whether the backend servers' entries have been read since.
+    has_read_entries: bool,
     /// Times of the shutdown; `None` unless it has begun.
     shutdown: Option<Shutdown>,
     ready: bool,
@@ -180,6 +194,8 @@
             requests: BTreeMap::new(),
             answer_times: AnswerTimes::default(),
             watching: Watching::Loosely,
+            watching_since: Millis::ZERO,
+            has_read_entries: false,
             shutdown: None,
             ready: false,
             next_heartbeat: Millis::ZERO,
@@ -247,7 +263,14 @@
                 self.retry_waiting(now, &mut out);
             }
             Input::ForwardItems(items) => self.forward_items(now, items, &mut out),
-            Input::StoreCallFailed => self.freshness.record_store_loss(now),
+            Input::EntriesRead(queried_at) => self.on_entries_read(now, queried_at),
+            Input::StoreCallFailed => {
+                if self.watching == Watching::Closely && self.freshness.is_store_answering() {
+                    // Another instance has to watch.
+                    self.next_heartbeat = now;
+                }
+                self.freshness.record_store_loss(now);
+            }
             Input::StoreEra { era, restored } => {
                 self.freshness.record_era(now, era, restored);
                 if restored {
@@ -296,6 +319,8 @@
             self.paused_servers.retain(|_, until| now < *until);
             self.update_watching(now, out);
             self.update_gauges(now);
+        } else if self.watching == Watching::Loosely && self.replaces_watchers(now) {
+            self.update_watching(now, out);
         }
     }
 
@@ -311,7 +336,10 @@
         let store_answers = self.freshness.is_store_answering();
         let is_outage_poller = self.instances.rank_among_live(&self.local.name) < OUTAGE_POLLERS;
         let is_watcher = match store_answers {
-            true => self.instances.rank_among_connected(&self.local.name) < CLOSE_WATCHERS,
+            true => {
+                self.instances.rank_among_connected(&self.local.name) < CLOSE_WATCHERS
+                    || self.replaces_watchers(now)
+            }
             false => is_outage_poller && !self.instances.any_reaches_store(),
         };
         let is_proof_overdue =
@@ -325,6 +353,8 @@
         };
         if watching != self.watching {
             self.watching = watching;
+            self.watching_since = now;
+            self.has_read_entries = false;
             self.next_heartbeat = now;
             log::info!(
                 watching:? = watching,
@@ -336,6 +366,39 @@
         }
     }
 
+    /// Returns whether this instance watches the store for all in place of those
+    /// that are meant to. They may have ended together, and do not watch as soon as
+    /// they are back. Until enough others state that they do, it goes on. As long as
+    /// there is no configuration, no server gets a request.
+    fn replaces_watchers(&self, now: Millis) -> bool {
+        if self.routes.is_none() || !self.freshness.is_store_answering() {
+            return false;
+        }
+        if self.watching == Watching::Closely {
+            return self.instances.watchers_before(now, &self.local.name) < CLOSE_WATCHERS;
+        }
+        let unwatched_since = self.instances.watched_until().max(STARTUP_WATCH_WAIT);
+        if now < unwatched_since {
+            return false;
+        }
+        // Another order than that of the watchers, as those that precede in it may all
+        // have ended.
+        let rank = self
+            .instances
+            .rank_among_known(&self.local.name, TAKEOVER_ORDER_SEED);
+        let group = (rank / CLOSE_WATCHERS + 1).ilog2();
+        now >= unwatched_since + TAKEOVER_STEP * u64::from(group)
+    }
+
+    fn on_entries_read(&mut self, now: Millis, queried_at: Millis) {
+        let is_first = !self.has_read_entries && queried_at >= self.watching_since;
+        if is_first && self.watching == Watching::Closely {
+            self.has_read_entries = true;
+            // Tells the others that somebody watches.
+            self.next_heartbeat = now;
+        }
+    }
+
     fn update_gauges(&mut self, now: Millis) {
         let level = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
         self.metrics
--- a/src/gateway/core/heartbeats.rs
+++ b/src/gateway/core/heartbeats.rs
@@ -38,7 +38,8 @@
     }
 
     fn heartbeat(&self, now: Millis, period: Millis) -> PeerMessage {
-        let watch_closely = self.watching == Watching::Closely;
+        // Until it has read the entries, an instance watches them for nobody.
+        let watches_entries = self.watching == Watching::Closely && self.has_read_entries;
         PeerMessage::Alive(Heartbeat {
             member: Member {
                 name: self.local.name.clone(),
@@ -48,7 +49,7 @@
             config_revision: self.freshness.config_revision(),
             proof_age_ms: self.freshness.proof_age(now).0,
             store_answers: self.freshness.is_store_answering(),
-            entries_digest: watch_closely.then_some(self.entries_digest),
+            entries_digest: watches_entries.then_some(self.entries_digest),
             period_ms: period.0,
             store_era: Some(self.freshness.era()),
             config_version: self.config_version(),
@@ -75,6 +76,12 @@
             Millis(heartbeat.period_ms),
             heartbeat.store_answers && knows_era,
         );
+        let is_reading = heartbeat.store_answers && knows_era;
+        self.instances.record_watch(
+            now,
+            &member.name,
+            is_reading && heartbeat.entries_digest.is_some(),
+        );
         if is_changed {
             log::info!(
                 instance = member.name.as_str(),
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -343,6 +343,9 @@
                 self.revisions.record_read(part, position);
             }
             self.forward(part, era, new_changes);
+            if !allow_stale {
+                self.report_entries_read(part, queried_at);
+            }
             return Ok(position);
         }
     }
@@ -365,6 +368,7 @@
             self.revisions
                 .apply(era, page.changes, freshness_proof(part, queried_at));
         self.forward(part, era, new_changes);
+        self.report_entries_read(part, queried_at);
         Ok(StorePosition {
             era,
             revision: page.revision.max(after.revision),
@@ -394,6 +398,15 @@
         }
     }
 
+    /// Tells the core that the entries of backend servers are known, if this instance
+    /// watches them for all.
+    fn report_entries_read(&self, part: Part, queried_at: Millis) {
+        if part == Part::Servers && *self.watching.borrow() == Watching::Closely {
+            // Sending fails only during process exit.
+            let _ = self.inputs.send(Input::EntriesRead(queried_at));
+        }
+    }
+
     /// Registers this instance in the store and renews its entry until the process
     /// ends.
     pub async fn maintain_entry(self, member: Member) {
--- a/src/gateway/instances.rs
+++ b/src/gateway/instances.rs
@@ -34,6 +34,11 @@
 /// Heartbeat periods without a heartbeat after which an instance is considered
 /// lost; more than one because single datagrams can be lost.
 const MISSED_HEARTBEATS_UNTIL_LOST: u64 = 5;
+/// Time after a heartbeat for which an instance is taken to watch the backend
+/// servers' entries for all: two periods of a watcher, and the time to arrive. If
+/// all watchers end together, the others have half of the shortest drain time left
+/// to look for themselves.
+const MAX_WATCH_SILENCE: Millis = Millis(1_100);
 /// Time for which the relay state of an instance applies if it is not repeated:
 /// two heartbeat periods.
 const RELAY_STATE_LIFETIME: Millis = Millis(4_000);
@@ -250,6 +255,8 @@
     alive: bool,
     /// Whether its last store call succeeded.
     store_answers: bool,
+    /// Until when it is taken to watch the backend servers' entries for all.
+    watches_until: Millis,
     relay_state: Option<RelayState>,
     /// Until when no request is relayed to it because it could not be reached.
     unreachable_until: Millis,
@@ -307,6 +314,7 @@
                 lost_after: now,
                 alive: false,
                 store_answers,
+                watches_until: Millis::ZERO,
                 relay_state: None,
                 unreachable_until: Millis::ZERO,
             });
@@ -323,6 +331,32 @@
         changed
     }
 
+    /// Records whether an instance states that it watches the backend servers'
+    /// entries for all. One that was restarted does not at first.
+    pub fn record_watch(&mut self, now: Millis, name: &str, watches: bool) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.watches_until = match watches {
+                true => now + MAX_WATCH_SILENCE,
+                false => peer.watches_until.min(now),
+            };
+        }
+    }
+
+    /// Returns until when any other instance is taken to watch the backend servers'
+    /// entries for all.
+    #[must_use]
+    pub fn watched_until(&self) -> Millis {
+        let until = self.peers.values().map(|peer| peer.watches_until);
+        until.max().unwrap_or_default()
+    }
+
+    /// Returns the number of instances that watch the backend servers' entries for
+    /// all and precede `name` in a hash order common to all instances.
+    #[must_use]
+    pub fn watchers_before(&self, now: Millis, name: &str) -> usize {
+        self.count_before(name, |peer| now < peer.watches_until)
+    }
+
     /// Removes an instance whose store entry is gone, unless it is still alive.
     pub fn remove(&mut self, name: &str) {
         if self.peers.get(name).is_some_and(|peer| !peer.alive) {
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -486,6 +486,9 @@
     },
     /// Store changes for the other instances.
     ForwardItems(Vec<Item>),
+    /// The entries of backend servers are known as of a query at this time. Sent
+    /// while they are watched for all instances.
+    EntriesRead(Millis),
     /// A call to the store failed.
     StoreCallFailed,
     /// The store is in a new era, or this instance has learned of its era.
--- a/src/gateway/tests/core.rs
+++ b/src/gateway/tests/core.rs
@@ -492,8 +492,13 @@
         updates: Vec::new(),
     });
     let mut digests = Vec::new();
-    for _ in 0..10 {
+    for n in 0..12 {
         harness.now += 500;
+        if n == 2 {
+            // Others would rely on it before it has read the entries.
+            assert!(digests.iter().all(Option::is_none), "{digests:?}");
+            let _ = harness.handle(Input::EntriesRead(Millis(harness.now)));
+        }
         for output in harness.handle(Input::Tick) {
             if let Output::Broadcast(_, PeerMessage::Alive(heartbeat)) = output {
                 digests.push(heartbeat.entries_digest);
--- a/src/gateway/tests/restored.rs
+++ b/src/gateway/tests/restored.rs
@@ -298,7 +298,7 @@
 }
 
 /// Returns whether an instance watches the store closely beside many others that
-/// the store answers, of which each states this era.
+/// the store answers, of which each states this era and two watch it for all.
 fn watches_closely_beside(store_era: Option<StoreEra>) -> bool {
     let mut harness = Harness::new();
     harness.restore(1);
@@ -310,7 +310,7 @@
                 config_revision: 5,
                 proof_age_ms: 0,
                 store_answers: true,
-                entries_digest: None,
+                entries_digest: (n < 2).then_some(0),
                 period_ms: 2_000,
                 store_era,
                 config_version: 1,
