Watchers that the store does not answer are replaced two at a time

When the store answers nobody, its two watchers say so; taking that for nobody watching would have made all instances call it within half a second.

--- a/src/gateway/core/heartbeats.rs
+++ b/src/gateway/core/heartbeats.rs
@@ -76,12 +76,12 @@
             Millis(heartbeat.period_ms),
             heartbeat.store_answers && knows_era,
         );
-        let is_reading = heartbeat.store_answers && knows_era;
-        self.instances.record_watch(
-            now,
-            &member.name,
-            is_reading && heartbeat.entries_digest.is_some(),
-        );
+        // A watcher that the store does not answer is replaced by the next in the
+        // common order, two at a time, as the store may answer nobody.
+        if heartbeat.store_answers {
+            let watches = knows_era && heartbeat.entries_digest.is_some();
+            self.instances.record_watch(now, &member.name, watches);
+        }
         if is_changed {
             log::info!(
                 instance = member.name.as_str(),
