Gateway: settings that change while it runs take effect

The platform writes the settings file anew, with SIGHUP or without a signal. A gateway logged SIGHUP and changed nothing until its next start, and did not notice a file that changed without one.

It now reads the file every 500 ms and at SIGHUP, and applies a change that two readings in a row show, as a file may be read while it is written. The store's address, the bounds and the shutdown's time limit take effect at once; the watch of the store starts anew at the new address. Names, listeners and the log wait for the next start and are named in the log. A file that cannot be read or is wrong changes nothing.

--- a/src/attempt/budget.rs
+++ b/src/attempt/budget.rs
@@ -39,6 +39,11 @@
         }
     }
 
+    /// Changes the retries that each first try earns.
+    pub fn set_earned_per_try(&mut self, earned_per_try: f64) {
+        self.earned_per_try = earned_per_try;
+    }
+
     /// Changes the maximum of saved-up retries.
     pub fn set_max_saved(&mut self, max_saved: f64) {
         self.max_saved = max_saved;
--- a/src/bin/skylarkhookd.rs
+++ b/src/bin/skylarkhookd.rs
@@ -17,6 +17,7 @@
 use skylarkhook::config::UnknownSettings;
 use skylarkhook::daemon::Daemon;
 use skylarkhook::gateway;
+use skylarkhook::gateway::reload::SettingsSource;
 use skylarkhook::logging;
 use skylarkhook::logging::LeftOut;
 
@@ -63,6 +64,15 @@
     /// Reads the settings. Unknown ones are refused if the settings are only
     /// checked; otherwise a gateway skips them.
     fn settings(&self) -> Result<(Settings, Vec<SettingError>), SettingsError> {
+        let unknown = match self.check_settings {
+            true => UnknownSettings::Refused,
+            false => UnknownSettings::SkippedInGateways,
+        };
+        Settings::load_with(self.settings.as_deref(), &self.overrides(), unknown)
+    }
+
+    /// Returns the settings that are given by flags.
+    fn overrides(&self) -> Vec<Override> {
         let flags = [
             ("instance", "name", &self.name),
             ("instance", "domain", &self.domain),
@@ -77,12 +87,7 @@
                 value: value.clone()?,
             })
         });
-        let overrides: Vec<Override> = self.set.iter().cloned().chain(given_flags).collect();
-        let unknown = match self.check_settings {
-            true => UnknownSettings::Refused,
-            false => UnknownSettings::SkippedInGateways,
-        };
-        Settings::load_with(self.settings.as_deref(), &overrides, unknown)
+        self.set.iter().cloned().chain(given_flags).collect()
     }
 }
 
@@ -100,7 +105,11 @@
         println!("{}: the settings are right", file.display());
         return ExitCode::SUCCESS;
     }
-    match serve(&settings, &skipped) {
+    let source = SettingsSource {
+        file: args.settings.clone(),
+        overrides: args.overrides(),
+    };
+    match serve(&settings, source, &skipped) {
         Ok(exit) => exit,
         Err(error) => {
             eprintln!("{error:#}");
@@ -109,7 +118,11 @@
     }
 }
 
-fn serve_gateway(settings: &Settings, left_out: LeftOut) -> eyre::Result<ExitCode> {
+fn serve_gateway(
+    settings: &Settings,
+    source: SettingsSource,
+    left_out: LeftOut,
+) -> eyre::Result<ExitCode> {
     log::info!(
         instance = settings.name.as_str(),
         domain = settings.domain.as_str(),
@@ -118,17 +131,21 @@
         unix_ms = logging::unix_now_ms();
         "gateway starts"
     );
-    let all_answered = gateway::daemon::run(settings, left_out).wrap_err("cannot serve")?;
+    let all_answered = gateway::daemon::run(settings, source, left_out).wrap_err("cannot serve")?;
     Ok(exit_after_shutdown(all_answered))
 }
 
-fn serve(settings: &Settings, skipped: &[SettingError]) -> eyre::Result<ExitCode> {
+fn serve(
+    settings: &Settings,
+    source: SettingsSource,
+    skipped: &[SettingError],
+) -> eyre::Result<ExitCode> {
     let left_out = logging::start(settings.log_format, &settings.log_filter);
     for setting in skipped {
         log::warn!(setting:% = setting; "setting skipped: this release does not know it");
     }
     if settings.is_gateway() {
-        return serve_gateway(settings, left_out);
+        return serve_gateway(settings, source, left_out);
     }
     let mut signals =
         Signals::new([SIGTERM, SIGINT]).wrap_err("cannot register signal handlers")?;
--- a/src/config.rs
+++ b/src/config.rs
@@ -20,6 +20,8 @@
 pub use load::SettingError;
 pub use load::SettingsError;
 pub use load::UnknownSettings;
+pub(crate) use load::place;
+pub use load::read_file;
 pub use secret::Secret;
 pub use table::Setting;
 pub use table::Settings;
--- a/src/config/load.rs
+++ b/src/config/load.rs
@@ -178,7 +178,12 @@
     }
 }
 
-fn read_file(path: &Path) -> Result<String, String> {
+/// Reads the text of a settings file.
+///
+/// # Errors
+///
+/// Returns why it cannot be read.
+pub fn read_file(path: &Path) -> Result<String, String> {
     let data = std::fs::metadata(path).map_err(|error| format!("cannot be read: {error}"))?;
     if data.len() > MAX_FILE_BYTES {
         return Err(format!("is longer than {MAX_FILE_BYTES} bytes"));
@@ -357,7 +362,8 @@
     }
 }
 
-fn place(setting: &Setting) -> String {
+/// Returns the section and key of a setting in one.
+pub(crate) fn place(setting: &Setting) -> String {
     format!("[{}] {}", setting.section, setting.key)
 }
 
--- a/src/config/table.rs
+++ b/src/config/table.rs
@@ -51,6 +51,17 @@
                     $($field: Default::default(),)*
                 }
             }
+
+            /// Lists the settings that have other values in `other`.
+            #[must_use]
+            pub fn changed(&self, other: &Settings) -> Vec<&'static Setting> {
+                let is_equal = [$(self.$field == other.$field,)*];
+                let settings = TABLE.iter().zip(is_equal);
+                settings
+                    .filter(|(_, is_equal)| !is_equal)
+                    .map(|(setting, _)| setting)
+                    .collect()
+            }
         }
     };
 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -26,6 +26,7 @@
 pub mod placement;
 pub mod rate_limits;
 pub mod relay;
+pub mod reload;
 pub mod response;
 pub mod route;
 pub mod server;
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -257,6 +257,7 @@
                 arrived_after,
             } => self.on_peer_message(now, arrived_after, message, &mut out),
             Input::Tick => self.tick(now, &mut out),
+            Input::Bounds(bounds) => self.set_bounds(bounds),
             Input::Drain(shutdown) => {
                 self.shutdown = Some(shutdown);
                 self.broadcast_relay_state(&mut out);
@@ -266,6 +267,18 @@
         out
     }
 
+    /// Applies changed settings. Requests that are open keep what they were sent
+    /// with.
+    fn set_bounds(&mut self, bounds: Bounds) {
+        self.freshness.set_bounds(&bounds);
+        self.budgets
+            .set_earned_per_try(bounds.retry_ratio * RETRY_LIMIT_SHARE);
+        let instances = self.instances.known_count() as f64;
+        self.budgets
+            .set_max_saved((bounds.retry_extra * RETRY_LIMIT_SHARE / instances).max(1.0));
+        self.bounds = bounds;
+    }
+
     /// Returns the number of unanswered requests.
     #[must_use]
     pub fn open_requests(&self) -> usize {
--- a/src/gateway/core/freshness.rs
+++ b/src/gateway/core/freshness.rs
@@ -81,6 +81,13 @@
         }
     }
 
+    /// Changes the limits; what is known stays.
+    pub fn set_bounds(&mut self, bounds: &Bounds) {
+        self.max_age_for_keys = bounds.key_revoke_limit - REVOKE_MARGIN;
+        self.max_age_for_absence = bounds.config_apply_limit;
+        self.rewrite_time = bounds.entry_recovery_time;
+    }
+
     /// Records the store's era. Once it has `restored` an older copy, what was
     /// written after that is missing until it is written again. An instance that
     /// starts cannot tell how long ago the store returned.
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -31,6 +31,8 @@
 use tokio::task::spawn_local;
 use tokio::task::yield_now;
 use tokio::time::Instant;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
 use tokio::time::sleep;
 
 use crate::clock::Clock;
@@ -53,6 +55,8 @@
 use crate::gateway::message::Shutdown;
 use crate::gateway::message::Watching;
 use crate::gateway::peers::PeerSocket;
+use crate::gateway::reload::Reloader;
+use crate::gateway::reload::SettingsSource;
 use crate::gateway::route::CallerLimits;
 use crate::gateway::server;
 use crate::gateway::server::ServerContext;
@@ -69,6 +73,9 @@
 const MAX_BIND_ATTEMPTS: usize = 16;
 /// Interval of the core's timer.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
+/// Interval at which the settings file is read again: a change is applied once two
+/// readings in a row show it.
+const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which expired idle connections to backend servers are closed.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after SIGTERM in which new connections may still arrive: the platform
@@ -89,7 +96,7 @@
 ///
 /// Returns an error if an address cannot be bound or a thread cannot be
 /// started.
-pub fn run(cfg: &Settings, left_out: LeftOut) -> io::Result<bool> {
+pub fn run(cfg: &Settings, source: SettingsSource, left_out: LeftOut) -> io::Result<bool> {
     let clock = Clock::start_suspend_aware();
     let metrics = Arc::new(Metrics::new());
     let (inputs, input_rx) = flume::unbounded();
@@ -111,7 +118,7 @@
         .enable_all()
         .build()?;
     let traffic = run_traffic(
-        cfg,
+        Reloader::new(source, cfg.clone()),
         clock,
         metrics,
         inputs,
@@ -179,7 +186,7 @@
 /// Runs the traffic thread: starts all tasks, waits for a shutdown signal and
 /// drains.
 async fn run_traffic(
-    cfg: &Settings,
+    mut settings: Reloader,
     clock: Clock,
     metrics: Arc<Metrics>,
     inputs: Sender<Input>,
@@ -187,6 +194,7 @@
     outputs: UnboundedReceiver<Output>,
     peer_sockets: PeerSockets,
 ) -> io::Result<bool> {
+    let cfg = settings.in_force().clone();
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
@@ -246,8 +254,9 @@
             .receive(clock, deferred_inputs, revisions.clone()),
     );
     let (watching_tx, watching) = watch::channel(Watching::Loosely);
+    let (store_tx, store) = watch::channel(cfg.gateway_store.clone());
     let watcher = StoreWatcher::new(
-        cfg.gateway_store.clone(),
+        store,
         upstream.clone(),
         clock,
         inputs.clone(),
@@ -275,14 +284,33 @@
         peers,
         publishers,
     ));
+    let mut check = interval(SETTINGS_CHECK_INTERVAL);
+    check.set_missed_tick_behavior(MissedTickBehavior::Skip);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => log::info!("reload asked for: settings take effect at the next start"),
+            _ = hangup.recv() => log::info!("reload asked for"),
+            _ = check.tick() => {}
+        }
+        if let Some(cfg) = settings.check() {
+            // Sending fails only during process exit.
+            let _ = inputs.send(Input::Bounds(bounds(cfg)));
+            store_tx.send_if_modified(|addr| {
+                let is_changed = *addr != cfg.gateway_store;
+                addr.clone_from(&cfg.gateway_store);
+                is_changed
+            });
         }
     }
-    Ok(shut_down(cfg, &traffic, &connections, &inputs, &phase_tx).await)
+    Ok(shut_down(
+        settings.in_force(),
+        &traffic,
+        &connections,
+        &inputs,
+        &phase_tx,
+    )
+    .await)
 }
 
 /// Shuts down: finishes open requests, then closes connections. Returns whether
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -380,7 +380,8 @@
 /// Reads and watches the store and feeds the [`RevisionTracker`].
 #[derive(Debug, Clone)]
 pub struct StoreWatcher {
-    addr: String,
+    /// Address of the store, which may change.
+    addr: watch::Receiver<String>,
     upstream: Upstream,
     clock: Clock,
     inputs: Sender<Input>,
@@ -395,6 +396,8 @@
     /// The store has returned from an older copy since the position to continue
     /// from was read.
     Restored,
+    /// The address of the store has changed.
+    Moved,
     /// The store does not have what the call names.
     NotFound,
     Call(String),
@@ -405,6 +408,7 @@
         match self {
             StoreError::Compacted => f.write_str("the store dropped its history"),
             StoreError::Restored => f.write_str("the store returned from an older copy"),
+            StoreError::Moved => f.write_str("the store has another address"),
             StoreError::NotFound => f.write_str("the store does not have it"),
             StoreError::Call(cause) => f.write_str(cause),
         }
@@ -419,7 +423,7 @@
     /// Returns a watcher that has not read anything yet.
     #[must_use]
     pub fn new(
-        addr: String,
+        addr: watch::Receiver<String>,
         upstream: Upstream,
         clock: Clock,
         inputs: Sender<Input>,
@@ -443,6 +447,7 @@
         let mut era = self.revisions.era.subscribe();
         let mut last_era = StoreEra::default();
         let mut settled_at = Millis::ZERO;
+        let mut addr = self.addr.clone();
         loop {
             let watching = *self.watching.borrow_and_update();
             let known_era = era.borrow_and_update().unwrap_or_default();
@@ -470,7 +475,10 @@
                     },
                 }
             };
-            let result = until_restored(call, position_before, &mut era).await;
+            let result = tokio::select! {
+                result = until_restored(call, position_before, &mut era) => result,
+                Ok(()) = addr.changed() => Err(StoreError::Moved),
+            };
             position = self
                 .next_position(result, position_before, &mut backoff)
                 .await;
@@ -484,6 +492,7 @@
         let mut backoff = MIN_BACKOFF;
         let mut repaired_at = Millis::ZERO;
         let mut era = self.revisions.era.subscribe();
+        let mut addr = self.addr.clone();
         loop {
             let watching = *self.watching.borrow_and_update();
             let known_era = era.borrow_and_update().unwrap_or_default();
@@ -510,7 +519,10 @@
                     },
                 }
             };
-            let result = until_restored(call, position_before, &mut era).await;
+            let result = tokio::select! {
+                result = until_restored(call, position_before, &mut era) => result,
+                Ok(()) = addr.changed() => Err(StoreError::Moved),
+            };
             position = self
                 .next_position(result, position_before, &mut backoff)
                 .await;
@@ -533,6 +545,10 @@
                 log::warn!(revision = previous.unwrap_or_default().revision; "store dropped its history; its items are read again");
                 None
             }
+            Err(StoreError::Moved) => {
+                *backoff = MIN_BACKOFF;
+                None
+            }
             // A stale read may show the era before for a while.
             Err(StoreError::Restored) => {
                 sleep(MIN_BACKOFF).await;
@@ -720,7 +736,8 @@
 
     /// Makes a call; returns the era and the body of the response.
     async fn call(&self, call: &Call, limit: Duration) -> Result<(StoreEra, Bytes), StoreError> {
-        let response = call_store(&self.upstream, &self.addr, call, limit).await;
+        let addr = self.addr.borrow().clone();
+        let response = call_store(&self.upstream, &addr, call, limit).await;
         let response = response.map_err(|error| call_error(&error))?;
         let era = self.revisions.observe_era(response.headers())?;
         match response.status() {
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -11,6 +11,7 @@
 use crate::gateway::relay::RelayTerms;
 use crate::gateway::route::RouteTable;
 use crate::gateway::server_table::ServerEntry;
+use crate::gateway::settings::Bounds;
 use crate::verdict::Reason;
 use crate::verdict::Refusal;
 
@@ -505,6 +506,8 @@
     },
     /// Periodic timer.
     Tick,
+    /// The settings of the process have changed.
+    Bounds(Bounds),
     /// The instance starts to drain before it shuts down.
     Drain(Shutdown),
 }
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -15,6 +15,7 @@
 mod notices;
 mod rate_limits;
 mod relays;
+mod reload;
 mod restored;
 mod shutdown;
 mod simulation;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod path;
 mod platform;
 mod process;
+mod reload;
 mod restored;
 mod shutdown;
 mod silent;
