Gateway: requests wait for room in the order of what callers lose

Where no engine had room, a prompt was tried again every 25 ms in the order of arrival, for an eighth of its target, and then refused. Priorities of routes and workspaces were read and not used.

`queue` orders waiting requests by rank, by whether the workspace is within its share, and by utility per engine time and slack; they are tried when room may have appeared, in bounded rounds, and wait as long as an answer can be on time, at most a quarter of the caller's time. Retry-After follows the rate at which requests end. `fair_shares` adds up recent engine time of each workspace over all instances: placements carry four bytes of its hash (field 11, absent: none). While half of the slots are taken, a workspace over its share leaves a sixth of each engine's slots free and is not placed late. `ranks` gives engines the declared ranks as priorities where they differ, and admits of a less urgent rank the share that a more urgent one gets.

The test of the metrics page observes the new histogram, which is exported only then; it is as strict.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -20,6 +20,7 @@
 mod requests;
 mod shutdown;
 mod stalls;
+mod waiting;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -36,6 +37,7 @@
 use crate::attempt::RetryBudgets;
 use crate::clock::Millis;
 use crate::gateway::answer_times::AnswerTimes;
+use crate::gateway::fair_shares::FairShares;
 use crate::gateway::instances::CrashSuspect;
 use crate::gateway::instances::Instances;
 use crate::gateway::instances::MIN_HEARTBEAT_PERIOD;
@@ -45,6 +47,10 @@
 use crate::gateway::message::Shutdown;
 use crate::gateway::message::Ticket;
 use crate::gateway::message::Watching;
+use crate::gateway::queue::RoomRates;
+use crate::gateway::queue::WaitQueue;
+use crate::gateway::ranks::RankLedger;
+use crate::gateway::ranks::Ranks;
 use crate::gateway::rate_limits::RateLimits;
 use crate::gateway::route::RouteTable;
 use crate::gateway::server_links::ServerLinks;
@@ -128,6 +134,11 @@
     /// Servers that asked this instance for a pause, with its end.
     paused_servers: HashMap<ServerKey, Millis>,
     requests: BTreeMap<Ticket, Request>,
+    queue: WaitQueue,
+    room_rates: RoomRates,
+    fair_shares: FairShares,
+    ranks: Ranks,
+    rank_ledger: RankLedger,
     answer_times: AnswerTimes,
     watching: Watching,
     /// Times of the shutdown; `None` unless it has begun.
@@ -178,6 +189,11 @@
             leaving_servers: HashSet::new(),
             paused_servers: HashMap::new(),
             requests: BTreeMap::new(),
+            queue: WaitQueue::default(),
+            room_rates: RoomRates::default(),
+            fair_shares: FairShares::default(),
+            ranks: Ranks::default(),
+            rank_ledger: RankLedger::default(),
             answer_times: AnswerTimes::default(),
             watching: Watching::Loosely,
             shutdown: None,
@@ -227,6 +243,9 @@
                 updates,
             } => {
                 self.entries_digest = entries_digest;
+                if !updates.is_empty() {
+                    self.queue.record_room_everywhere();
+                }
                 self.freshness
                     .record_store_answer(now, proved_at.is_some(), config_position);
                 self.apply_store_updates(now, updates, &mut out);
@@ -304,6 +323,7 @@
             self.expire_rate_limits(now);
             self.paused_servers.retain(|_, until| now < *until);
             self.update_watching(now, out);
+            self.fair_shares.expire(now);
             self.update_gauges(now);
         }
     }
@@ -356,6 +376,12 @@
             level(self.instances.earlier_format_count()),
         );
         self.metrics.set(Level::Ready, i64::from(self.ready));
+        self.metrics.set(Level::Waiting, level(self.queue.len()));
+        let (workspaces, largest_share) = self.fair_shares.summary(now);
+        self.metrics.set(Level::WorkspacesActive, level(workspaces));
+        let percent = (largest_share * 100.0) as usize;
+        self.metrics
+            .set(Level::LargestWorkspaceShare, level(percent));
         let age = self.freshness.proof_age(now).0;
         self.metrics
             .set(Level::ConfigAge, i64::try_from(age).unwrap_or(i64::MAX));
@@ -383,6 +409,7 @@
     ) {
         match message {
             PeerMessage::Placed(placed) => {
+                self.record_peer_work(now, &placed);
                 self.fleet_load
                     .add_peer_placement(now, &self.server_table, &placed);
             }
@@ -394,8 +421,11 @@
                     server,
                     &parts,
                 );
+                self.record_peer_room(server);
             }
             PeerMessage::Ended { job, server, parts } => {
+                self.record_peer_end(now, server);
+                self.record_peer_room(server);
                 self.fleet_load
                     .remove_peer_request(now, &self.server_table, job, server, &parts);
             }
--- a/src/gateway/core/choose.rs
+++ b/src/gateway/core/choose.rs
@@ -115,7 +115,7 @@
 
     /// Returns whether a backend server serves the request's service and is
     /// eligible.
-    fn is_usable(&self, now: Millis, request: &Request, key: ServerKey) -> bool {
+    pub(super) fn is_usable(&self, now: Millis, request: &Request, key: ServerKey) -> bool {
         self.server_table.get(key).entry.service == request.service
             && self.exclusion(now, request, key).is_none()
     }
@@ -159,6 +159,7 @@
         request: &Request,
         prompt: &Prompt,
     ) -> Option<Placement> {
+        let reserved_slots = self.slots_kept_from(now, request);
         let mut candidates = Vec::new();
         for (key, server) in self.server_table.listed() {
             let Some(load) = self.fleet_load.engine(key) else {
@@ -172,7 +173,8 @@
                 key,
                 load,
                 cross_domain: server.entry.domain != self.local.domain,
-                can_be_primary: warm || self.has_cold_capacity(now, routes, key),
+                can_be_primary: (warm || self.has_cold_capacity(now, routes, key))
+                    && load.request_count() + reserved_slots < load.spec().slots as usize,
                 can_help: warm && self.rate_limits.per_s(key).is_none(),
                 lane: Lane::Long,
                 short_prompts_per_ms: 0.0,
--- a/src/gateway/core/endings.rs
+++ b/src/gateway/core/endings.rs
@@ -22,10 +22,6 @@
 use crate::verdict::Refusal;
 use crate::verdict::Verdict;
 
-/// Divisor of the latency target that gives the longest wait for an available
-/// backend server. A refusal after that leaves the caller too little time to
-/// retry.
-const PLACEMENT_WAIT_DIVISOR: u64 = 8;
 /// Maximum number of retries per request after attempts that no backend server
 /// ran. They do not count towards the route's `max_attempts`.
 pub(super) const MAX_RETRIES_NOT_RUN: u32 = 3;
@@ -153,6 +149,10 @@
     /// instances.
     fn release_attempt(&mut self, now: Millis, attempt: &ActiveAttempt, out: &mut Vec<Output>) {
         self.fleet_load.remove(now, attempt.job, &attempt.servers());
+        self.record_end(now, attempt.server);
+        for server in attempt.servers() {
+            self.record_room(server);
+        }
         if !self.is_load_broadcast(attempt.server) {
             return;
         }
@@ -338,56 +338,6 @@
         self.refuse(now, ticket, refusal, out);
     }
 
-    /// Lets a request wait for a backend server, for a small part of its
-    /// latency target.
-    pub(super) fn wait_or_refuse(&mut self, now: Millis, ticket: Ticket, out: &mut Vec<Output>) {
-        let Some(request) = self.requests.get(&ticket) else {
-            return;
-        };
-        let is_link_lost = self.links.is_lost(&request.service);
-        let until = match request.submission.relay {
-            // The instance that relayed the request may know another one.
-            Some(_) if is_link_lost => now,
-            _ => {
-                let wait = request.route.target_latency.0 / PLACEMENT_WAIT_DIVISOR;
-                request.submission.arrived + Millis(wait)
-            }
-        };
-        let asked_wait = self.wait_asked_for(now, &self.requests[&ticket]);
-        if now < until && asked_wait.is_none_or(|wait| now + wait < until) {
-            if let Some(request) = self.requests.get_mut(&ticket) {
-                request.wait_until = Some(until);
-            }
-            return;
-        }
-        let request = &self.requests[&ticket];
-        let mut refusal = final_refusal(
-            request,
-            Reason::NoBackend,
-            "no backend server is available for the request",
-        );
-        if let Some(wait) = asked_wait {
-            refusal = refusal.retry_after(spread_retry_after(request, wait));
-        }
-        let servers = self.describe_exclusions(now, &self.requests[&ticket]);
-        let id = self.requests[&ticket].submission.head.request_id.as_str();
-        log::info!(request = id, servers = servers.as_str(); "no backend server");
-        self.refuse(now, ticket, refusal, out);
-    }
-
-    /// Retries the placement of waiting requests.
-    pub(super) fn retry_waiting(&mut self, now: Millis, out: &mut Vec<Output>) {
-        let waiting: Vec<Ticket> = self
-            .requests
-            .iter()
-            .filter(|(_, request)| request.wait_until.is_some())
-            .map(|(ticket, _)| *ticket)
-            .collect();
-        for ticket in waiting {
-            self.place_request(now, ticket, out);
-        }
-    }
-
     pub(super) fn refuse_unreachable_deadline(
         &mut self,
         now: Millis,
@@ -405,6 +355,7 @@
         );
         let refusal = final_refusal(request, Reason::DeadlineUnreachable, message)
             .retry_after(predicted_wait);
+        self.record_no_room(now, ticket);
         self.refuse(now, ticket, refusal, out);
     }
 
@@ -431,6 +382,7 @@
 
     fn finish(&mut self, now: Millis, ticket: Ticket, count: Count) {
         self.count(count);
+        self.leave_queue(now, ticket);
         if let Some(request) = self.requests.remove(&ticket) {
             let waited = now.since(request.submission.arrived);
             // Answers that took longer than their callers wait count as well.
@@ -515,7 +467,7 @@
 
 /// Returns a delay between `wait` and twice that which differs between requests,
 /// so that callers who are refused together do not return together.
-fn spread_retry_after(request: &Request, wait: Millis) -> Millis {
+pub(super) fn spread_retry_after(request: &Request, wait: Millis) -> Millis {
     let wait = wait.min(DEFAULT_RETRY_AFTER);
     let hash = id_hash(&request.submission.head.request_id);
     wait + Millis(hash % wait.0.max(1))
--- a/src/gateway/core/facts.rs
+++ b/src/gateway/core/facts.rs
@@ -13,6 +13,7 @@
 use crate::clock::Millis;
 use crate::gateway::message::Output;
 use crate::gateway::message::StoreUpdate;
+use crate::gateway::ranks::Ranks;
 use crate::gateway::route::RouteTable;
 use crate::gateway::server_table::Change;
 use crate::gateway::server_table::ServerEntry;
@@ -100,6 +101,10 @@
             .map(|route| route.name.as_str())
             .collect();
         self.answer_times.retain(|name| names.contains(name));
+        self.ranks = Ranks::new(&routes);
+        let is_known = |service: &str| routes.services.contains_key(service);
+        self.rank_ledger.retain(is_known);
+        self.room_rates.retain(is_known);
         self.routes = Some(routes);
     }
 
--- a/src/gateway/core/fleet_load.rs
+++ b/src/gateway/core/fleet_load.rs
@@ -114,8 +114,7 @@
         let Some(spec) = self.engines.get(&primary).map(|load| *load.spec()) else {
             return;
         };
-        let passes = prompt.output_tokens / f64::from(spec.steps_per_pass.max(1));
-        let decode_ms = passes * spec.decode_pass_ms();
+        let decode_ms = spec.decode_ms(prompt.output_tokens);
         let prefill_ms = spec.prefill_ms(prompt.prompt_tokens);
         let demand = self.demand.entry(service.to_owned()).or_default();
         demand.record(now, prompt.lane, prefill_ms, decode_ms);
--- a/src/gateway/core/relays.rs
+++ b/src/gateway/core/relays.rs
@@ -94,7 +94,6 @@
             config_version = config_version;
             "relayed"
         );
-        request.wait_until = None;
         request.next_attempt += 1;
         request.tried_instances.push(member.name.clone());
         request.relay = Some(ActiveRelay {
@@ -102,6 +101,7 @@
             instance: member.name,
             sent_at: now,
         });
+        self.leave_queue(now, ticket);
         self.count(Count::Relayed);
         out.push(Output::Send(ticket, plan));
         true
--- a/src/gateway/core/requests.rs
+++ b/src/gateway/core/requests.rs
@@ -8,6 +8,7 @@
 use super::relays::ActiveRelay;
 use crate::clock::Millis;
 use crate::gateway::engine::JobKey;
+use crate::gateway::fair_shares::WorkspaceKey;
 use crate::gateway::instances::CrashSuspect;
 use crate::gateway::instances::PeerMessage;
 use crate::gateway::instances::Placed;
@@ -65,8 +66,6 @@
 const NO_GAP_LIMIT_MS: f64 = 60_000.0;
 /// Message to the caller of a quarantined request.
 const QUARANTINED_MESSAGE: &str = "requests like this one crashed several backend servers";
-/// Default priority at engines, the middle of their scale; 0 comes first.
-const DEFAULT_ENGINE_PRIORITY: u8 = 5;
 
 /// An unanswered request.
 #[derive(Debug)]
@@ -79,9 +78,6 @@
     pub(super) response_deadline: Millis,
     /// What sets that deadline.
     pub(super) time_limit: TimeLimit,
-    /// Until when the request waits for a backend server; `None` if it does not
-    /// wait.
-    pub(super) wait_until: Option<Millis>,
     pub(super) active_attempt: Option<ActiveAttempt>,
     /// A second attempt, started because the active one is stalled. It becomes
     /// the active one if that ends without an answer.
@@ -192,7 +188,9 @@
             None => self.budgets.deposit(&request.service),
         }
         self.requests.insert(ticket, request);
-        self.place_request(now, ticket, out);
+        if !self.queue_behind_others(now, ticket, out) {
+            self.place_request(now, ticket, out);
+        }
     }
 
     /// Validates a request against the configuration.
@@ -257,7 +255,6 @@
             workspace,
             response_deadline: submission.arrived + time,
             time_limit,
-            wait_until: None,
             active_attempt: None,
             successor: None,
             relay: None,
@@ -302,10 +299,14 @@
         self.fleet_load.advance(now);
         let Some(chosen) = self.choose_placement(now, ticket) else {
             if !self.relay_request(now, ticket, out) {
-                self.wait_or_refuse(now, ticket, out);
+                let cause = self.wait_cause(now, ticket);
+                self.wait_or_refuse(now, ticket, cause, out);
             }
             return;
         };
+        if let Some(cause) = self.hold_cause(now, ticket, &chosen) {
+            return self.wait_or_refuse(now, ticket, cause, out);
+        }
         if let Some(prompt) = &chosen.prompt
             && chosen.placement.first_token_at >= prompt.deadline_at
         {
@@ -387,7 +388,7 @@
                 .target_gap
                 .map_or(NO_GAP_LIMIT_MS, |gap| gap.0 as f64),
             utility: utility_of_prompt(shape.prompt_tokens),
-            engine_priority: DEFAULT_ENGINE_PRIORITY,
+            engine_priority: self.ranks.engine_priority(&request.service, request.rank()),
             lane,
             jitter: (self.instances.known_count() as f64 * JITTER_PER_INSTANCE).min(MAX_JITTER),
             can_be_declined: request.verdict == Verdict::NotRun,
@@ -428,7 +429,7 @@
         let Some(request) = request else {
             return;
         };
-        request.wait_until = None;
+        let is_first = request.next_attempt == 0;
         request.next_attempt += 1;
         let attempt = ActiveAttempt {
             number: plan.attempt,
@@ -465,6 +466,8 @@
             config_age_ms = self.freshness.proof_age(now).0;
             "sent"
         );
+        self.leave_queue(now, ticket);
+        self.record_placed(now, ticket, prompt, is_first);
         self.count(Count::Attempts);
         let relay = self.requests[&ticket].submission.relay;
         if attempts > relay.map_or(0, |terms| terms.first_attempt) {
@@ -472,7 +475,8 @@
         }
         out.push(Output::Send(ticket, plan));
         if self.is_load_broadcast(placement.primary) {
-            self.broadcast_placement(now, job, placement, prompt, out);
+            let workspace = self.requests[&ticket].workspace_key();
+            self.broadcast_placement(now, job, placement, prompt, workspace, out);
         }
     }
 
@@ -558,6 +562,7 @@
         job: JobKey,
         placement: &Placement,
         prompt: Option<&Prompt>,
+        workspace: WorkspaceKey,
         out: &mut Vec<Output>,
     ) {
         let hash = |key: ServerKey| id_hash(&self.server_table.get(key).entry.id);
@@ -576,6 +581,7 @@
             gap_ms: prompt.map_or(0, |prompt| prompt.max_gap_ms.min(NO_GAP_LIMIT_MS) as u64),
             due_in_ms: prompt.map_or(0, |prompt| (prompt.due_at - now.0 as f64).max(1.0) as u64),
             ready_in_ms: (placement.parts_ready_at - now.0 as f64).max(0.0) as u64,
+            workspace,
         };
         self.broadcast(out, PeerMessage::Placed(placed));
     }
@@ -627,6 +633,7 @@
         self.record_alive(attempt.sent_at, attempt.server);
         self.fleet_load
             .record_first_output(now, attempt.job, &attempt.servers());
+        self.record_room(attempt.server);
         if self.fleet_load.engine(attempt.server).is_none() {
             return;
         }
--- a/src/gateway/datagram/positional.rs
+++ b/src/gateway/datagram/positional.rs
@@ -11,6 +11,7 @@
 use super::Formats;
 use super::MAX_DATAGRAM_BYTES;
 use crate::clock::Millis;
+use crate::gateway::fair_shares::WorkspaceKey;
 use crate::gateway::instances::Crash;
 use crate::gateway::instances::CrashRecord;
 use crate::gateway::instances::CrashSuspect;
@@ -248,6 +249,7 @@
                 gap_ms: placed.gap_ms,
                 due_in_ms: placed.due_in_ms,
                 ready_in_ms: placed.ready_in_ms,
+                workspace: WorkspaceKey::default(),
             }),
             Message::Started { job, server, parts } => PeerMessage::Started { job, server, parts },
             Message::Ended { job, server, parts } => PeerMessage::Ended { job, server, parts },
--- a/src/gateway/datagram/tagged.rs
+++ b/src/gateway/datagram/tagged.rs
@@ -11,6 +11,7 @@
 use super::Decoded;
 use super::Formats;
 use crate::clock::Millis;
+use crate::gateway::fair_shares::WorkspaceKey;
 use crate::gateway::instances::Crash;
 use crate::gateway::instances::CrashRecord;
 use crate::gateway::instances::CrashSuspect;
@@ -56,6 +57,9 @@
     due_in_ms: u64,
     #[prost(uint64, tag = "10")]
     ready_in_ms: u64,
+    /// Missing: the caller has no workspace, or the sender does not state it.
+    #[prost(fixed32, tag = "11")]
+    workspace: u32,
 }
 
 #[derive(Clone, PartialEq)]
@@ -339,6 +343,7 @@
             gap_ms: placed.gap_ms,
             due_in_ms: placed.due_in_ms,
             ready_in_ms: placed.ready_in_ms,
+            workspace: placed.workspace.0,
         }
     }
 }
@@ -357,6 +362,7 @@
             gap_ms: wire.gap_ms,
             due_in_ms: wire.due_in_ms,
             ready_in_ms: wire.ready_in_ms,
+            workspace: WorkspaceKey(wire.workspace),
         }
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -161,6 +161,7 @@
         path: parts.uri.path().to_owned(),
         arrived: arrived - relay.map_or(Millis::ZERO, |terms| terms.waited),
         relay,
+        body_bytes: body.len(),
         fingerprint: fingerprint(&parts, &head, &body),
         head: head.clone(),
     };
--- a/src/gateway/instances.rs
+++ b/src/gateway/instances.rs
@@ -16,6 +16,7 @@
 use crate::clock::Millis;
 use crate::gateway::datagram::Format;
 use crate::gateway::datagram::Formats;
+use crate::gateway::fair_shares::WorkspaceKey;
 use crate::gateway::message::PromptPart;
 use crate::gateway::message::ServerNotice;
 use crate::gateway::message::StoreEra;
@@ -232,6 +233,8 @@
     pub due_in_ms: u64,
     /// Time until the other engines have prefilled their parts, in ms.
     pub ready_in_ms: u64,
+    /// Workspace of the caller.
+    pub workspace: WorkspaceKey,
 }
 
 /// The other instances known to this one.
--- a/src/gateway/lanes.rs
+++ b/src/gateway/lanes.rs
@@ -55,11 +55,18 @@
     }
 }
 
+/// Returns the engine time that a prompt takes, in ms: its passes are shared with
+/// other requests that decode.
+#[must_use]
+pub fn engine_ms(prefill_ms: f64, decode_ms: f64) -> f64 {
+    prefill_ms + decode_ms / TYPICAL_DECODE_BATCH
+}
+
 impl Demand {
     /// Records a prompt, with the times in ms that an engine takes to prefill
     /// it and to decode its answer.
     pub fn record(&mut self, now: Millis, lane: Lane, prefill_ms: f64, decode_ms: f64) {
-        let work = prefill_ms + decode_ms / TYPICAL_DECODE_BATCH;
+        let work = engine_ms(prefill_ms, decode_ms);
         match lane {
             Lane::Short => {
                 self.short_work_ms.add(now, work);
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -137,6 +137,8 @@
     pub path: String,
     /// Arrival time of the head.
     pub arrived: Millis,
+    /// Size of the body.
+    pub body_bytes: usize,
     /// Hash of method, URI, key, shared prompt parts and body; identifies
     /// repetitions of a request.
     pub fingerprint: u64,
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -40,7 +40,8 @@
     pub target_latency: Millis,
     /// Target for the longest gap between two events of a stream.
     pub target_gap: Option<Millis>,
-    /// Priority; 0 is the highest. Placement does not use it.
+    /// Priority; 0 is the highest. It matters where the requests to one service
+    /// declare different ones.
     pub priority: u8,
     /// Services and their traffic weights; at least one.
     pub weighted_services: Vec<(String, u32)>,
@@ -119,7 +120,6 @@
     /// Name.
     pub name: String,
     /// Priority that overrides the route's; `None` to use the route's.
-    /// Placement does not use it.
     pub priority: Option<u8>,
 }
 
@@ -157,6 +157,14 @@
         tokens / self.prefill_tokens_per_ms + mpairs * self.attention_ms_per_mpair
     }
 
+    /// Returns the base duration of the passes in which an answer is decoded, in
+    /// ms.
+    #[must_use]
+    pub fn decode_ms(&self, output_tokens: f64) -> f64 {
+        let passes = output_tokens / f64::from(self.steps_per_pass.max(1));
+        passes * self.decode_pass_ms()
+    }
+
     /// Returns the base duration of a pass that has decoding requests, in ms,
     /// without the additions per request and per context token.
     #[must_use]
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -2,6 +2,7 @@
 //! servers, on a virtual clock.
 
 mod answer_times;
+mod competition;
 mod core;
 mod crashes;
 mod datagrams;
@@ -13,6 +14,7 @@
 mod load;
 mod memory;
 mod notices;
+mod queue;
 mod rate_limits;
 mod relays;
 mod reload;
--- a/src/gateway/tests/core.rs
+++ b/src/gateway/tests/core.rs
@@ -320,6 +320,7 @@
             arrived: Millis(self.now),
             fingerprint: 7,
             relay,
+            ..Submission::default()
         };
         let out = self.handle(Input::Submit(ticket, submission));
         (ticket, out)
--- a/src/gateway/tests/datagrams.rs
+++ b/src/gateway/tests/datagrams.rs
@@ -10,6 +10,7 @@
 use crate::gateway::datagram;
 use crate::gateway::datagram::Format;
 use crate::gateway::datagram::Formats;
+use crate::gateway::fair_shares::WorkspaceKey;
 use crate::gateway::instances::Crash;
 use crate::gateway::instances::CrashRecord;
 use crate::gateway::instances::CrashSuspect;
@@ -41,6 +42,7 @@
         gap_ms: 1_000,
         due_in_ms: 2_500,
         ready_in_ms: 640,
+        workspace: WorkspaceKey::default(),
     };
     let heartbeat = Heartbeat {
         member: Member {
@@ -193,6 +195,26 @@
     }
 }
 
+#[test]
+fn a_placement_states_the_workspace_in_a_few_bytes() {
+    let (_, message) = recorded_messages().remove(0);
+    let PeerMessage::Placed(placed) = message else {
+        unreachable!("the first message is a placement");
+    };
+    let stated = PeerMessage::Placed(Placed {
+        workspace: WorkspaceKey(0xfeed_0001),
+        ..placed.clone()
+    });
+    let sent = datagram::encode(&stated, Format::Tagged).unwrap();
+    assert_eq!(decode(&sent), stated);
+    let unstated = PeerMessage::Placed(placed);
+    let without = datagram::encode(&unstated, Format::Tagged).unwrap();
+    assert!(sent.len() <= without.len() + 5);
+    // Earlier releases neither write nor read it.
+    let sent = datagram::encode(&stated, Format::Positional).unwrap();
+    assert_eq!(decode(&sent), unstated);
+}
+
 #[test]
 fn the_end_of_a_request_takes_little_more_with_tags() {
     let hashes = [u64::MAX, 1 << 63, 3 << 61];
--- a/src/gateway/tests/simulation.rs
+++ b/src/gateway/tests/simulation.rs
@@ -7,6 +7,7 @@
 //! rate limit when they begin to answer. Datagrams between cores are delivered
 //! after one millisecond.
 
+mod faults;
 mod links;
 
 use std::cmp::Reverse;
@@ -48,6 +49,7 @@
 use crate::metrics::Metrics;
 use crate::verdict::Reason;
 
+pub use self::faults::Fault;
 pub use self::links::Cut;
 
 /// Network delay of datagrams, requests and responses, in ms.
@@ -201,6 +203,8 @@
     pub refusal: Option<Reason>,
     /// Parts of the prompt that other requests share.
     pub shared_parts: Vec<PromptPart>,
+    /// Key that its caller sends, if the configuration has keys.
+    pub key: Option<&'static str>,
     pub core: usize,
     /// When the first event arrived, in ms.
     pub first_event: Option<f64>,
@@ -294,6 +298,7 @@
     },
     Crash(usize),
     Restart(usize),
+    Kill(usize),
     OutputDue {
         request: usize,
         attempt: u32,
@@ -331,6 +336,7 @@
     parts_left: HashMap<(usize, u32), usize>,
     /// Cores that are cut off from all engines.
     cuts: Vec<Option<Cut>>,
+    faults: Vec<faults::CoreFault>,
     /// Number of the attempt that relays a request, by request and receiving
     /// core.
     relays: HashMap<(usize, usize), u32>,
@@ -344,6 +350,16 @@
 
 impl Simulation {
     pub fn new(policy: Policy, cores: usize, engines: usize) -> Simulation {
+        Simulation::with_routes(policy, cores, engines, route_table())
+    }
+
+    /// Creates a fleet whose cores have this configuration.
+    pub fn with_routes(
+        policy: Policy,
+        cores: usize,
+        engines: usize,
+        routes: RouteTable,
+    ) -> Simulation {
         let mut simulation = Simulation {
             policy,
             requests: Vec::new(),
@@ -356,12 +372,13 @@
             now: 0.0,
             parts_left: HashMap::new(),
             cuts: vec![None; cores],
+            faults: Vec::new(),
             relays: HashMap::new(),
             crashing_part: None,
             part_crashes: Vec::new(),
             part_attempts: Vec::new(),
         };
-        let mut updates = vec![StoreUpdate::Routes(Arc::new(route_table()))];
+        let mut updates = vec![StoreUpdate::Routes(Arc::new(routes))];
         updates.extend((0..engines).map(|index| StoreUpdate::Server(entry(index, 0))));
         updates.extend((0..cores).map(|index| {
             StoreUpdate::Instance(super::core::member(&core_name(index), &core_name(index)))
@@ -419,6 +436,7 @@
             outcome: Outcome::Open,
             refusal: None,
             shared_parts: Vec::new(),
+            key: None,
             core: rng.random_range(0..self.cores.len()),
             first_event: None,
             last_event: 0.0,
@@ -435,7 +453,9 @@
             if self.now > until {
                 return;
             }
-            let event = self.events.remove(&id).unwrap();
+            let Some(event) = self.events.remove(&id) else {
+                continue;
+            };
             self.handle(event);
         }
     }
@@ -499,6 +519,7 @@
             } => self.end_attempt(request, attempt, end),
             Event::Crash(engine) => self.crash(engine),
             Event::Restart(engine) => self.restart(engine),
+            Event::Kill(core) => self.kill(core),
             Event::OutputDue {
                 request,
                 attempt,
@@ -511,14 +532,7 @@
             Event::Tick => {
                 for core in 0..self.cores.len() {
                     self.handle_input(core, Input::Tick);
-                    let input = Input::StoreUpdates {
-                        proved_at: Some(Millis(self.now as u64)),
-                        shown_version: Some(1),
-                        config_position: super::core::position(1),
-                        entries_digest: 0,
-                        updates: Vec::new(),
-                    };
-                    self.handle_input(core, input);
+                    self.handle_input(core, self.store_answer(core));
                 }
                 self.push(self.now + 25.0, Event::Tick);
             }
@@ -551,6 +565,7 @@
         Submission {
             head: RequestHead {
                 shared_parts: request.shared_parts.clone(),
+                key: request.key.map(str::to_owned),
                 request_id: format!("r{request_index}"),
                 deadline: Some(Millis(class.deadline_ms)),
                 prompt: Some(PromptShape {
@@ -564,17 +579,23 @@
             path: format!("/{}/x", class.name),
             arrived: Millis(self.now as u64),
             fingerprint: request_index as u64,
-            relay: None,
+            ..Submission::default()
         }
     }
 
     fn handle_input(&mut self, core: usize, input: Input) {
+        let Some(input) = self.defer_input(core, input) else {
+            return;
+        };
         let outputs = self.cores[core].handle(Millis(self.now as u64), input);
         for output in outputs {
             match output {
                 Output::Broadcast(recipients, message) => {
                     for recipient in recipients.iter() {
                         let to = recipient.addr[1..].parse().unwrap();
+                        if self.is_datagram_lost(core, to) {
+                            continue;
+                        }
                         let sent = datagram::encode(&message, recipient.format).unwrap();
                         let received = datagram::decode(&sent).unwrap().messages.remove(0);
                         let input = super::core::heard(received);
@@ -1140,6 +1161,7 @@
             outcome: Outcome::Open,
             refusal: None,
             shared_parts: Vec::new(),
+            key: None,
             core: request % self.cores.len(),
             first_event: None,
             last_event: 0.0,
@@ -1169,3 +1191,19 @@
         }
     }
 }
+
+impl Simulation {
+    /// Removes requests that have not been submitted yet.
+    pub fn forget_requests(&mut self, is_forgotten: impl Fn(&Request) -> bool) {
+        let requests = &mut self.requests;
+        self.events.retain(|_, event| match event {
+            Event::Submit(request) => !is_forgotten(&requests[*request]),
+            _ => true,
+        });
+        for request in requests {
+            if is_forgotten(request) {
+                request.outcome = Outcome::Refused;
+            }
+        }
+    }
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -50,6 +50,11 @@
     LinksLost = "links_lost", "Times that this instance reached no backend server of a service";
     ItemsNotForwarded = "store_items_not_forwarded", "Changes of backend servers' entries that were not forwarded to the other instances, as there were too many at once";
     LinkProbes = "link_probes", "Probes of backend servers while the link to them was in doubt or lost";
+    Queued = "requests_queued", "Requests that had to wait at this instance for room on backend servers";
+    RefusedNoRoom = "requests_refused_no_room", "Requests refused as no room appeared while they waited";
+    RefusedOverShare = "requests_refused_over_share", "Requests refused while their workspace had more than its fair share";
+    RefusedOutranked = "requests_refused_outranked", "Requests refused as requests of a more urgent rank were";
+    RefusedQueueFull = "requests_refused_queue_full", "Requests refused as too many waited";
     Relayed = "requests_relayed", "Requests relayed to another instance, as this one reached no backend server of the service";
     RelayedReceived = "requests_relayed_received", "Requests that other instances relayed to this one";
     Moves = "requests_moved", "Requests that left an attempt in progress for another backend server";
@@ -87,6 +92,8 @@
     Revision = "declaration_revision", "Revision of the declarations in force";
     Gangs = "gangs", "Gangs of engines reserved by this instance";
     Waiting = "requests_waiting", "Requests in the queue";
+    WorkspacesActive = "workspaces_active", "Workspaces whose prompts have used engines within about a second";
+    LargestWorkspaceShare = "workspace_largest_share_percent", "Largest share of the engines' recent work that one workspace has";
     WaitingTokens = "tokens_waiting", "Tokens of the requests in the queue, output tokens weighted by 8";
     BackendsWarm = "backends_warm", "Backend servers that this instance counts as warm";
     BackendsCold = "backends_cold", "Backend servers that this instance counts as cold or warming up";
@@ -122,6 +129,8 @@
         [0.05, 0.1, 0.2, 0.4, 0.87, 1.5, 3.0, 6.0, 12.0, 30.0, 60.0, 120.0, 300.0];
     FirstOutput = "first_output", "route", "Time from a forwarded request's arrival to the first output, by route",
         [0.01, 0.05, 0.1, 0.15, 0.3, 0.6, 1.0, 1.5, 2.5, 5.0, 10.0];
+    Queued = "queued", "route", "Time that a request waited at this instance for room, by route",
+        [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0];
     Whole = "whole_answer", "kind", "Time from admission to the whole answer, by request kind",
         [0.01, 0.05, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 120.0, 300.0, 900.0];
 }
--- a/src/metrics/tests.rs
+++ b/src/metrics/tests.rs
@@ -26,6 +26,7 @@
     let metrics = Metrics::new();
     metrics.observe(Timing::FirstToken, "short", Millis(1));
     metrics.observe(Timing::FirstOutput, "summary", Millis(1));
+    metrics.observe(Timing::Queued, "summary", Millis(1));
     metrics.observe(Timing::Whole, "summary", Millis(1));
     let page = include_str!("../../docs/METRICS.md");
     let listed: BTreeSet<String> = page
