--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -22,6 +22,7 @@
 mod requests;
 mod shutdown;
 mod stalls;
+mod waiting;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -41,6 +42,7 @@
 use crate::gateway::answer_times::AnswerTimes;
 use crate::gateway::cost::CostModel;
 use crate::gateway::cost::lengths::OutputLengths;
+use crate::gateway::fair_shares::FairShares;
 use crate::gateway::instances::CrashSuspect;
 use crate::gateway::instances::Instances;
 use crate::gateway::instances::MIN_HEARTBEAT_PERIOD;
@@ -50,6 +52,10 @@
 use crate::gateway::message::Shutdown;
 use crate::gateway::message::Ticket;
 use crate::gateway::message::Watching;
+use crate::gateway::queue::RoomRates;
+use crate::gateway::queue::WaitQueue;
+use crate::gateway::ranks::RankLedger;
+use crate::gateway::ranks::Ranks;
 use crate::gateway::rate_limits::RateLimits;
 use crate::gateway::route::RouteTable;
 use crate::gateway::server_links::ServerLinks;
@@ -145,6 +151,11 @@
     /// Servers that asked this instance for a pause, with its end.
     paused_servers: HashMap<ServerKey, Millis>,
     requests: BTreeMap<Ticket, Request>,
+    queue: WaitQueue,
+    room_rates: RoomRates,
+    fair_shares: FairShares,
+    ranks: Ranks,
+    rank_ledger: RankLedger,
     answer_times: AnswerTimes,
     cost: CostModel,
     output_lengths: OutputLengths,
@@ -202,6 +213,11 @@
             leaving_servers: HashSet::new(),
             paused_servers: HashMap::new(),
             requests: BTreeMap::new(),
+            queue: WaitQueue::default(),
+            room_rates: RoomRates::default(),
+            fair_shares: FairShares::default(),
+            ranks: Ranks::default(),
+            rank_ledger: RankLedger::default(),
             answer_times: AnswerTimes::default(),
             cost: CostModel::default(),
             output_lengths: OutputLengths::default(),
@@ -258,6 +274,9 @@
                 updates,
             } => {
                 self.entries_digest = entries_digest;
+                if !updates.is_empty() {
+                    self.queue.record_room_everywhere();
+                }
                 let outage = self
                     .freshness
                     .record_store_answer(now, proved_at, config_position);
@@ -299,6 +318,7 @@
                 arrived_after,
             } => self.on_peer_message(now, arrived_after, message, &mut out),
             Input::Tick => self.tick(now, &mut out),
+            Input::Bounds(bounds) => self.set_bounds(bounds),
             Input::Drain(shutdown) => {
                 self.shutdown = Some(shutdown);
                 self.broadcast_relay_state(&mut out);
@@ -308,6 +328,18 @@
         out
     }
 
+    /// Applies changed settings. Requests that are open keep what they were sent
+    /// with.
+    fn set_bounds(&mut self, bounds: Bounds) {
+        self.freshness.set_bounds(&bounds);
+        self.budgets
+            .set_earned_per_try(bounds.retry_ratio * RETRY_LIMIT_SHARE);
+        let instances = self.instances.known_count() as f64;
+        self.budgets
+            .set_max_saved((bounds.retry_extra * RETRY_LIMIT_SHARE / instances).max(1.0));
+        self.bounds = bounds;
+    }
+
     /// Returns the number of unanswered requests.
     #[must_use]
     pub fn open_requests(&self) -> usize {
@@ -333,6 +365,7 @@
             self.expire_rate_limits(now);
             self.paused_servers.retain(|_, until| now < *until);
             self.update_watching(now, out);
+            self.fair_shares.expire(now);
             self.update_gauges(now);
         } else if self.watching == Watching::Loosely && self.replaces_watchers(now) {
             self.update_watching(now, out);
@@ -425,6 +458,12 @@
             level(self.instances.earlier_format_count()),
         );
         self.metrics.set(Level::Ready, i64::from(self.ready));
+        self.metrics.set(Level::Waiting, level(self.queue.len()));
+        let (workspaces, largest_share) = self.fair_shares.summary(now);
+        self.metrics.set(Level::WorkspacesActive, level(workspaces));
+        let percent = (largest_share * 100.0) as usize;
+        self.metrics
+            .set(Level::LargestWorkspaceShare, level(percent));
         let age = self.freshness.proof_age(now).0;
         self.metrics
             .set(Level::ConfigAge, i64::try_from(age).unwrap_or(i64::MAX));
@@ -452,6 +491,7 @@
     ) {
         match message {
             PeerMessage::Placed(placed) => {
+                self.record_peer_work(now, &placed);
                 self.fleet_load
                     .add_peer_placement(now, &self.server_table, &placed);
             }
@@ -463,8 +503,11 @@
                     server,
                     &parts,
                 );
+                self.record_peer_room(server);
             }
             PeerMessage::Ended { job, server, parts } => {
+                self.record_peer_end(now, server);
+                self.record_peer_room(server);
                 self.fleet_load
                     .remove_peer_request(now, &self.server_table, job, server, &parts);
             }
--- a/src/gateway/core/choose.rs
+++ b/src/gateway/core/choose.rs
@@ -164,6 +164,7 @@
         request: &Request,
         prompt: &Prompt,
     ) -> Option<Placement> {
+        let reserved_slots = self.slots_kept_from(now, request);
         let mut candidates = Vec::new();
         for (key, server) in self.server_table.listed() {
             let Some(load) = self.fleet_load.engine(key) else {
@@ -177,7 +178,8 @@
                 key,
                 load,
                 cross_domain: server.entry.domain != self.local.domain,
-                can_be_primary: warm || self.has_cold_capacity(now, routes, key),
+                can_be_primary: (warm || self.has_cold_capacity(now, routes, key))
+                    && load.request_count() + reserved_slots < load.spec().slots as usize,
                 can_help: warm && self.rate_limits.per_s(key).is_none(),
                 lane: Lane::Long,
                 short_prompts_per_ms: 0.0,
--- a/src/gateway/core/facts.rs
+++ b/src/gateway/core/facts.rs
@@ -14,6 +14,7 @@
 use crate::clock::Millis;
 use crate::gateway::message::Output;
 use crate::gateway::message::StoreUpdate;
+use crate::gateway::ranks::Ranks;
 use crate::gateway::route::RouteTable;
 use crate::gateway::server_table::Change;
 use crate::gateway::server_table::ServerEntry;
@@ -115,6 +116,10 @@
         if self.learns_costs() {
             self.cost.set_routes(plain_routes(&routes));
         }
+        self.ranks = Ranks::new(&routes);
+        let is_known = |service: &str| routes.services.contains_key(service);
+        self.rank_ledger.retain(is_known);
+        self.room_rates.retain(is_known);
         self.routes = Some(routes);
     }
 
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -85,7 +85,8 @@
 /// Reads and watches the store and feeds the [`RevisionTracker`].
 #[derive(Debug, Clone)]
 pub struct StoreWatcher {
-    addr: String,
+    /// Address of the store, which may change.
+    addr: watch::Receiver<String>,
     upstream: Upstream,
     clock: Clock,
     inputs: Sender<Input>,
@@ -101,6 +102,8 @@
     /// The store has returned from an older copy since the position to continue
     /// from was read.
     Restored,
+    /// The address of the store has changed.
+    Moved,
     /// The store does not have what the call names.
     NotFound,
     /// The store responded, and the response is too large or none that is known:
@@ -117,6 +120,7 @@
         match self {
             StoreError::Compacted => f.write_str("the store dropped its history"),
             StoreError::Restored => f.write_str("the store returned from an older copy"),
+            StoreError::Moved => f.write_str("the store has another address"),
             StoreError::NotFound => f.write_str("the store does not have it"),
             StoreError::Unreadable(cause)
             | StoreError::Incomplete(cause)
@@ -140,7 +144,7 @@
     /// Returns a watcher that has not read anything yet.
     #[must_use]
     pub fn new(
-        addr: String,
+        addr: watch::Receiver<String>,
         upstream: Upstream,
         clock: Clock,
         inputs: Sender<Input>,
@@ -164,6 +168,7 @@
         let mut era = self.revisions.era.subscribe();
         let mut last_era = StoreEra::default();
         let mut settled_at = Millis::ZERO;
+        let mut addr = self.addr.clone();
         loop {
             let watching = *self.watching.borrow_and_update();
             let known_era = era.borrow_and_update().unwrap_or_default();
@@ -192,7 +197,10 @@
                     },
                 }
             };
-            let result = until_restored(call, next, &mut era).await;
+            let result = tokio::select! {
+                result = until_restored(call, next, &mut era) => result,
+                Ok(()) = addr.changed() => Err(StoreError::Moved),
+            };
             self.finish_call(result, next, &mut cursor, &mut backoff)
                 .await;
         }
@@ -205,6 +213,7 @@
         let mut backoff = MIN_BACKOFF;
         let mut repaired_at = Millis::ZERO;
         let mut era = self.revisions.era.subscribe();
+        let mut addr = self.addr.clone();
         loop {
             let watching = *self.watching.borrow_and_update();
             let known_era = era.borrow_and_update().unwrap_or_default();
@@ -233,7 +242,10 @@
                     },
                 }
             };
-            let result = until_restored(call, next, &mut era).await;
+            let result = tokio::select! {
+                result = until_restored(call, next, &mut era) => result,
+                Ok(()) = addr.changed() => Err(StoreError::Moved),
+            };
             self.finish_call(result, next, &mut cursor, &mut backoff)
                 .await;
         }
@@ -253,6 +265,7 @@
             Err(StoreError::Compacted) => {
                 log::warn!(call:? = call; "store dropped its history; its items are read again");
             }
+            Err(StoreError::Moved) => *backoff = MIN_BACKOFF,
             // A stale read may show the era before for a while.
             Err(StoreError::Restored) => sleep(MIN_BACKOFF).await,
             Err(StoreError::Unreadable(cause)) if matches!(call, Next::Watch(_)) => {
@@ -468,7 +481,8 @@
         call: &Call,
         head_limit: Duration,
     ) -> Result<(StoreEra, Bytes), StoreError> {
-        let response = store_client::fetch(&self.upstream, &self.addr, call, head_limit).await?;
+        let addr = self.addr.borrow().clone();
+        let response = store_client::fetch(&self.upstream, &addr, call, head_limit).await?;
         let era = self.revisions.observe_era(response.headers())?;
         match response.status() {
             StatusCode::OK => Ok((era, response.into_body())),
--- a/src/gateway/feed/cursor.rs
+++ b/src/gateway/feed/cursor.rs
@@ -65,7 +65,9 @@
                 self.position = Some(*position);
                 self.failures = 0;
             }
-            Err(StoreError::Compacted | StoreError::Restored) => self.position = None,
+            Err(StoreError::Compacted | StoreError::Restored | StoreError::Moved) => {
+                self.position = None;
+            }
             Err(StoreError::NotFound | StoreError::Unreadable(_) | StoreError::Incomplete(_)) => {
                 self.position = None;
                 self.failures = self.failures.saturating_add(1);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -158,6 +158,7 @@
         path: parts.uri.path().to_owned(),
         arrived: arrived - relay.map_or(Millis::ZERO, |terms| terms.waited),
         relay,
+        body_bytes: 0,
         fingerprint: 0,
         head: head.clone(),
     };
@@ -177,6 +178,7 @@
     };
     state.begin(Activity::Request);
     let submission = Submission {
+        body_bytes: body.len(),
         fingerprint: fingerprint(&parts, &head, &body),
         ..submission
     };
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -11,6 +11,7 @@
 use crate::gateway::relay::RelayTerms;
 use crate::gateway::route::RouteTable;
 use crate::gateway::server_table::ServerEntry;
+use crate::gateway::settings::Bounds;
 use crate::verdict::Reason;
 use crate::verdict::Refusal;
 
@@ -136,6 +137,8 @@
     pub path: String,
     /// Arrival time of the head.
     pub arrived: Millis,
+    /// Size of the body.
+    pub body_bytes: usize,
     /// Hash of method, URI, key, shared prompt parts and body; identifies
     /// repetitions of a request.
     pub fingerprint: u64,
@@ -513,6 +516,8 @@
     },
     /// Periodic timer.
     Tick,
+    /// The settings of the process have changed.
+    Bounds(Bounds),
     /// The instance starts to drain before it shuts down.
     Drain(Shutdown),
 }
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -3,6 +3,7 @@
 
 mod answer_times;
 mod calls;
+mod competition;
 mod core;
 mod cost;
 mod crashes;
@@ -16,8 +17,10 @@
 mod memory;
 mod memory_budget;
 mod notices;
+mod queue;
 mod rate_limits;
 mod relays;
+mod reload;
 mod restored;
 mod shutdown;
 mod simulation;
--- a/src/gateway/tests/store_reads.rs
+++ b/src/gateway/tests/store_reads.rs
@@ -171,6 +171,11 @@
     )
 }
 
+/// Returns an address that does not change.
+fn fixed(addr: String) -> watch::Receiver<String> {
+    watch::channel(addr).1
+}
+
 /// Watches the operators' keys of a store until a version of the configuration was
 /// read; returns the time that it took, and how often the store was taken for lost.
 fn read_version(store: &Store, version: u64, limit: Duration) -> Option<(Duration, usize)> {
@@ -181,7 +186,7 @@
     let (inputs, rx) = flume::unbounded();
     let (_watching, watching) = watch::channel(Watching::Closely);
     let watcher = StoreWatcher::new(
-        store.addr.to_string(),
+        fixed(store.addr.to_string()),
         Upstream::default(),
         Clock::start(),
         inputs.clone(),
@@ -354,7 +359,7 @@
         for _ in 0..INSTANCES {
             let (inputs, rx) = flume::unbounded();
             let watcher = StoreWatcher::new(
-                store.addr.to_string(),
+                fixed(store.addr.to_string()),
                 Upstream::default(),
                 Clock::start(),
                 inputs.clone(),
