Forward each change that a watcher's own watch shows

A close watcher forwarded only the changes that were new to it. When the other watcher's datagram came before the store's answer, nothing was new in that answer, so an instance that could not hear the other watcher missed the change until its digest had differed for two heartbeats and, for a further change, until the next repair was allowed 3 s later.

Both watchers now forward what their own watch shows, so that an instance hears of a change from each watcher that it can reach. Reads still forward only what is new, as they list every entry.

entries::a_watcher_forwards_a_change_that_it_heard_of_from_another_one failed before (nothing forwarded within 20 s) and passes in 0.1 s.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -377,10 +377,11 @@
             return Err(StoreError::Restored);
         }
         let page = decode(&body)?;
-        let new_changes =
-            self.revisions
-                .apply(era, page.changes, freshness_proof(part, queried_at));
-        self.forward(part, era, new_changes);
+        let proved_at = freshness_proof(part, queried_at);
+        self.revisions.apply(era, page.changes.clone(), proved_at);
+        // Also those that another instance has forwarded: it may not reach the same
+        // instances as this one.
+        self.forward(part, era, page.changes);
         self.report_entries_read(part, queried_at);
         Ok(StorePosition {
             era,
--- a/src/gateway/tests.rs
+++ b/src/gateway/tests.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod datagrams;
 mod engine;
+mod entries;
 mod events;
 mod feed;
 mod framing;
--- /dev/null
+++ b/src/gateway/tests/entries.rs
@@ -0,0 +1,156 @@
+//! How changes of backend servers' entries reach the instances that do not watch
+//! them.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+
+use super::store_reads::Response;
+use super::store_reads::Store;
+use super::store_reads::fixed;
+use super::store_reads::page;
+use crate::clock::Clock;
+use crate::gateway::feed::RevisionTracker;
+use crate::gateway::feed::StoreWatcher;
+use crate::gateway::instances::Item;
+use crate::gateway::message::Input;
+use crate::gateway::message::StoreEra;
+use crate::gateway::message::Watching;
+use crate::gateway::upstream::Upstream;
+
+/// Longest time that a test waits for what it expects.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Interval at which it looks.
+const STEP: Duration = Duration::from_millis(2);
+
+/// The entries of a store that is watched.
+#[derive(Clone, Default)]
+struct Entries {
+    /// Changes in order: revision, key and value; `None` if the entry was removed.
+    changes: Arc<Mutex<Vec<(u64, String, Option<String>)>>>,
+}
+
+impl Entries {
+    fn lock(&self) -> MutexGuard<'_, Vec<(u64, String, Option<String>)>> {
+        self.changes.lock().unwrap()
+    }
+
+    /// Writes an entry; returns its item.
+    fn write(&self, revision: u64, id: &str, value: &str) -> Item {
+        let key = format!("servers/{id}");
+        let change = (revision, key.clone(), Some(value.to_owned()));
+        self.lock().push(change);
+        Item {
+            key,
+            revision,
+            value: Some(value.as_bytes().to_vec()),
+            era: StoreEra::default(),
+        }
+    }
+
+    /// Answers a call: a watch waits until there is a change.
+    fn answer(&self, path: &str) -> Response {
+        let after = path.split("after=").nth(1);
+        let after = after.and_then(|rest| rest.split('&').next()?.parse().ok());
+        loop {
+            let changes = self.lock().clone();
+            let newest = changes.last().map_or(0, |(revision, _, _)| *revision);
+            let shown = changes
+                .into_iter()
+                .filter(|(revision, _, _)| *revision > after.unwrap_or(0));
+            let items: Vec<String> = shown
+                .map(|(revision, key, value)| match value {
+                    Some(value) => format!(
+                        "{{\"key\":\"{key}\",\"value\":\"{}\",\"revision\":{revision}}}",
+                        STANDARD.encode(value)
+                    ),
+                    None => {
+                        format!("{{\"key\":\"{key}\",\"revision\":{revision},\"deleted\":true}}")
+                    }
+                })
+                .collect();
+            if !items.is_empty() || !path.contains("watch") || path.contains("waitMs=1&") {
+                return Response::ok(page(newest, &items));
+            }
+            std::thread::sleep(STEP);
+        }
+    }
+
+    fn serve(&self) -> Store {
+        let entries = self.clone();
+        Store::start(100_000_000, move |path, _| entries.answer(path))
+    }
+}
+
+/// Runs the watch of the entries beside `test`, which gets the tracker, and the
+/// inputs of the core.
+fn beside_watch<T>(
+    store: &Store,
+    watching: Watching,
+    test: impl AsyncFnOnce(RevisionTracker, flume::Receiver<Input>) -> T,
+) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let (inputs, rx) = flume::unbounded();
+    let (_watching, watching) = watch::channel(watching);
+    let revisions = RevisionTracker::new(inputs.clone());
+    let watcher = StoreWatcher::new(
+        fixed(store.addr.to_string()),
+        Upstream::default(),
+        Clock::start(),
+        inputs,
+        revisions.clone(),
+        watching,
+    );
+    let run = async {
+        spawn_local(watcher.watch_entries());
+        test(revisions, rx).await
+    };
+    let local = LocalSet::new();
+    let run = local.run_until(async { tokio::time::timeout(PATIENCE, run).await });
+    runtime.block_on(run).expect("what was expected in time")
+}
+
+/// Waits until a call to the store was made that begins so.
+async fn called(store: &Store, part: &str) {
+    while !store.calls().iter().any(|path| path.contains(part)) {
+        tokio::time::sleep(STEP).await;
+    }
+}
+
+/// Guards against a server that goes on getting requests after it drains: an instance
+/// that is cut off from one watcher hears of a change only from the other one, also if
+/// that one has heard of it from the first before the store answered it.
+#[test]
+fn a_watcher_forwards_a_change_that_it_heard_of_from_another_one() {
+    let entries = Entries::default();
+    entries.write(5, "i-1", "{}");
+    let store = entries.serve();
+    let forwarded = beside_watch(&store, Watching::Closely, async |revisions, rx| {
+        called(&store, "kv-watch").await;
+        let drained = Item {
+            key: "servers/i-1".to_owned(),
+            revision: 9,
+            value: Some(b"draining".to_vec()),
+            era: StoreEra::default(),
+        };
+        revisions.apply_item(drained.clone());
+        entries.write(9, "i-1", "draining");
+        loop {
+            match rx.recv_async().await.unwrap() {
+                Input::ForwardItems(items) if items.contains(&drained) => return items,
+                _ => {}
+            }
+        }
+    });
+    assert_eq!(forwarded.len(), 1);
+}
--- a/src/gateway/tests/store_reads.rs
+++ b/src/gateway/tests/store_reads.rs
@@ -36,7 +36,7 @@
 const RECOVERY_TIME: Duration = Duration::from_secs(12);
 
 /// What the store answers to a call.
-struct Response {
+pub(super) struct Response {
     status: u16,
     body: Vec<u8>,
     /// Time before the head.
@@ -46,7 +46,7 @@
 }
 
 impl Response {
-    fn ok(body: String) -> Response {
+    pub(super) fn ok(body: String) -> Response {
         Response {
             status: 200,
             sent: body.len(),
@@ -57,14 +57,14 @@
 }
 
 /// A store that answers calls by a function, at a rate for each connection.
-struct Store {
-    addr: SocketAddr,
+pub(super) struct Store {
+    pub(super) addr: SocketAddr,
     /// Paths of the calls, in order.
     calls: Arc<Mutex<Vec<String>>>,
 }
 
 impl Store {
-    fn start(
+    pub(super) fn start(
         bytes_per_s: u64,
         answer: impl Fn(&str, usize) -> Response + Send + Sync + 'static,
     ) -> Store {
@@ -92,7 +92,7 @@
         Store { addr, calls }
     }
 
-    fn calls(&self) -> Vec<String> {
+    pub(super) fn calls(&self) -> Vec<String> {
         self.calls.lock().unwrap().clone()
     }
 }
@@ -164,7 +164,7 @@
     )
 }
 
-fn page(revision: u64, items: &[String]) -> String {
+pub(super) fn page(revision: u64, items: &[String]) -> String {
     format!(
         "{{\"items\":[{}],\"hasMore\":false,\"currentRev\":{revision}}}",
         items.join(",")
@@ -172,7 +172,7 @@
 }
 
 /// Returns an address that does not change.
-fn fixed(addr: String) -> watch::Receiver<String> {
+pub(super) fn fixed(addr: String) -> watch::Receiver<String> {
     watch::channel(addr).1
 }
 
