Notice a missed change of an entry at the next heartbeat, and fetch it at once

A watcher now states in its heartbeats up to which change it knows all entries, beside their digest. An instance can tell at the first such heartbeat whether it misses something, so the second one is no longer waited for, and fetches only what changed since the last position that it knows completely. A change too large for a datagram is announced at once. Fetches are 500 ms apart at least, which limits the calls while hundreds of servers start. Watchers of an earlier release state no position; their digests are compared as before.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -47,6 +47,7 @@
 use crate::gateway::instances::Instances;
 use crate::gateway::instances::MIN_HEARTBEAT_PERIOD;
 use crate::gateway::instances::PeerMessage;
+use crate::gateway::message::EntriesState;
 use crate::gateway::message::Input;
 use crate::gateway::message::Output;
 use crate::gateway::message::Shutdown;
@@ -173,9 +174,11 @@
     last_tick: Millis,
     /// When attempts without output are sought again.
     next_stall_check: Millis,
-    /// Digest of the backend servers' entries in the store, by which instances
-    /// detect lost broadcasts.
-    entries_digest: u64,
+    /// State of the backend servers' entries in the store, by which the other
+    /// instances detect changes that they have missed.
+    entries: EntriesState,
+    /// Whether a change was not forwarded that the next heartbeat has to announce.
+    has_unforwarded_change: bool,
     /// Index of the next instance to which crash records are repeated.
     next_repeat_to: usize,
 }
@@ -231,7 +234,8 @@
             next_link_check: Millis::ZERO,
             last_tick: Millis::ZERO,
             next_stall_check: Millis::ZERO,
-            entries_digest: 0,
+            entries: EntriesState::default(),
+            has_unforwarded_change: false,
             next_repeat_to: 0,
         }
     }
@@ -270,10 +274,8 @@
                 proved_at,
                 shown_version,
                 config_position,
-                entries_digest,
                 updates,
             } => {
-                self.entries_digest = entries_digest;
                 if !updates.is_empty() {
                     self.queue.record_room_everywhere();
                 }
@@ -297,7 +299,10 @@
                 self.retry_waiting(now, &mut out);
             }
             Input::ForwardItems(items) => self.forward_items(now, items, &mut out),
-            Input::EntriesRead(queried_at) => self.on_entries_read(now, queried_at),
+            Input::EntriesRead {
+                queried_at,
+                entries,
+            } => self.on_entries_read(now, queried_at, entries),
             Input::StoreCallFailed => {
                 if self.watching == Watching::Closely && self.freshness.is_store_answering() {
                     // Another instance has to watch.
@@ -438,13 +443,17 @@
         now >= unwatched_since + TAKEOVER_STEP * u64::from(group)
     }
 
-    fn on_entries_read(&mut self, now: Millis, queried_at: Millis) {
+    fn on_entries_read(&mut self, now: Millis, queried_at: Millis, entries: EntriesState) {
+        self.entries = entries;
         let is_first = !self.has_read_entries && queried_at >= self.watching_since;
         if is_first && self.watching == Watching::Closely {
             self.has_read_entries = true;
             // Tells the others that somebody watches.
             self.next_heartbeat = now;
         }
+        if std::mem::take(&mut self.has_unforwarded_change) {
+            self.next_heartbeat = now;
+        }
     }
 
     fn update_gauges(&mut self, now: Millis) {
--- a/src/gateway/core/heartbeats.rs
+++ b/src/gateway/core/heartbeats.rs
@@ -42,6 +42,11 @@
     fn heartbeat(&self, now: Millis, period: Millis, calls: Vec<CallReport>) -> PeerMessage {
         // Until it has read the entries, an instance watches them for nobody.
         let watches_entries = self.watching == Watching::Closely && self.has_read_entries;
+        let entries = watches_entries.then_some(self.entries);
+        let era = self.freshness.era();
+        let entries_position = entries
+            .map(|entries| entries.position)
+            .filter(|position| position.era == era);
         PeerMessage::Alive(Heartbeat {
             member: Member {
                 name: self.local.name.clone(),
@@ -51,9 +56,10 @@
             config_revision: self.freshness.config_revision(),
             proof_age_ms: self.freshness.proof_age(now).0,
             store_answers: self.freshness.is_store_answering(),
-            entries_digest: watches_entries.then_some(self.entries_digest),
+            entries_digest: entries.map(|entries| entries.digest),
+            entries_revision: entries_position.map(|position| position.revision),
             period_ms: period.0,
-            store_era: Some(self.freshness.era()),
+            store_era: Some(era),
             config_version: self.config_version(),
             calls,
         })
--- a/src/gateway/datagram/positional.rs
+++ b/src/gateway/datagram/positional.rs
@@ -273,6 +273,7 @@
                 proof_age_ms,
                 store_answers,
                 entries_digest,
+                entries_revision: None,
                 period_ms,
                 store_era: Some(StoreEra(store_era)),
                 config_version,
--- a/src/gateway/datagram/tagged.rs
+++ b/src/gateway/datagram/tagged.rs
@@ -113,6 +113,9 @@
     /// Formats of datagrams that the sender reads.
     #[prost(uint32, repeated, tag = "10")]
     formats: Vec<u32>,
+    /// Missing: the sender does not state up to which change it knows the entries.
+    #[prost(uint64, optional, tag = "11")]
+    entries_revision: Option<u64>,
     /// Missing: the sender does not tell of its calls.
     #[prost(message, repeated, tag = "15")]
     calls: Vec<WireCall>,
@@ -405,6 +408,7 @@
             proof_age_ms: Some(heartbeat.proof_age_ms),
             store_answers: heartbeat.store_answers,
             entries_digest: heartbeat.entries_digest,
+            entries_revision: heartbeat.entries_revision,
             period_ms: heartbeat.period_ms,
             store_era: heartbeat.store_era.map(|era| era.0),
             config_version: heartbeat.config_version,
@@ -426,6 +430,7 @@
             proof_age_ms: wire.proof_age_ms.unwrap_or(Millis::NEVER.0),
             store_answers: wire.store_answers,
             entries_digest: wire.entries_digest,
+            entries_revision: wire.entries_revision,
             period_ms: wire.period_ms,
             store_era: wire.store_era.map(StoreEra),
             config_version: wire.config_version,
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -72,15 +72,17 @@
 const INSTANCES_REREAD_DELAY: Duration = Duration::from_millis(1_000);
 /// Delay after that until the entries of backend servers are read again.
 const SERVERS_REREAD_DELAY: Duration = Duration::from_millis(1_000);
-/// Minimum time between two reads of entries that are caused by a digest
-/// mismatch.
-const MIN_REPAIR_INTERVAL: Millis = Millis(3_000);
+/// Minimum time between two fetches of missing changes of entries: limits the calls
+/// while more servers start than changes can be forwarded. With two heartbeats of a
+/// watcher before it, of which one may be lost, it stays below the shortest time in
+/// which a draining server must stop receiving requests.
+const MIN_FETCH_INTERVAL: Millis = Millis(500);
+/// Wait time of a watch for changes that are known to exist; the shortest one.
+const FETCH_WAIT: Millis = Millis(1);
 /// Lifetime of an instance's entry without renewal.
 const ENTRY_TTL: Millis = Millis(30_000);
 /// Interval at which the entry is renewed.
 const ENTRY_RENEWAL_INTERVAL: Duration = Duration::from_secs(10);
-/// Maximum size of an item that is broadcast in a datagram, in bytes.
-const MAX_ITEM_BYTES: usize = 1_000;
 
 /// Reads and watches the store and feeds the [`RevisionTracker`].
 #[derive(Debug, Clone)]
@@ -211,7 +213,7 @@
     pub async fn watch_entries(mut self) {
         let mut cursor = Cursor::default();
         let mut backoff = MIN_BACKOFF;
-        let mut repaired_at = Millis::ZERO;
+        let mut fetched_at = Millis::ZERO;
         let mut era = self.revisions.era.subscribe();
         let mut addr = self.addr.clone();
         loop {
@@ -225,19 +227,20 @@
                     (Next::Watch(after), Watching::Closely | Watching::ForItself) => {
                         watcher.watch(Part::Servers, after, CLOSE_WATCH_WAIT).await
                     }
-                    (Next::Watch(_), Watching::Loosely) => tokio::select! {
+                    (Next::Watch(after), Watching::Loosely) => tokio::select! {
                         () = sleep(REREAD_INTERVAL) => watcher.read_entries(true, HEAD_TIMEOUT).await,
                         // The instance now watches closely: start from the current
                         // state.
                         _ = self.watching.changed() => {
                             watcher.read(Part::Servers, false, HEAD_TIMEOUT).await
                         }
-                        () = watcher.revisions.digest_mismatch.notified() => {
-                            let since = self.clock.now().since(repaired_at);
-                            sleep((MIN_REPAIR_INTERVAL - since.min(MIN_REPAIR_INTERVAL)).as_duration()).await;
-                            repaired_at = self.clock.now();
+                        () = watcher.revisions.missing_change.notified() => {
+                            let since = self.clock.now().since(fetched_at);
+                            sleep((MIN_FETCH_INTERVAL - since.min(MIN_FETCH_INTERVAL)).as_duration()).await;
+                            fetched_at = self.clock.now();
                             watcher.revisions.reset_mismatches();
-                            watcher.read(Part::Servers, false, HEAD_TIMEOUT).await
+                            let after = after.max(watcher.revisions.entries_known_to());
+                            watcher.watch(Part::Servers, after, FETCH_WAIT).await
                         }
                     },
                 }
@@ -382,23 +385,23 @@
         // Also those that another instance has forwarded: it may not reach the same
         // instances as this one.
         self.forward(part, era, page.changes);
-        self.report_entries_read(part, queried_at);
-        Ok(StorePosition {
+        let position = StorePosition {
             era,
             revision: page.revision.max(after.revision),
-        })
+        };
+        self.revisions.record_read(part, position);
+        self.report_entries_read(part, queried_at);
+        Ok(position)
     }
 
     /// Forwards changes of backend servers' entries to all other instances if this
-    /// one watches for them, except those too large for a datagram.
+    /// one watches for them.
     fn forward(&self, part: Part, era: StoreEra, changes: Vec<Change>) {
         if part != Part::Servers || *self.watching.borrow() != Watching::Closely {
             return;
         }
-        let len = |change: &Change| change.value.as_ref().map_or(0, Bytes::len);
-        let sendable = changes.into_iter();
-        let sendable = sendable.filter(|change| len(change) <= MAX_ITEM_BYTES);
-        let items: Vec<Item> = sendable
+        let items: Vec<Item> = changes
+            .into_iter()
             .map(|change| Item {
                 key: change.key,
                 revision: change.revision,
@@ -417,7 +420,10 @@
     fn report_entries_read(&self, part: Part, queried_at: Millis) {
         if part == Part::Servers && *self.watching.borrow() == Watching::Closely {
             // Sending fails only during process exit.
-            let _ = self.inputs.send(Input::EntriesRead(queried_at));
+            let _ = self.inputs.send(Input::EntriesRead {
+                queried_at,
+                entries: self.revisions.complete_entries(),
+            });
         }
     }
 
--- a/src/gateway/feed/revisions.rs
+++ b/src/gateway/feed/revisions.rs
@@ -23,6 +23,7 @@
 use crate::adapter::store::Part;
 use crate::clock::Millis;
 use crate::gateway::instances::Item;
+use crate::gateway::message::EntriesState;
 use crate::gateway::message::Input;
 use crate::gateway::message::StoreEra;
 use crate::gateway::message::StorePosition;
@@ -35,31 +36,51 @@
     /// Newest known era of the store; `None` if it has named none.
     pub(super) era: Rc<watch::Sender<Option<StoreEra>>>,
     inputs: Sender<Input>,
-    pub(super) digest_mismatch: Rc<Notify>,
+    /// Notified when another instance knows a change of the backend servers' entries
+    /// that is missing here.
+    pub(super) missing_change: Rc<Notify>,
 }
 
 #[derive(Debug, Default)]
 struct TrackerState {
     /// Position of each key's newest change, and whether the key exists.
     keys: HashMap<String, (StorePosition, bool)>,
-    /// Positions as of which whole parts were read: an unknown key of a part had
-    /// no item then.
+    /// Positions up to which all changes of a part are known: an unknown key of the
+    /// part had no item then.
     reads: Vec<(Part, StorePosition)>,
     config_position: StorePosition,
     /// Version of the configuration that the store shows, if it can be decoded.
     shown_version: Option<u64>,
-    /// Digest of the existing backend server entries and their revisions.
-    entries_digest: u64,
+    /// State of the backend server entries, as far as they are known: changes before
+    /// the newest one may be missing.
+    entries: EntriesState,
+    /// Their state as of a time when none was missing.
+    complete_entries: EntriesState,
     /// Consecutive heartbeats with a different digest.
     mismatches: u32,
 }
 
 impl TrackerState {
-    /// Returns the position as of which the part of a key was read.
+    /// Returns the position up to which all changes of the part of a key are known.
     fn read_at(&self, key: &str) -> StorePosition {
         let read = self.reads.iter().find(|(part, _)| part.contains(key));
         read.map_or(StorePosition::default(), |(_, position)| *position)
     }
+
+    /// Returns the position up to which all changes of a part are known.
+    fn known_to(&self, part: Part) -> StorePosition {
+        let read = self.reads.iter().find(|(read, _)| *read == part);
+        read.map_or(StorePosition::default(), |(_, position)| *position)
+    }
+
+    fn record_read(&mut self, part: Part, position: StorePosition) {
+        let position = position.max(self.known_to(part));
+        self.reads.retain(|(read, _)| *read != part);
+        self.reads.push((part, position));
+        if part == Part::Servers && self.entries.position <= position {
+            self.complete_entries = self.entries;
+        }
+    }
 }
 
 /// Consecutive heartbeats with a different digest after which entries are read
@@ -77,7 +98,7 @@
             state: Rc::default(),
             era: Rc::new(watch::Sender::default()),
             inputs,
-            digest_mismatch: Rc::default(),
+            missing_change: Rc::default(),
         }
     }
 
@@ -124,12 +145,14 @@
             }
             let exists = change.value.is_some();
             if Part::Servers.contains(&change.key) {
+                let entries = &mut state.entries;
                 if let Some((previous, true)) = known {
-                    state.entries_digest ^= digest(&change.key, previous.revision);
+                    entries.digest ^= digest(&change.key, previous.revision);
                 }
                 if exists {
-                    state.entries_digest ^= digest(&change.key, change.revision);
+                    entries.digest ^= digest(&change.key, change.revision);
                 }
+                entries.position = entries.position.max(position);
             }
             state.keys.insert(change.key.clone(), (position, exists));
             if Part::Operators.contains(&change.key) {
@@ -160,7 +183,6 @@
                 proved_at,
                 shown_version: state.shown_version,
                 config_position: state.config_position,
-                entries_digest: state.entries_digest,
                 updates,
             };
             // Sending fails only during process exit.
@@ -169,13 +191,12 @@
         new_changes
     }
 
-    /// Records that a part was read completely and applied. An item that is not
-    /// newer and was not there had been removed before, as a stale read or an
+    /// Records that all changes of a part up to a position were applied. An item that
+    /// is not newer and was not there had been removed before, as a stale read or an
     /// instance that was suspended may not know.
     pub fn record_read(&self, part: Part, position: StorePosition) {
         let mut state = self.state.borrow_mut();
-        state.reads.retain(|(read, _)| *read != part);
-        state.reads.push((part, position));
+        state.record_read(part, position);
     }
 
     /// Returns the newest known era of the store; the first one if it has named
@@ -256,11 +277,53 @@
     /// Returns the digest of the backend servers' entries.
     #[must_use]
     pub fn entries_digest(&self) -> u64 {
-        self.state.borrow().entries_digest
+        self.state.borrow().entries.digest
+    }
+
+    /// Returns the state of the backend servers' entries as of the last time that no
+    /// change was missing.
+    #[must_use]
+    pub fn complete_entries(&self) -> EntriesState {
+        self.state.borrow().complete_entries
+    }
+
+    /// Returns the position up to which all changes of the backend servers' entries
+    /// are known.
+    pub(super) fn entries_known_to(&self) -> StorePosition {
+        self.state.borrow().known_to(Part::Servers)
+    }
+
+    /// Compares the backend servers' entries with those of an instance that knows all
+    /// changes up to the position that it states. If one of these is missing here, it
+    /// is fetched; returns whether that is so.
+    pub fn compare_entries(&self, stated: EntriesState) -> bool {
+        if stated.position.era != self.era() {
+            return false;
+        }
+        let mut state = self.state.borrow_mut();
+        // A newer change is known, and maybe not all before it. A later statement
+        // includes it.
+        let is_behind = stated.position < state.entries.position;
+        if is_behind || stated.position <= state.known_to(Part::Servers) {
+            return false;
+        }
+        if stated == state.entries {
+            state.record_read(Part::Servers, stated.position);
+            return false;
+        }
+        log::info!(
+            era:% = stated.position.era,
+            revision = stated.position.revision,
+            known_revision = state.entries.position.revision,
+            known_to = state.known_to(Part::Servers).revision;
+            "a change of a backend server's entry is missing: it is fetched"
+        );
+        self.missing_change.notify_one();
+        true
     }
 
     /// Compares the digest of the backend servers' entries with that of an
-    /// instance that watches them. If they differ for longer than a broadcast
+    /// instance of an earlier release that watches them. If they differ for longer than a broadcast
     /// may be in transit, a message was lost and a new read is triggered;
     /// returns whether this call triggered it. Digests of another era are not
     /// compared.
@@ -269,7 +332,7 @@
             return false;
         }
         let mut state = self.state.borrow_mut();
-        if state.entries_digest == other_digest {
+        if state.entries.digest == other_digest {
             state.mismatches = 0;
             return false;
         }
@@ -279,7 +342,7 @@
             log::warn!(
                 "entries of backend servers differ from another instance's; they are read again"
             );
-            self.digest_mismatch.notify_one();
+            self.missing_change.notify_one();
         }
         triggered
     }
--- a/src/gateway/instances.rs
+++ b/src/gateway/instances.rs
@@ -89,10 +89,13 @@
     pub store_answers: bool,
     /// Digest of the backend servers' entries, if the sender watches them.
     pub entries_digest: Option<u64>,
+    /// Revision of the newest change in that digest: the sender knows all changes of
+    /// entries up to it. `None` if the sender does not state it.
+    pub entries_revision: Option<u64>,
     /// Time until the sender's next heartbeat, in ms.
     pub period_ms: u64,
     /// Newest era of the store that the sender knows; that of `config_revision`
-    /// and `entries_digest`. `None` if the sender does not know eras: what it says
+    /// and the entries. `None` if the sender does not know eras: what it says
     /// is of the first one.
     pub store_era: Option<StoreEra>,
     /// Version of the configuration in force at the sender; 0 if none is. A sender
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -362,6 +362,16 @@
     pub revision: u64,
 }
 
+/// The state of all backend servers' entries, by which instances compare what they
+/// know.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct EntriesState {
+    /// Position of the newest change.
+    pub position: StorePosition,
+    /// Digest of the existing entries and their revisions.
+    pub digest: u64,
+}
+
 /// A decoded change of the platform's store.
 #[derive(Debug, Clone, PartialEq)]
 pub enum StoreUpdate {
@@ -487,16 +497,19 @@
         shown_version: Option<u64>,
         /// Position of the newest known change by operators.
         config_position: StorePosition,
-        /// Digest of the backend servers' entries.
-        entries_digest: u64,
         /// The changes.
         updates: Vec<StoreUpdate>,
     },
     /// Store changes for the other instances.
     ForwardItems(Vec<Item>),
-    /// The entries of backend servers are known as of a query at this time. Sent
-    /// while they are watched for all instances.
-    EntriesRead(Millis),
+    /// The entries of backend servers are known as of a query. Sent while they are
+    /// watched for all instances.
+    EntriesRead {
+        /// When the store was queried.
+        queried_at: Millis,
+        /// What it showed.
+        entries: EntriesState,
+    },
     /// A call to the store failed.
     StoreCallFailed,
     /// The store is in a new era, or this instance has learned of its era.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -19,7 +19,9 @@
 use crate::gateway::feed::RevisionTracker;
 use crate::gateway::instances::PeerMessage;
 use crate::gateway::instances::Recipient;
+use crate::gateway::message::EntriesState;
 use crate::gateway::message::Input;
+use crate::gateway::message::StorePosition;
 use crate::metrics::Count;
 use crate::metrics::Metrics;
 
@@ -143,8 +145,15 @@
                 if let PeerMessage::Alive(heartbeat) = &message {
                     let era = heartbeat.store_era.unwrap_or_default();
                     revisions.observe_peer_era(era);
-                    if let Some(digest) = heartbeat.entries_digest {
-                        revisions.compare_digest(era, digest);
+                    match (heartbeat.entries_digest, heartbeat.entries_revision) {
+                        (Some(digest), Some(revision)) => {
+                            let position = StorePosition { era, revision };
+                            revisions.compare_entries(EntriesState { position, digest });
+                        }
+                        (Some(digest), None) => {
+                            revisions.compare_digest(era, digest);
+                        }
+                        (None, _) => {}
                     }
                 }
                 // Sending fails only during process exit.
--- a/src/gateway/tests/calls/fleet.rs
+++ b/src/gateway/tests/calls/fleet.rs
@@ -500,7 +500,6 @@
         proved_at: Some(Millis(now)),
         shown_version: Some(1),
         config_position: super::super::core::position(1),
-        entries_digest: 0,
         updates,
     }
 }
--- a/src/gateway/tests/core.rs
+++ b/src/gateway/tests/core.rs
@@ -18,6 +18,7 @@
 use crate::gateway::message::AttemptEnd;
 use crate::gateway::message::AttemptNumber;
 use crate::gateway::message::AttemptPlan;
+use crate::gateway::message::EntriesState;
 use crate::gateway::message::Input;
 use crate::gateway::message::Output;
 use crate::gateway::message::ProbeEnd;
@@ -242,6 +243,7 @@
             proof_age_ms: 0,
             store_answers: true,
             entries_digest: None,
+            entries_revision: None,
             period_ms: 2_000,
             store_era: Some(StoreEra::default()),
             config_version: 1,
@@ -285,7 +287,6 @@
             proved_at: Some(Millis(self.now)),
             shown_version: self.shown_version,
             config_position: self.position,
-            entries_digest: 0,
             updates,
         };
         let _ = self.handle(input);
@@ -431,6 +432,7 @@
             proof_age_ms: 1_000,
             store_answers: true,
             entries_digest: None,
+            entries_revision: None,
             period_ms: 500,
             store_era: Some(StoreEra::default()),
             config_version: 1,
@@ -458,6 +460,7 @@
         proof_age_ms: 100,
         store_answers: true,
         entries_digest: None,
+        entries_revision: None,
         period_ms: 500,
         store_era: Some(StoreEra::default()),
         config_version: 1,
@@ -484,6 +487,7 @@
         proof_age_ms: 0,
         store_answers: true,
         entries_digest: None,
+        entries_revision: None,
         period_ms: 500,
         store_era: Some(StoreEra::default()),
         config_version: 1,
@@ -493,7 +497,6 @@
         proved_at: None,
         shown_version: Some(1),
         config_position: position(5),
-        entries_digest: 77,
         updates: Vec::new(),
     });
     let mut digests = Vec::new();
@@ -502,10 +505,18 @@
         if n == 2 {
             // Others would rely on it before it has read the entries.
             assert!(digests.iter().all(Option::is_none), "{digests:?}");
-            let _ = harness.handle(Input::EntriesRead(Millis(harness.now)));
+            let _ = harness.handle(Input::EntriesRead {
+                queried_at: Millis(harness.now),
+                entries: EntriesState {
+                    position: position(4),
+                    digest: 77,
+                },
+            });
         }
         for output in harness.handle(Input::Tick) {
             if let Output::Broadcast(_, PeerMessage::Alive(heartbeat)) = output {
+                let revision = heartbeat.entries_digest.map(|_| 4);
+                assert_eq!(heartbeat.entries_revision, revision);
                 digests.push(heartbeat.entries_digest);
             }
         }
@@ -525,6 +536,7 @@
             proof_age_ms: 20_000,
             store_answers,
             entries_digest: None,
+            entries_revision: None,
             period_ms: 500,
             store_era: Some(StoreEra::default()),
             config_version: 1,
@@ -650,7 +662,6 @@
         proved_at: None,
         shown_version: Some(1),
         config_position: position(5),
-        entries_digest: 0,
         updates: vec![StoreUpdate::ServerRemoved("p0".to_owned())],
     });
     harness.now += 1_800;
@@ -995,6 +1006,7 @@
         proof_age_ms: 0,
         store_answers: true,
         entries_digest: None,
+        entries_revision: None,
         period_ms: 500,
         store_era: Some(StoreEra::default()),
         config_version: 1,
--- a/src/gateway/tests/datagrams.rs
+++ b/src/gateway/tests/datagrams.rs
@@ -56,6 +56,7 @@
         proof_age_ms: 640,
         store_answers: true,
         entries_digest: Some(0xfeed),
+        entries_revision: None,
         period_ms: 500,
         store_era: Some(StoreEra(2)),
         config_version: 21,
@@ -276,6 +277,22 @@
     assert_eq!(decode(&sent), unstated);
 }
 
+#[test]
+fn earlier_releases_are_told_the_digest_of_the_entries_without_its_revision() {
+    let (_, message) = recorded_messages().remove(3);
+    let PeerMessage::Alive(unstated) = message else {
+        unreachable!("the fourth message is a heartbeat");
+    };
+    let stated = PeerMessage::Alive(Heartbeat {
+        entries_revision: Some(299),
+        ..unstated.clone()
+    });
+    let sent = datagram::encode(&stated, Format::Tagged).unwrap();
+    assert_eq!(decode(&sent), stated);
+    let sent = datagram::encode(&stated, Format::Positional).unwrap();
+    assert_eq!(decode(&sent), PeerMessage::Alive(unstated));
+}
+
 #[test]
 fn the_end_of_a_request_takes_little_more_with_tags() {
     let hashes = [u64::MAX, 1 << 63, 3 << 61];
--- a/src/gateway/tests/entries.rs
+++ b/src/gateway/tests/entries.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
+use std::time::Instant;
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -27,6 +28,8 @@
 
 /// Longest time that a test waits for what it expects.
 const PATIENCE: Duration = Duration::from_secs(20);
+/// Shortest time within which a draining server has to get no more requests.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
 /// Interval at which it looks.
 const STEP: Duration = Duration::from_millis(2);
 
@@ -154,3 +157,35 @@
     });
     assert_eq!(forwarded.len(), 1);
 }
+
+/// Guards against a server that goes on getting requests after it drains: a change that
+/// no datagram has brought was fetched only 3 s after another one.
+#[test]
+fn changes_that_were_missed_one_after_another_are_fetched_within_the_drain_time() {
+    let entries = Entries::default();
+    entries.write(5, "i-1", "{}");
+    let store = entries.serve();
+    let watcher = RevisionTracker::new(flume::unbounded().0);
+    watcher.apply_item(entries.write(5, "i-1", "{}"));
+    let slowest = beside_watch(&store, Watching::Loosely, async |revisions, _rx| {
+        while revisions.entries_digest() != watcher.entries_digest() {
+            tokio::time::sleep(STEP).await;
+        }
+        let mut slowest = Duration::ZERO;
+        for revision in 6..9 {
+            watcher.apply_item(entries.write(revision, "i-1", "{}"));
+            let started = Instant::now();
+            // Two heartbeats of a watcher of an earlier release.
+            for _ in 0..2 {
+                revisions.compare_digest(StoreEra::default(), watcher.entries_digest());
+            }
+            while revisions.entries_digest() != watcher.entries_digest() {
+                tokio::time::sleep(STEP).await;
+            }
+            slowest = slowest.max(started.elapsed());
+        }
+        slowest
+    });
+    // The second heartbeat comes up to a second after the change.
+    assert!(slowest < DRAIN_TIME - Duration::from_secs(1), "{slowest:?}");
+}
--- a/src/gateway/tests/feed.rs
+++ b/src/gateway/tests/feed.rs
@@ -7,6 +7,7 @@
 use crate::adapter::store::Part;
 use crate::clock::Millis;
 use crate::gateway::feed::RevisionTracker;
+use crate::gateway::message::EntriesState;
 use crate::gateway::message::Input;
 use crate::gateway::message::StoreEra;
 use crate::gateway::message::StorePosition;
@@ -48,6 +49,107 @@
     assert!(!other.compare_digest(StoreEra::default(), watcher.entries_digest()));
 }
 
+fn position(revision: u64) -> StorePosition {
+    StorePosition {
+        era: StoreEra::default(),
+        revision,
+    }
+}
+
+/// Returns the tracker of an instance that has read the entries of two servers.
+fn tracker_with_entries() -> RevisionTracker {
+    let (tx, _rx) = flume::unbounded();
+    let tracker = RevisionTracker::new(tx);
+    let listed = vec![change("servers/a", 3, true), change("servers/b", 4, true)];
+    tracker.apply(StoreEra::default(), listed, None);
+    tracker.record_read(Part::Servers, position(5));
+    tracker
+}
+
+/// Lets an instance read changes from the store; returns what it states.
+fn read(tracker: &RevisionTracker, changes: Vec<Change>, to: u64) -> EntriesState {
+    tracker.apply(StoreEra::default(), changes, None);
+    tracker.record_read(Part::Servers, position(to));
+    tracker.complete_entries()
+}
+
+/// Guards against a draining server that goes on getting requests: a change that was
+/// not heard of is missed by the first statement that includes it, and so is one that
+/// a change known already follows.
+#[test]
+fn a_lost_change_of_an_entry_is_noticed_at_the_first_statement() {
+    let (watcher, other) = (tracker_with_entries(), tracker_with_entries());
+    assert!(!other.compare_entries(watcher.complete_entries()));
+    let lost = || change("servers/a", 9, false);
+    assert!(other.compare_entries(read(&watcher, vec![lost()], 9)));
+    assert!(!other.compare_entries(read(&other, vec![lost()], 9)));
+    // The broadcast of the first of two changes is lost.
+    let two = || vec![change("servers/b", 12, true), change("servers/c", 13, true)];
+    let state = read(&watcher, two(), 20);
+    other.apply(StoreEra::default(), two().split_off(1), None);
+    assert!(other.compare_entries(state));
+    // Each statement says so until it has been read.
+    assert!(other.compare_entries(state));
+    read(&other, two(), 25);
+    assert!(!other.compare_entries(state));
+}
+
+#[test]
+fn statements_of_what_is_known_or_older_cause_no_fetch() {
+    let (watcher, other) = (tracker_with_entries(), tracker_with_entries());
+    let state = read(&watcher, vec![change("servers/a", 9, true)], 9);
+    // The broadcast has arrived, so that nothing is missing up to it.
+    other.apply(
+        StoreEra::default(),
+        vec![change("servers/a", 9, true)],
+        None,
+    );
+    assert!(!other.compare_entries(state));
+    // Another watcher has not read the next change yet.
+    other.apply(
+        StoreEra::default(),
+        vec![change("servers/b", 11, true)],
+        None,
+    );
+    assert!(!other.compare_entries(state));
+    // An instance that reads that an entry is gone does not know since when.
+    let read_late = read(&watcher, vec![change("servers/b", 30, false)], 30);
+    read(&other, vec![change("servers/b", 28, false)], 31);
+    assert!(!other.compare_entries(read_late));
+}
+
+/// An instance that knows a change only from another watcher may lack the ones before.
+#[test]
+fn a_watcher_states_only_changes_before_which_it_has_missed_none() {
+    let watcher = tracker_with_entries();
+    let known = watcher.complete_entries();
+    watcher.apply(
+        StoreEra::default(),
+        vec![change("servers/c", 13, true)],
+        None,
+    );
+    assert_eq!(watcher.complete_entries(), known);
+    let missed = vec![change("servers/b", 12, true)];
+    let state = read(&watcher, missed, 13);
+    assert_eq!(state.position, position(13));
+    assert_ne!(state.digest, known.digest);
+}
+
+#[test]
+fn statements_of_another_era_are_not_compared() {
+    let tracker = tracker_with_entries();
+    tracker.observe_peer_era(StoreEra(2));
+    let stated = |era| EntriesState {
+        position: StorePosition {
+            era: StoreEra(era),
+            revision: 90,
+        },
+        digest: 77,
+    };
+    assert!(!tracker.compare_entries(stated(0)));
+    assert!(tracker.compare_entries(stated(2)));
+}
+
 #[test]
 fn the_digest_does_not_depend_on_the_order_of_changes() {
     let (tx, _rx) = flume::unbounded();
--- a/src/gateway/tests/simulation.rs
+++ b/src/gateway/tests/simulation.rs
@@ -475,7 +475,6 @@
                 proved_at: Some(Millis::ZERO),
                 shown_version: Some(1),
                 config_position: super::core::position(1),
-                entries_digest: 0,
                 updates: updates.clone(),
             };
             simulation.push(0.0, Event::Input { core: index, input });
@@ -1238,7 +1237,6 @@
                 proved_at: Some(Millis(self.now as u64)),
                 shown_version: Some(1),
                 config_position: super::core::position(1),
-                entries_digest: 0,
                 updates: updates.clone(),
             };
             self.push(self.now, Event::Input { core, input });
--- a/src/gateway/tests/simulation/faults.rs
+++ b/src/gateway/tests/simulation/faults.rs
@@ -103,7 +103,6 @@
             proved_at: Some(Millis(self.now as u64)),
             shown_version: Some(1),
             config_position: super::super::core::position(1),
-            entries_digest: 0,
             updates: Vec::new(),
         }
     }
--- a/src/gateway/tests/watching.rs
+++ b/src/gateway/tests/watching.rs
@@ -14,6 +14,7 @@
 use crate::gateway::instances::Heartbeat;
 use crate::gateway::instances::Item;
 use crate::gateway::instances::PeerMessage;
+use crate::gateway::message::EntriesState;
 use crate::gateway::message::Input;
 use crate::gateway::message::Output;
 use crate::gateway::message::StoreEra;
@@ -36,6 +37,7 @@
                 store_answers: true,
                 // Two of them watch the servers' entries for all.
                 entries_digest: (n < 2).then_some(0),
+                entries_revision: None,
                 period_ms: 2_000,
                 store_era: Some(StoreEra::default()),
                 config_version: 0,
@@ -111,6 +113,51 @@
     assert_eq!(forwarded(&mut harness, 155), [5; 155]);
 }
 
+/// Guards against a draining server that goes on getting requests because its entry is
+/// larger than a datagram: the other instances are told at once that they miss
+/// something.
+#[test]
+fn a_change_that_is_too_large_for_a_datagram_is_announced_at_once() {
+    let mut harness = Harness::new();
+    harness.hear_instance("other");
+    let _ = harness.tick_until(4_000);
+    let read = |harness: &mut Harness, entries| {
+        let queried_at = Millis(harness.now);
+        let _ = harness.handle(Input::EntriesRead {
+            queried_at,
+            entries,
+        });
+        harness.now += 25;
+        harness.handle(Input::Tick)
+    };
+    let _ = read(&mut harness, EntriesState::default());
+    let item = Item {
+        key: "servers/i-1".to_owned(),
+        revision: 9,
+        value: Some(vec![0; 1_321]),
+        era: StoreEra::default(),
+    };
+    let out = harness.handle(Input::ForwardItems(vec![item]));
+    assert!(
+        !out.iter()
+            .any(|output| matches!(output, Output::Broadcast(_, PeerMessage::Item(_))))
+    );
+    let entries = EntriesState {
+        position: StorePosition {
+            era: StoreEra::default(),
+            revision: 9,
+        },
+        digest: 77,
+    };
+    let out = read(&mut harness, entries);
+    let stated = out.iter().find_map(|output| match output {
+        Output::Broadcast(_, PeerMessage::Alive(heartbeat)) => Some(heartbeat),
+        _ => None,
+    });
+    let stated = stated.map(|heartbeat| (heartbeat.entries_revision, heartbeat.entries_digest));
+    assert_eq!(stated, Some((Some(9), Some(77))));
+}
+
 /// Shortest time within which a draining server has to get no more requests, less
 /// the time that requests on the way take.
 const DRAIN_BOUND: u64 = 2_000 - 100;
@@ -212,7 +259,6 @@
             proved_at: Some(proved_at),
             shown_version: Some(1),
             config_position: StorePosition::default(),
-            entries_digest: 0,
             updates,
         };
         self.handle(n, input);
@@ -277,7 +323,11 @@
                 self.handle(n, Input::ForwardItems(vec![item]));
             }
             let queried_at = queried_at.saturating_sub(started_at);
-            self.handle(n, Input::EntriesRead(Millis(queried_at)));
+            let read = Input::EntriesRead {
+                queried_at: Millis(queried_at),
+                entries: EntriesState::default(),
+            };
+            self.handle(n, read);
         }
         self.prove(n, Vec::new());
         if self.nodes[n].watching != Watching::Loosely {
