Discard requests that were given up while a cut held them up

Bytes that a cut holds up are lost only if their sender resets the connection. A connection that is dropped within an exchange is therefore reset. The end by keepalive probes leaves no connection to reset: kept connections are now used for at most 1.1 s of idle time, so that the limit on acknowledgement (1.8 s) or the reset comes before the probes' end (3 s).

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -39,6 +39,7 @@
 pub mod route;
 pub mod server;
 pub mod server_links;
+pub mod server_stream;
 pub mod server_table;
 pub mod settings;
 pub mod shares;
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -3,7 +3,7 @@
 //!
 //! A connection carries one request at a time and stays in the pool until
 //! shortly before its server's keep-alive timeout. Dropping a
-//! [`PooledConnection`] before the response is complete closes the connection,
+//! [`PooledConnection`] before the response is complete resets the connection,
 //! so that the server stops working on the request.
 
 use std::cell::RefCell;
@@ -36,6 +36,8 @@
 
 use crate::clock::Millis;
 use crate::gateway::memory_budget::SERVER_RECEIVE_BUFFER_BYTES;
+use crate::gateway::server_stream::Exchange;
+use crate::gateway::server_stream::ServerStream;
 
 /// Time limit for connecting: many times the delay between failure domains, and
 /// short enough to try another server in time.
@@ -62,6 +64,13 @@
 /// closed: one round trip, plus the rounding of a timeout stated in whole
 /// seconds.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
+/// Longest time for which a connection is kept idle. If its link was lost meanwhile,
+/// the limit on acknowledgement ends it before its keepalive probes do, and discards
+/// the request that was written to it.
+pub const MAX_IDLE_TIME: Duration = KEEPALIVE_PERIOD
+    .saturating_mul(1 + KEEPALIVE_PROBES)
+    .saturating_sub(ACK_TIMEOUT)
+    .saturating_sub(Duration::from_millis(100));
 /// Maximum size of a response head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum size of a response that is buffered completely, in bytes; the
@@ -84,6 +93,7 @@
 struct Idle {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    exchange: Exchange,
     /// When it is closed, shortly before the server's keep-alive timeout.
     until: Instant,
 }
@@ -126,6 +136,7 @@
     addr: String,
     sender: Option<SendRequest<Full<Bytes>>>,
     task: AbortHandle,
+    exchange: Exchange,
     idle_timeout: Duration,
     is_reused: bool,
 }
@@ -144,7 +155,9 @@
         let Some(sender) = self.sender.take() else {
             return;
         };
+        self.exchange.end();
         let remaining = self.idle_timeout.saturating_sub(IDLE_TIMEOUT_MARGIN);
+        let remaining = remaining.min(MAX_IDLE_TIME);
         if remaining.is_zero() || sender.is_closed() {
             self.close();
             return;
@@ -152,6 +165,7 @@
         let idle = Idle {
             sender,
             task: self.task.clone(),
+            exchange: self.exchange.clone(),
             until: Instant::now() + remaining,
         };
         let mut pools = self.upstream.pools.borrow_mut();
@@ -209,6 +223,7 @@
             let Some(sender) = &mut connection.sender else {
                 break;
             };
+            connection.exchange.begin();
             match sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
                 // The pooled connection was closed before anything was written.
@@ -222,6 +237,7 @@
         let Some(sender) = &mut connection.sender else {
             return Err(CallError::NotSent("no connection".to_owned()));
         };
+        connection.exchange.begin();
         match sender.try_send_request(request).await {
             Ok(response) => Ok((response, connection)),
             Err(mut error) => {
@@ -349,6 +365,7 @@
                     addr: addr.to_owned(),
                     sender: Some(conn.sender),
                     task: conn.task,
+                    exchange: conn.exchange,
                     idle_timeout: DEFAULT_IDLE_TIMEOUT,
                     is_reused: true,
                 });
@@ -373,6 +390,8 @@
         addr: &str,
         stream: TcpStream,
     ) -> Result<PooledConnection, CallError> {
+        let exchange = Exchange::default();
+        let stream = ServerStream::new(stream, exchange.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
@@ -387,6 +406,7 @@
             addr: addr.to_owned(),
             sender: Some(sender),
             task: task.abort_handle(),
+            exchange,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             is_reused: false,
         })
@@ -466,7 +486,7 @@
 /// Ends a connection if the server acknowledges nothing. The limit holds also
 /// while the receiver has no room, so that callers that read slowly must not
 /// have it.
-fn limit_acknowledgement_time(stream: &TcpStream) {
+pub fn limit_acknowledgement_time(stream: &TcpStream) {
     if let Err(error) = SockRef::from(stream).set_tcp_user_timeout(Some(ACK_TIMEOUT)) {
         log::debug!(error:% = error; "cannot set TCP_USER_TIMEOUT");
     }
