Treat servers of a domain that is taken back as cold until their entries can say

Its entry says so with its next write, 1.2 s later; until then all instances used it without a limit: 34 to 48 requests in a second at a bound of 26.

From the end of a cordon, the servers of the domain keep to the rate of cold ones for two write intervals. Asking each server for its health instead would cost a probe for each pair of instance and server, and its answer may wait for a slot.

--- a/src/gateway/core/facts.rs
+++ b/src/gateway/core/facts.rs
@@ -18,6 +18,7 @@
 use crate::gateway::route::RouteTable;
 use crate::gateway::server_table::Change;
 use crate::gateway::server_table::ServerEntry;
+use crate::gateway::server_table::ServerKey;
 
 /// Reserve kept within the time limit for requests to a server that has left,
 /// for the delivery of the news and of requests that are on their way.
@@ -29,6 +30,11 @@
 /// silent for three.
 const REAPPEARED_ENTRY_WRITES: u64 = 5;
 
+/// Write intervals of servers for which those of a failure domain that is back in
+/// service are taken to be cold: they may have become so just before, and their entries
+/// say it with the next write.
+const COLD_DOUBT_WRITES: u64 = 2;
+
 /// A server whose entry disappeared around an outage of the store.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Lapse {
@@ -65,7 +71,7 @@
             }
             StoreUpdate::DomainUncordoned(domain) => {
                 self.missing_cordons.remove(&domain);
-                self.uncordon(&domain);
+                self.uncordon(now, &domain);
             }
             StoreUpdate::CordonMissing(domain) => {
                 if self.cordoned_domains.contains(&domain) {
@@ -123,9 +129,24 @@
         self.routes = Some(routes);
     }
 
-    fn uncordon(&mut self, domain: &str) {
-        if self.cordoned_domains.remove(domain) {
-            log::info!(domain = domain; "failure domain back in service");
+    fn uncordon(&mut self, now: Millis, domain: &str) {
+        if !self.cordoned_domains.remove(domain) {
+            return;
+        }
+        let cold_for = self.bounds.server_write_interval * COLD_DOUBT_WRITES;
+        let listed = self.server_table.listed();
+        let servers: Vec<ServerKey> = listed
+            .filter(|(_, server)| server.entry.domain == domain)
+            .map(|(key, _)| key)
+            .collect();
+        log::info!(
+            domain = domain,
+            servers = servers.len(),
+            cold_ms = cold_for.0;
+            "failure domain back in service"
+        );
+        for server in servers {
+            self.server_table.mark_cold(server, now + cold_for);
         }
     }
 
@@ -175,7 +196,7 @@
             is_kept
         });
         for domain in ended {
-            self.uncordon(&domain);
+            self.uncordon(now, &domain);
         }
         let mut due = Vec::new();
         self.reappeared_servers.retain(|_, (entry, until)| {
--- a/src/gateway/tests/core.rs
+++ b/src/gateway/tests/core.rs
@@ -927,6 +927,35 @@
     assert_eq!(sent, 3 * SERVERS);
 }
 
+/// Guards against a burst at servers that became cold while their failure domain was
+/// taken out: their entries say so with the next write.
+#[test]
+fn servers_of_a_domain_that_is_back_in_service_get_no_more_than_the_rate_of_cold_ones() {
+    let mut harness = Harness::new();
+    let mut table = keyed_table(2, &["k"]);
+    for service in table.services.values_mut() {
+        service.cold_requests_per_s = 3.0;
+    }
+    harness.apply_store_updates(vec![StoreUpdate::Routes(Arc::new(table))]);
+    let domains = || ["a", "b"].map(ToOwned::to_owned).into_iter();
+    harness.apply_store_updates(domains().map(StoreUpdate::DomainCordoned).collect());
+    harness.now += 8_000;
+    harness.apply_store_updates(domains().map(StoreUpdate::DomainUncordoned).collect());
+    for path in ["/short/1", "/once/1"] {
+        let mut sent = || {
+            let submissions = (0..40).map(|_| harness.submit(path, "k").1);
+            submissions.filter(|out| plan(out).is_some()).count()
+        };
+        assert_eq!(sent(), 3 * SERVERS, "{path}");
+    }
+    // Two writes of their entries have not said that they are cold.
+    harness.now += 2_500;
+    harness.apply_store_updates(Vec::new());
+    let (_, out) = harness.submit("/once/1", "k");
+    assert!(plan(&out).is_some());
+    assert!(harness.receiving_servers("/once/1").len() == SERVERS);
+}
+
 #[test]
 fn a_request_is_refused_promptly_when_no_server_is_left() {
     let mut harness = Harness::new();
