Drop the requests that a caller sent ahead when it leaves

The connection of a caller that has sent more than the request at work is checked for its end every 100 ms, and before a request that follows another one is submitted. The end of the caller's side is told by the system beside bytes that are unread. The request at work is ended too.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -8,9 +8,11 @@
 use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
+use std::pin::pin;
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
+use std::task::Waker;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,6 +21,7 @@
 use http_body::SizeHint;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
+use tokio::io::Interest;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -222,12 +225,28 @@
     }
 }
 
+/// A caller's connection, shared by hyper and by who looks whether the caller has left.
+pub type SharedStream = Rc<RefCell<TcpStream>>;
+
+/// Returns whether a caller has closed its connection, also if what it sent before has
+/// not been read.
+#[must_use]
+pub fn has_left(stream: &SharedStream) -> bool {
+    let stream = stream.borrow();
+    let ready = pin!(stream.ready(Interest::READABLE));
+    match ready.poll(&mut Context::from_waker(Waker::noop())) {
+        Poll::Ready(Ok(ready)) => ready.is_read_closed(),
+        Poll::Ready(Err(_)) => true,
+        Poll::Pending => false,
+    }
+}
+
 /// A connection that records when a request head begins to arrive, when a
 /// response has been written and whether its caller reads, and scans the heads. A
 /// long head takes from the memory budget until its response has been written.
 #[derive(Debug)]
 pub struct MonitoredStream {
-    stream: TcpStream,
+    stream: SharedStream,
     state: ConnectionState,
     heads: Rc<RefCell<HeadScanner>>,
     head_bytes: usize,
@@ -238,7 +257,7 @@
     /// Returns a stream that records what it sees.
     #[must_use]
     pub fn new(
-        stream: TcpStream,
+        stream: SharedStream,
         state: ConnectionState,
         heads: Rc<RefCell<HeadScanner>>,
         head_lease: Lease,
@@ -276,7 +295,7 @@
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         let before = buf.filled().len();
-        let polled = Pin::new(&mut this.stream).poll_read(cx, buf);
+        let polled = Pin::new(&mut *this.stream.borrow_mut()).poll_read(cx, buf);
         let read = &buf.filled()[before..];
         if !read.is_empty()
             && let Err(error) = this.scan(read)
@@ -294,7 +313,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        let written = Pin::new(&mut this.stream).poll_write(cx, buf);
+        let written = Pin::new(&mut *this.stream.borrow_mut()).poll_write(cx, buf);
         this.state.record_write(&written);
         written
     }
@@ -312,10 +331,10 @@
             this.head_bytes = 0;
             this.head_lease.shrink_to(0);
         }
-        Pin::new(&mut this.stream).poll_flush(cx)
+        Pin::new(&mut *this.stream.borrow_mut()).poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
     }
 }
--- a/src/gateway/framing.rs
+++ b/src/gateway/framing.rs
@@ -67,6 +67,13 @@
         self.heads.pop_front().unwrap_or(BodyLength::Ambiguous)
     }
 
+    /// Returns whether the caller has sent more than the heads that were taken and
+    /// their bodies.
+    #[must_use]
+    pub fn has_read_ahead(&self) -> bool {
+        !self.heads.is_empty() || self.is_inside_head()
+    }
+
     /// Returns whether a part of a head has arrived.
     #[must_use]
     pub fn is_inside_head(&self) -> bool {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -38,6 +38,7 @@
 use crate::gateway::connection::ConnectionState;
 use crate::gateway::connection::MonitoredStream;
 use crate::gateway::connection::TrackedBody;
+use crate::gateway::connection::has_left;
 use crate::gateway::connection_table::ConnectionTable;
 use crate::gateway::connection_table::Place;
 use crate::gateway::forward;
@@ -65,6 +66,9 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Interval at which a connection's idle and head timeouts are checked.
 const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which it is checked whether a caller has left that has sent requests
+/// ahead: its servers have to be released within half a second.
+const READ_AHEAD_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which a caller that takes nothing of its response is given up.
 const READ_STALL_LIMIT: Duration = Duration::from_secs(15);
 /// Maximum number of connections of a status listener.
@@ -195,15 +199,27 @@
 ) {
     let heads = Rc::new(RefCell::new(HeadScanner::new()));
     let head_lease = context.traffic.bodies.budget.lease(Holder::Heads);
-    let io = MonitoredStream::new(stream, state.clone(), Rc::clone(&heads), head_lease);
+    let stream = Rc::new(RefCell::new(stream));
+    let io = MonitoredStream::new(
+        Rc::clone(&stream),
+        state.clone(),
+        Rc::clone(&heads),
+        head_lease,
+    );
     let limits = *context.limits.borrow();
     let service = {
         let (context, state) = (context.clone(), state.clone());
+        let (heads, stream) = (Rc::clone(&heads), Rc::clone(&stream));
         service_fn(move |request: Request<Incoming>| {
             state.begin(Activity::Request);
             let body_length = heads.borrow_mut().take_head();
             let (context, state) = (context.clone(), state.clone());
+            // Sent ahead of an earlier answer that the caller did not wait for.
+            let has_left = has_left(&stream);
             async move {
+                if has_left {
+                    return Err(Aborted);
+                }
                 let response = match body_length {
                     BodyLength::Ambiguous => response::ambiguous_length_response(),
                     BodyLength::Clear => forward_request(&context, &state, request).await?,
@@ -250,7 +266,12 @@
                 log_close(caller, CloseCause::CrowdedOut, &state, &context);
                 return;
             }
-            () = sleep(TIMEOUT_CHECK_INTERVAL) => {}
+            () = sleep(check_interval(&heads.borrow())) => {}
+        }
+        // hyper doesn't look while there are bytes that it has not read.
+        if heads.borrow().has_read_ahead() && has_left(&stream) {
+            log::debug!(caller:% = caller; "caller left with requests sent ahead");
+            return;
         }
         match close_cause(&context, &state) {
             // hyper would wait for the rest of a connection's first head, and for
@@ -269,6 +290,14 @@
     }
 }
 
+/// Returns the time until a connection is checked again.
+fn check_interval(heads: &HeadScanner) -> Duration {
+    match heads.has_read_ahead() {
+        true => READ_AHEAD_CHECK_INTERVAL,
+        false => TIMEOUT_CHECK_INTERVAL,
+    }
+}
+
 async fn forward_request(
     context: &ServerContext,
     state: &ConnectionState,
@@ -370,6 +399,7 @@
 ) {
     let heads = Rc::new(RefCell::new(HeadScanner::new()));
     let head_lease = context.budget.lease(Holder::Heads);
+    let stream = Rc::new(RefCell::new(stream));
     let io = MonitoredStream::new(stream, state.clone(), Rc::clone(&heads), head_lease);
     let service = {
         let state = state.clone();
--- a/tests/gateway/connections.rs
+++ b/tests/gateway/connections.rs
@@ -211,6 +211,35 @@
     assert!(held.is_closed_within(LEAVE_LIMIT));
 }
 
+/// Guards against requests that reach a server after their caller has left: hyper does
+/// not look at a connection while bytes are left that it has not read.
+#[test]
+fn requests_that_were_sent_ahead_are_dropped_when_their_caller_leaves() {
+    let stage = stage();
+    let held = HeldStream::start("i-2").unwrap();
+    stage.store.put("servers/i-2", held.entry.as_bytes());
+    stage.store.remove("servers/i-1");
+    stage
+        .gateway
+        .wait_line_with("backend server listed", "server", "i-2");
+    stage.gateway.wait_line("backend server gone");
+    let mut connection = connected(stage.gateway.callers);
+    let text = request("/stream/1", "a") + &request("/stream/1", "b");
+    connection.send(&text).unwrap();
+    let mut received = String::new();
+    while !received.contains("token 1") {
+        connection.read_line(&mut received).unwrap();
+    }
+    drop(connection);
+    assert!(held.is_closed_within(LEAVE_LIMIT));
+    let log = stage.gateway.log();
+    let is_known = |id| {
+        log.iter()
+            .any(|line| line.contains(&format!("\"request\":\"{id}\"")))
+    };
+    assert!(is_known("a") && !is_known("b"), "{log:?}");
+}
+
 /// Returns a request whose body has two lengths, with a head of at least the
 /// given size.
 fn ambiguous_request(id: &str, head_bytes: usize) -> String {
