--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod links;
 mod memory;
 mod odd_answers;
+mod odd_entries;
 mod partition;
 mod path;
 mod platform;
