Count answers about servers' entries as signs that the store is up

Trace: a watch is cut, and the next answer, 0.8 s later, is that to the watch of the servers' entries, which shows the removal. Only answers about the operators' keys counted as signs that the store is up; the latest of these was to a query 2.4 s old, after which an entry may have lapsed in an outage. So the server was kept until the store would answer again, and the store was then down.

Answers to queries for the entries count now, before what they show is applied. After an outage that was long enough, the first answer still gives lapsed entries time to return, whichever part it is about.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -298,6 +298,9 @@
                 }
                 self.retry_waiting(now, &mut out);
             }
+            Input::EntriesAnswered(queried_at) => {
+                self.freshness.record_entries_answer(now, queried_at);
+            }
             Input::ForwardItems(items) => self.forward_items(now, items, &mut out),
             Input::EntriesRead {
                 queried_at,
--- a/src/gateway/core/freshness.rs
+++ b/src/gateway/core/freshness.rs
@@ -133,18 +133,24 @@
     ) -> Option<Millis> {
         self.config_position = self.config_position.max(config_position);
         let queried_at = queried_at?;
+        self.record_entries_answer(now, queried_at);
         let lost_at = self.lost_at.take();
         if let Some(lost_at) = lost_at {
             log::info!(away_ms = now.since(lost_at).0; "store regained");
             self.regained_at = Some(now);
-            if self.may_lapse(queried_at) {
-                self.regained_after_lapse_at = Some(now);
-            }
         }
-        self.answered_at = self.answered_at.max(queried_at);
         lost_at.map(|lost_at| now.since(lost_at))
     }
 
+    /// Records an answer of the store to a query for the backend servers' entries. It
+    /// proves nothing of the configuration, but shows that the store can be written to.
+    pub fn record_entries_answer(&mut self, now: Millis, queried_at: Millis) {
+        if self.lost_at.is_some() && self.may_lapse(queried_at) {
+            self.regained_after_lapse_at = Some(now);
+        }
+        self.answered_at = self.answered_at.max(queried_at);
+    }
+
     /// Returns whether the entry of a live server can have lapsed if the store has
     /// answered nobody from its latest known answer until `at`.
     fn may_lapse(&self, at: Millis) -> bool {
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -352,6 +352,9 @@
                 continue;
             }
             changes.extend(self.revisions.missing_removals(part, &changes, position));
+            if !allow_stale {
+                self.report_answer(part, queried_at);
+            }
             let new_changes = self
                 .revisions
                 .apply(era, changes, freshness_proof(part, queried_at));
@@ -381,6 +384,7 @@
         }
         let page = decode(&body)?;
         let proved_at = freshness_proof(part, queried_at);
+        self.report_answer(part, queried_at);
         self.revisions.apply(era, page.changes.clone(), proved_at);
         // Also those that another instance has forwarded: it may not reach the same
         // instances as this one.
@@ -415,6 +419,15 @@
         }
     }
 
+    /// Tells the core that the store has answered, unless the answer is a proof, which
+    /// says so itself.
+    fn report_answer(&self, part: Part, queried_at: Millis) {
+        if part == Part::Servers {
+            // Sending fails only during process exit.
+            let _ = self.inputs.send(Input::EntriesAnswered(queried_at));
+        }
+    }
+
     /// Tells the core that the entries of backend servers are known, if this instance
     /// watches them for all.
     fn report_entries_read(&self, part: Part, queried_at: Millis) {
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -500,6 +500,9 @@
         /// The changes.
         updates: Vec<StoreUpdate>,
     },
+    /// The store has answered a query made at this time for the backend servers'
+    /// entries. Sent before the changes that it shows.
+    EntriesAnswered(Millis),
     /// Store changes for the other instances.
     ForwardItems(Vec<Item>),
     /// The entries of backend servers are known as of a query. Sent while they are
--- a/src/gateway/tests/core.rs
+++ b/src/gateway/tests/core.rs
@@ -292,6 +292,17 @@
         let _ = self.handle(input);
     }
 
+    /// Applies the removal of a server's entry, which proves nothing of the
+    /// configuration.
+    fn read_removal(&mut self, id: &str) {
+        let _ = self.handle(Input::StoreUpdates {
+            proved_at: None,
+            shown_version: Some(1),
+            config_position: position(5),
+            updates: vec![StoreUpdate::ServerRemoved(id.to_owned())],
+        });
+    }
+
     pub(super) fn submit(&mut self, path: &str, key: &str) -> (Ticket, Vec<Output>) {
         self.submit_relayed(path, key, None)
     }
@@ -650,6 +661,40 @@
     assert_eq!(harness.receiving_servers("/once/1"), ["p1", "p2", "p3"]);
 }
 
+/// Guards against requests to a server that has left: with a store that answers slowly,
+/// the answer that shows the removal was the first one after a cut watch.
+#[test]
+fn a_removal_that_the_first_answer_after_a_cut_watch_shows_holds_while_the_store_is_down() {
+    let mut harness = Harness::new();
+    harness.apply_store_updates(Vec::new());
+    harness.now += 1_600;
+    let _ = harness.handle(Input::StoreCallFailed);
+    harness.now += 50;
+    let queried_at = Millis(harness.now);
+    harness.now += 800;
+    let _ = harness.handle(Input::EntriesAnswered(queried_at));
+    harness.read_removal("p0");
+    harness.now += 500;
+    let _ = harness.handle(Input::StoreCallFailed);
+    harness.now += 1_300;
+    assert_eq!(harness.receiving_servers("/once/1"), ["p1", "p2", "p3"]);
+}
+
+#[test]
+fn an_entry_that_the_first_answer_after_an_outage_lacks_has_time_to_return() {
+    let mut harness = Harness::new();
+    let _ = harness.handle(Input::StoreCallFailed);
+    harness.now += 4_000;
+    let _ = harness.handle(Input::EntriesAnswered(Millis(harness.now)));
+    harness.read_removal("p0");
+    harness.apply_store_updates(Vec::new());
+    let _ = harness.handle(Input::StoreCallFailed);
+    harness.now += 4_000;
+    let _ = harness.handle(Input::Tick);
+    harness.apply_store_updates(Vec::new());
+    assert_eq!(harness.receiving_servers("/once/1").len(), SERVERS);
+}
+
 #[test]
 fn a_removal_that_another_instance_read_holds_where_the_store_does_not_answer() {
     let mut harness = Harness::new();
@@ -658,12 +703,7 @@
         harness.now += 500;
         harness.hear_instance("other");
     }
-    let _ = harness.handle(Input::StoreUpdates {
-        proved_at: None,
-        shown_version: Some(1),
-        config_position: position(5),
-        updates: vec![StoreUpdate::ServerRemoved("p0".to_owned())],
-    });
+    harness.read_removal("p0");
     harness.now += 1_800;
     assert_eq!(harness.receiving_servers("/once/1"), ["p1", "p2", "p3"]);
 }
