--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -48,7 +48,7 @@
     Pauses = "pauses_named", "Times that a backend server asked for a pause";
     StoreRestored = "store_restores", "Times that the platform's store returned from an older copy";
     LinksLost = "links_lost", "Times that this instance reached no backend server of a service";
-    ItemsNotForwarded = "store_items_not_forwarded", "Changes of backend servers' entries that were not forwarded to the other instances, as there were too many at once";
+    ItemsNotForwarded = "store_items_not_forwarded", "Changes of backend servers' entries that were not forwarded to the other instances, as there were too many at once or they were too large";
     LinkProbes = "link_probes", "Probes of backend servers while the link to them was in doubt or lost";
     Queued = "requests_queued", "Requests that had to wait at this instance for room on backend servers";
     RefusedNoRoom = "requests_refused_no_room", "Requests refused as no room appeared while they waited";
