--- a/src/gateway/feed/revisions.rs
+++ b/src/gateway/feed/revisions.rs
@@ -322,11 +322,10 @@
         true
     }
 
-    /// Compares the digest of the backend servers' entries with that of an
-    /// instance of an earlier release that watches them. If they differ for longer than a broadcast
-    /// may be in transit, a message was lost and a new read is triggered;
-    /// returns whether this call triggered it. Digests of another era are not
-    /// compared.
+    /// Compares the digest of the backend servers' entries with that of an instance of
+    /// an earlier release that watches them. If they differ for longer than a broadcast
+    /// may be in transit, a message was lost and what changed is fetched; returns
+    /// whether this call triggered it. Digests of another era are not compared.
     pub fn compare_digest(&self, era: StoreEra, other_digest: u64) -> bool {
         if era != self.era() {
             return false;
@@ -340,7 +339,7 @@
         let triggered = state.mismatches == MISMATCHES_UNTIL_REREAD;
         if triggered {
             log::warn!(
-                "entries of backend servers differ from another instance's; they are read again"
+                "entries of backend servers differ from another instance's; what changed is fetched"
             );
             self.missing_change.notify_one();
         }
